--- a/src/bin/pebbleglade-simhost.rs
+++ b/src/bin/marljunction-adapter.rs
@@ -5,7 +5,7 @@
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
-use pebbleglade::wire::Host;
+use marljunction::wire::Host;
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
     let mut input = io::stdin().lock();
@@ -29,7 +29,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("pebbleglade-simhost: {error}");
+            eprintln!("marljunction-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,4 +1,4 @@
-//! Every decision of pebbleglade, and every number behind one. Its types, events and actions are in
+//! Every decision of marljunction, and every number behind one. Its types, events and actions are in
 //! `src/interface.rs`; how the paper's check became this one is told in `docs/design.md`.
 //! Work is in core-nanoseconds, time in nanoseconds, room in cores.
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small hand-driven world for the module: settings, requests and outcomes by hand.
 #![allow(dead_code)]
 
-use pebbleglade::interface::*;
-use pebbleglade::Controller;
+use marljunction::interface::*;
+use marljunction::Controller;
 
 pub const MS: u64 = 1_000_000;
 pub const S: u64 = 1_000_000_000;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The adapter: round trips and malformed input, through the host alone.
 
-use pebbleglade::wire::Host;
+use marljunction::wire::Host;
 
 const SETTINGS: &str = r#"{"azs":["a","b"],"balancers":1,"me":0,"zone":"a","kinds":["k"],"novel_key":3,
 "family_info":{"cores_by_kind":[8],"dop":[1],"ram_of_kind_mb":[16384.0],"takes_grants":true,"lanes_count":true},
@@ -136,7 +136,7 @@
     use std::io::Write;
     use std::process::{Command, Stdio};
     for (input, ok) in [("FRAME 1\nFLUSH\n", true), ("FRAME 1\nNOVEL\n", false)] {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_pebbleglade-simhost"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_marljunction-adapter"))
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
