--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,100 @@
+//! The configuration: where to listen, the limits, the settings of the module and the engines known so far.
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::discovery::stream::Update;
+use crate::interface::Settings;
+use crate::wire::{read_settings, Names};
+
+/// Limits of the machine.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    /// Memory, in megabytes.
+    pub memory_mb: f64,
+    /// File descriptors.
+    pub sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct Known<'a> {
+    index: u64,
+    #[serde(default, borrow)]
+    updates: Vec<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct RawConfig<'a> {
+    name: String,
+    listen: String,
+    seed: String,
+    limits: Limits,
+    coordinator: Option<String>,
+    #[serde(borrow)]
+    known: Known<'a>,
+    #[serde(borrow)]
+    settings: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+struct Timing {
+    #[serde(default)]
+    limits: TimingLimits,
+}
+
+#[derive(Default, Deserialize)]
+struct TimingLimits {
+    conn_idle_ns: Option<u64>,
+    connect_timeout_ns: Option<u64>,
+}
+
+/// All that one process is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Name of this router.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: String,
+    /// Seed for random numbers.
+    pub seed: u64,
+    /// Limits of the machine.
+    pub limits: Limits,
+    /// Address of the coordinator, where there is one.
+    pub coordinator: Option<String>,
+    /// Number of the last event in `known`.
+    pub known_index: u64,
+    /// Membership events so far.
+    pub known: Vec<Update>,
+    /// Settings of the decision module.
+    pub settings: Settings,
+    /// The names behind its numbers.
+    pub names: Names,
+    /// Engines close a connection that is idle for so long.
+    pub engine_idle_ns: u64,
+    /// A connection that does not come up within this time never will.
+    pub connect_timeout_ns: u64,
+}
+
+impl Config {
+    /// Reads the JSON text.
+    pub fn read(text: &str) -> Result<Config, String> {
+        let raw: RawConfig = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
+        let (settings, names) = read_settings(raw.settings.get())?;
+        let timing: Timing =
+            serde_json::from_str(raw.settings.get()).map_err(|e| format!("settings: {e}"))?;
+        let known = raw.known.updates.iter().map(|u| Update::read(u.get(), &names));
+        Ok(Config {
+            name: raw.name,
+            listen: raw.listen,
+            seed: u64::from_str_radix(&raw.seed, 16).map_err(|e| format!("seed: {e}"))?,
+            limits: raw.limits,
+            coordinator: raw.coordinator.filter(|c| !c.is_empty()),
+            known_index: raw.known.index,
+            known: known.collect::<Result<_, _>>()?,
+            settings,
+            engine_idle_ns: timing.limits.conn_idle_ns.unwrap_or(30_000_000_000),
+            connect_timeout_ns: timing.limits.connect_timeout_ns.unwrap_or(250_000_000),
+            names,
+        })
+    }
+}
--- /dev/null
+++ b/src/discovery/stream.rs
@@ -0,0 +1,247 @@
+//! The coordinator's stream of numbered events, over server-sent events.
+
+use std::net::SocketAddr;
+
+use log::{info, warn};
+use serde::Deserialize;
+
+use super::{engine_id, Change, Target};
+use crate::engine::http::head::{read_head, Head};
+use crate::interface::*;
+use crate::net::{Net, Owner};
+use crate::wire::{index_of, Names};
+
+/// Silence after which the stream is taken for dead (ns): a comment comes each second.
+const SILENT_NS: u64 = 2_200_000_000;
+/// Wait before the stream is opened again (ns).
+const AGAIN_NS: u64 = 100_000_000;
+/// Longest line of the stream (bytes): a list of a thousand engines takes less.
+const LINE_MOST: usize = 200 << 10;
+
+#[derive(Deserialize)]
+struct RawUpdate {
+    index: u64,
+    endpoints: RawList,
+}
+
+#[derive(Deserialize)]
+struct RawList {
+    #[serde(default)]
+    all: bool,
+    #[serde(default)]
+    targets: Vec<RawTarget>,
+}
+
+#[derive(Deserialize)]
+struct RawTarget {
+    uid: String,
+    endpoint: SocketAddr,
+    az: Option<String>,
+    model: Option<String>,
+    pod_group: Option<u64>,
+    state: String,
+    #[serde(default)]
+    capacity_hint: f64,
+    #[serde(default)]
+    boot_ms: u64,
+}
+
+/// A numbered event of the coordinator.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Update {
+    /// Its number.
+    pub index: u64,
+    /// What it says.
+    pub change: Change,
+}
+
+impl Update {
+    /// Reads an event's JSON text.
+    pub fn read(text: &str, names: &Names) -> Result<Update, String> {
+        let raw: RawUpdate = serde_json::from_str(text).map_err(|e| format!("membership event: {e}"))?;
+        let targets = raw.endpoints.targets.iter().map(|t| {
+            let state = match t.state.as_str() {
+                "in_service" => EngineState::Ready,
+                "terminating" => EngineState::Draining,
+                "terminated" => EngineState::Gone,
+                other => return Err(format!("membership event: unknown state {other:?}")),
+            };
+            let entry = EngineEntry {
+                engine: engine_id(&t.uid),
+                zone: t.az.as_ref().and_then(|z| index_of(&names.zones, z)).map(ZoneId),
+                kind: t.model.as_ref().and_then(|k| index_of(&names.kinds, k)).map(KindId),
+                cell: t.pod_group,
+                state,
+                weight: t.capacity_hint,
+                // The module's clock runs in Unix time: milliseconds need no more than this.
+                started_ns: Some(t.boot_ms).filter(|ms| *ms > 0).map(|ms| ms.saturating_mul(1_000_000)),
+            };
+            Ok(Target { entry, address: t.endpoint })
+        });
+        let kind = if raw.endpoints.all { MembershipKind::Full } else { MembershipKind::Delta };
+        Ok(Update { index: raw.index, change: Change { kind, targets: targets.collect::<Result<_, _>>()? } })
+    }
+}
+
+/// A reader of server-sent events, over a body in chunks or as it is.
+#[derive(Default)]
+pub struct EventReader {
+    chunked: bool,
+    /// Bytes of the present chunk that are to come; the line feed behind it counts.
+    chunk_left: usize,
+    text: Vec<u8>,
+    id: Option<u64>,
+    data: String,
+}
+
+impl EventReader {
+    /// A reader for a body in chunks, or not.
+    pub fn new(chunked: bool) -> Self {
+        EventReader { chunked, ..EventReader::default() }
+    }
+
+    /// Takes what it can of `input`, adds the data of whole events to `out` with their numbers, and returns
+    /// how much it took; an error where the stream can't be read or has ended.
+    pub fn take(&mut self, input: &[u8], out: &mut Vec<(Option<u64>, String)>) -> Result<usize, String> {
+        let mut taken = 0;
+        if self.chunked {
+            while taken < input.len() {
+                if self.chunk_left > 0 {
+                    let part = self.chunk_left.min(input.len() - taken);
+                    let body = part.min(self.chunk_left.saturating_sub(2));
+                    self.text.extend_from_slice(&input[taken..taken + body]);
+                    (self.chunk_left, taken) = (self.chunk_left - part, taken + part);
+                    continue;
+                }
+                match httparse::parse_chunk_size(&input[taken..]) {
+                    Ok(httparse::Status::Complete((_, 0))) => return Err("the stream has ended".into()),
+                    Ok(httparse::Status::Complete((head, size))) if size <= LINE_MOST as u64 => {
+                        (taken, self.chunk_left) = (taken + head, size as usize + 2);
+                    }
+                    Ok(httparse::Status::Partial) => break,
+                    _ => return Err("bad chunk".into()),
+                }
+            }
+        } else {
+            self.text.extend_from_slice(input);
+            taken = input.len();
+        }
+        while let Some(end) = self.text.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = self.text.drain(..=end).collect();
+            self.line(String::from_utf8_lossy(&line).trim_end_matches(['\r', '\n']), out);
+        }
+        if self.text.len() > LINE_MOST || self.data.len() > LINE_MOST {
+            return Err("a line is too long".into());
+        }
+        Ok(taken)
+    }
+
+    fn line(&mut self, line: &str, out: &mut Vec<(Option<u64>, String)>) {
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "id" => self.id = value.parse().ok(),
+            "data" => {
+                self.data.push_str(if self.data.is_empty() { "" } else { "\n" });
+                self.data.push_str(value);
+            }
+            _ if line.is_empty() && !self.data.is_empty() => {
+                out.push((self.id.take(), std::mem::take(&mut self.data)));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The subscription to the coordinator.
+pub struct Stream {
+    address: SocketAddr,
+    names: Names,
+    last: u64,
+    conn: Option<u64>,
+    reader: Option<EventReader>,
+    /// When it was last heard, or when it is to be opened.
+    heard_ns: u64,
+}
+
+impl Stream {
+    /// A subscription that starts behind event `last`.
+    pub fn new(address: SocketAddr, names: Names, last: u64) -> Self {
+        Stream { address, names, last, conn: None, reader: None, heard_ns: 0 }
+    }
+
+    /// Opens the stream where it is closed, and closes it where it is silent.
+    pub fn tick(&mut self, now: u64, net: &mut Net) {
+        match self.conn {
+            Some(_) if now > self.heard_ns + SILENT_NS => {
+                warn!("the coordinator's stream is silent");
+                self.drop_conn(now, net);
+            }
+            None if now >= self.heard_ns => {
+                self.heard_ns = now + AGAIN_NS;
+                if let Ok(conn) = net.connect(self.address, Owner::Discovery) {
+                    (self.conn, self.reader, self.heard_ns) = (Some(conn), None, now);
+                    let call = format!(
+                        "GET /v2/stream HTTP/1.1\r\nHost: {}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
+                        self.address, self.last
+                    );
+                    net.send(conn, call.as_bytes());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn drop_conn(&mut self, now: u64, net: &mut Net) {
+        if let Some(conn) = self.conn.take() {
+            net.close(conn);
+        }
+        (self.reader, self.heard_ns) = (None, now + AGAIN_NS);
+    }
+
+    /// Takes what has come in; gives the changes in order.
+    pub fn ready(&mut self, now: u64, net: &mut Net, conn: u64) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if self.conn != Some(conn) {
+            return changes;
+        }
+        let look = net.service(conn);
+        let result = self.read(now, net, conn, &mut changes);
+        if let Err(fault) = &result {
+            info!("the coordinator's stream: {fault}");
+        }
+        if look.ended.is_some() || result.is_err() {
+            self.drop_conn(now, net);
+        }
+        changes
+    }
+
+    fn read(&mut self, now: u64, net: &mut Net, conn: u64, changes: &mut Vec<Change>) -> Result<(), String> {
+        if !net.input(conn).is_empty() {
+            self.heard_ns = now;
+        }
+        if self.reader.is_none() {
+            let Some((Head { status, chunked, .. }, size)) = read_head(net.input(conn))? else {
+                return Ok(());
+            };
+            net.consume(conn, size);
+            if status != 200 {
+                return Err(format!("status {status}"));
+            }
+            self.reader = Some(EventReader::new(chunked));
+        }
+        let (mut events, Some(reader)) = (Vec::new(), &mut self.reader) else { return Ok(()) };
+        let taken = reader.take(net.input(conn), &mut events);
+        net.consume(conn, *taken.as_ref().unwrap_or(&0));
+        for (number, text) in events {
+            // An event that can't be read costs that event, never the stream.
+            let Ok(update) = Update::read(&text, &self.names).map_err(|e| warn!("{e}")) else { continue };
+            let index = number.unwrap_or(update.index);
+            if index > self.last {
+                self.last = index;
+                changes.push(update.change);
+            }
+        }
+        taken.map(drop)
+    }
+}
--- /dev/null
+++ b/src/engine/http/head.rs
@@ -0,0 +1,107 @@
+//! Heads and bodies of HTTP answers, as engines and the coordinator send them.
+
+use crate::interface::{LoadReport, Note};
+
+/// Largest head that is read (bytes).
+const HEAD_MOST: usize = 8 << 10;
+/// Largest body that is read (bytes): a page has 6,000.
+const BODY_MOST: usize = 64 << 10;
+
+/// What the head of an answer says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Head {
+    /// The status code.
+    pub status: u16,
+    /// Length of the body; absent where it is not told.
+    pub length: Option<usize>,
+    /// The body comes in chunks.
+    pub chunked: bool,
+    /// The connection ends behind the answer.
+    pub closes: bool,
+    /// `Chunks`: number of all pages.
+    pub pages: Option<u32>,
+    /// `Chunk`: number of this page.
+    pub page: Option<u32>,
+    /// `Never-Ran`: the query never ran.
+    pub never_ran: bool,
+    /// A note: `Outcome` and `Reading`.
+    pub note: Option<Note>,
+    /// The load report.
+    pub report: Option<LoadReport>,
+    /// Consul's index of the answer.
+    pub consul_index: Option<u64>,
+}
+
+/// Reads a load report such as `inflight:7;util:0.61`; unknown fields are passed over.
+pub fn read_report(text: &str) -> Option<LoadReport> {
+    let mut report = LoadReport::default();
+    for (name, value) in text.split(';').filter_map(|pair| pair.split_once(':')) {
+        let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0);
+        match name.trim() {
+            "inflight" | "rif" => report.in_flight = value,
+            "util" | "busy" => report.busy_share = value,
+            "queue" | "q" => report.queued = value,
+            "x0" => report.memory_share = value,
+            "x1" => report.disk_share = value,
+            _ => {}
+        }
+    }
+    (report != LoadReport::default()).then_some(report)
+}
+
+fn read_note(name: &str, value: Option<&str>) -> Option<Note> {
+    let value: f64 = value.and_then(|v| v.trim().parse().ok()).filter(|v: &f64| v.is_finite())?;
+    match name.trim() {
+        "frac" => Some(Note::Progress(value)),
+        "missing" => Some(Note::Spills(value)),
+        "parked" => Some(Note::Waits),
+        _ => None,
+    }
+}
+
+/// Reads the head of an answer with its size in bytes; nothing where it has not come whole.
+pub fn read_head(input: &[u8]) -> Result<Option<(Head, usize)>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 48];
+    let mut answer = httparse::Response::new(&mut headers);
+    let size = match answer.parse(input) {
+        Ok(httparse::Status::Complete(size)) if size <= HEAD_MOST => size,
+        Ok(httparse::Status::Partial) if input.len() <= HEAD_MOST => return Ok(None),
+        Ok(_) => return Err("the head is too long".into()),
+        Err(e) => return Err(format!("bad head: {e}")),
+    };
+    let mut head = Head { status: answer.code.unwrap_or(0), ..Head::default() };
+    let (mut outcome, mut reading) = (None, None);
+    for header in answer.headers.iter() {
+        let Ok(value) = std::str::from_utf8(header.value) else { continue };
+        let value = value.trim();
+        match header.name.to_ascii_lowercase().as_str() {
+            "content-length" => head.length = Some(value.parse().map_err(|_| "bad length")?),
+            "transfer-encoding" => head.chunked = value.eq_ignore_ascii_case("chunked"),
+            "connection" => head.closes = value.eq_ignore_ascii_case("close"),
+            "chunks" => head.pages = value.parse().ok(),
+            "chunk" => head.page = value.parse().ok(),
+            "never-ran" => head.never_ran = value == "1",
+            "outcome" => outcome = Some(value.to_owned()),
+            "reading" => reading = Some(value.to_owned()),
+            "load-report" => head.report = read_report(value),
+            "x-consul-index" => head.consul_index = value.parse().ok(),
+            _ => {}
+        }
+    }
+    head.note = outcome.and_then(|name| read_note(&name, reading.as_deref()));
+    if head.length.is_some_and(|l| l > BODY_MOST) {
+        return Err("the body is too long".into());
+    }
+    Ok(Some((head, size)))
+}
+
+/// Reads a whole answer of known length: its head, and where its body starts and ends in `input`.
+pub fn read_answer(input: &[u8]) -> Result<Option<(Head, usize, usize)>, String> {
+    let Some((head, size)) = read_head(input)? else { return Ok(None) };
+    let length = match head.length {
+        Some(length) => length,
+        None if head.status == 204 || head.status == 304 => 0,
+        None => return Err("the body's length is not told".into()),
+    };
+    Ok((input.len() >= size + length).then_some((head, size, size + length)))
+}
--- /dev/null
+++ b/src/engine/http/mod.rs
@@ -0,0 +1,546 @@
+//! Engines that speak HTTP/1.1: one call at a time on a connection, queries that belong to no connection.
+
+pub mod head;
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+use log::debug;
+
+use self::head::{read_answer, Head};
+use super::{Backend, Context, Start, Targets};
+use crate::discovery::Change;
+use crate::interface::{EngineId, LoadReport};
+use crate::net::Owner;
+use crate::router::ending::Ending;
+use crate::router::{Ask, Attempt, Rows};
+
+/// An idle connection is used again only so soon after its last answer (ns): a silent machine never resets.
+const REUSE_NS: u64 = 500_000_000;
+/// Idle connections kept for an engine (count).
+const IDLE_MOST: usize = 12;
+/// Time without an answer after which a connection is given up (ns): engines answer within 250 ms.
+const SILENT_NS: u64 = 900_000_000;
+/// Wait before a query is asked after again where no connection came up (ns).
+const ASK_AGAIN_NS: u64 = 200_000_000;
+/// An engine ends a query that nobody asks for in this time (ns), with the allowance for sockets.
+const FORGOTTEN_NS: u64 = 2_050_000_000;
+/// Time after which a call that gives a query up counts as come, once it was wholly written (ns).
+const TOLD_NS: u64 = 250_000_000;
+/// Largest result (bytes).
+const RESULT_MOST: usize = 64 << 10;
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Idle,
+    /// The call that starts a query.
+    Post(Attempt),
+    /// Asks for a query's news.
+    Ask(Attempt),
+    /// Fetches a page.
+    Page(Attempt, u32),
+    Rank(Attempt),
+    GiveUp(Attempt),
+    /// Waits for an answer that nobody needs.
+    Discard,
+}
+
+struct Line {
+    engine: EngineId,
+    role: Role,
+    up: bool,
+    /// It has answered nothing yet.
+    fresh: bool,
+    /// When its present call was made, or its last answer came.
+    since_ns: u64,
+}
+
+/// How far giving up has come.
+struct Leaving {
+    conn: Option<u64>,
+    written_ns: Option<u64>,
+    again_ns: u64,
+}
+
+/// A query on an engine.
+struct Run {
+    engine: EngineId,
+    ask: Rc<Ask>,
+    class: String,
+    timeout_ns: u64,
+    once: bool,
+    /// The call that starts it was wholly written.
+    whole: bool,
+    /// The engine has answered something about it.
+    known: bool,
+    conn: Option<u64>,
+    /// When it was last asked for on a connection that was up.
+    asked_ns: u64,
+    /// When to ask for it again, while no connection does.
+    again_ns: u64,
+    breaks: u32,
+    pages: u32,
+    next_page: u32,
+    rows: Vec<u8>,
+    report: Option<LoadReport>,
+    priority: u8,
+    told_priority: u8,
+    ranking: bool,
+    leaving: Option<Leaving>,
+}
+
+/// The backend for such engines.
+pub struct HttpEngines {
+    targets: Targets<Vec<u64>>,
+    lines: HashMap<u64, Line>,
+    runs: BTreeMap<Attempt, Run>,
+    idle_ns: u64,
+    connect_ns: u64,
+}
+
+impl HttpEngines {
+    /// No engines yet. They close connections that are idle for `idle_ns`; one that is not up after
+    /// `connect_ns` never will be.
+    pub fn new(idle_ns: u64, connect_ns: u64) -> Self {
+        HttpEngines {
+            targets: Targets::default(),
+            lines: HashMap::new(),
+            runs: BTreeMap::new(),
+            idle_ns: idle_ns / 3,
+            connect_ns,
+        }
+    }
+
+    /// A connection for one call: an idle one that was of use just now, else a new one.
+    fn line(&mut self, cx: &mut Context, engine: EngineId, role: Role, fresh: bool) -> Result<u64, Ending> {
+        let known = self.targets.get(engine).ok_or(Ending::NoDescriptor)?;
+        while let Some(conn) = known.own.pop().filter(|_| !fresh) {
+            match self.lines.get_mut(&conn) {
+                Some(line) if line.since_ns + REUSE_NS >= cx.now => {
+                    (line.role, line.since_ns) = (role, cx.now);
+                    return Ok(conn);
+                }
+                _ => {
+                    self.lines.remove(&conn);
+                    cx.net.close(conn);
+                }
+            }
+        }
+        let conn = cx.net.connect(known.address, Owner::Engine).inspect_err(|e| {
+            cx.router.counters.short_of_descriptors += u64::from(*e == Ending::NoDescriptor);
+        })?;
+        cx.router.counters.opened += 1;
+        self.lines.insert(conn, Line { engine, role, up: false, fresh: true, since_ns: cx.now });
+        Ok(conn)
+    }
+
+    fn call(&mut self, cx: &mut Context, conn: u64, verb: &str, path: &str, fields: &str, body: &[u8]) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        line.since_ns = cx.now;
+        let host = self.targets.get(line.engine).map(|k| k.address.to_string()).unwrap_or_default();
+        let mut bytes = format!("{verb} {path} HTTP/1.1\r\nHost: {host}\r\n{fields}").into_bytes();
+        if verb == "POST" || verb == "PUT" {
+            bytes.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(body);
+        cx.net.send(conn, &bytes);
+    }
+
+    /// A connection is free again.
+    fn rest(&mut self, cx: &mut Context, conn: u64) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        (line.role, line.fresh, line.since_ns) = (Role::Idle, false, cx.now);
+        match self.targets.get(line.engine).filter(|k| k.listed && k.own.len() < IDLE_MOST) {
+            Some(known) => known.own.push(conn),
+            None => self.close(cx, conn),
+        }
+    }
+
+    fn close(&mut self, cx: &mut Context, conn: u64) {
+        if let Some(line) = self.lines.remove(&conn) {
+            if let Some(known) = self.targets.get(line.engine) {
+                known.own.retain(|c| *c != conn);
+            }
+        }
+        cx.net.close(conn);
+    }
+
+    /// Reports the one ending of an attempt, and lets its connections go.
+    fn end(&mut self, cx: &mut Context, at: Attempt, ending: Ending) {
+        let Some(run) = self.runs.remove(&at) else { return };
+        let rows = (ending == Ending::Served).then_some(Rows::Text(run.rows));
+        cx.router.ended(at, ending, rows, run.report);
+        let conns = run.conn.into_iter().chain(run.leaving.and_then(|l| l.conn));
+        for conn in conns.collect::<Vec<_>>() {
+            if let Some(line) = self.lines.get_mut(&conn).filter(|l| l.role != Role::Idle) {
+                line.role = Role::Discard;
+            }
+        }
+    }
+
+    fn post(&mut self, cx: &mut Context, at: Attempt, fresh: bool) {
+        let Some(run) = self.runs.get(&at) else { return };
+        let engine = run.engine;
+        // An idle connection may close as it is written to, and then nobody knows what came of it.
+        let conn = match self.line(cx, engine, Role::Post(at), fresh || run.once) {
+            Ok(conn) => conn,
+            Err(ending) => return self.end(cx, at, ending),
+        };
+        let Some(run) = self.runs.get_mut(&at) else { return };
+        (run.conn, run.asked_ns) = (Some(conn), cx.now);
+        let fields = format!(
+            "Request-Id: {}\r\nKind: {}\r\nTimeout-Ms: {}\r\nPool-Rank: {}\r\n",
+            run.ask.name,
+            run.class,
+            (run.timeout_ns / 1_000_000).max(1),
+            run.priority
+        );
+        run.told_priority = run.priority;
+        let Some(body) = run.ask.statement.inlined() else { return self.end(cx, at, Ending::Unsent) };
+        self.call(cx, conn, "POST", "/o", &fields, &body);
+        self.written(cx, conn);
+    }
+
+    /// Takes note of calls that have been wholly written.
+    fn written(&mut self, cx: &mut Context, conn: u64) {
+        if !cx.net.drained(conn) {
+            return;
+        }
+        match self.lines.get(&conn).map(|l| l.role) {
+            Some(Role::Post(at)) => {
+                self.runs.entry(at).and_modify(|r| r.whole = true);
+            }
+            Some(Role::Ask(at) | Role::Page(at, _)) => {
+                self.runs.entry(at).and_modify(|r| r.asked_ns = r.asked_ns.max(cx.now));
+            }
+            Some(Role::GiveUp(at)) => {
+                let leaving = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut());
+                leaving.map(|l| l.written_ns.get_or_insert(cx.now));
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks for a query's news, or for its next page.
+    fn ask(&mut self, cx: &mut Context, at: Attempt, on: Option<u64>) {
+        let Some(run) = self.runs.get(&at) else { return };
+        if run.leaving.is_some() {
+            if let Some(conn) = on {
+                self.runs.entry(at).and_modify(|r| r.conn = None);
+                self.rest(cx, conn);
+            }
+            return;
+        }
+        let role = if run.pages > 0 { Role::Page(at, run.next_page) } else { Role::Ask(at) };
+        let (engine, path) = (run.engine, format!("/o/{}/{}", run.ask.name, run.next_page));
+        let found = match on {
+            Some(conn) => Ok(conn),
+            None => self.line(cx, engine, role, true),
+        };
+        let Some(run) = self.runs.get_mut(&at) else { return };
+        match found {
+            Ok(conn) => {
+                run.conn = Some(conn);
+                if let Some(line) = self.lines.get_mut(&conn) {
+                    line.role = role;
+                }
+                self.call(cx, conn, "GET", &path, "", b"");
+                self.written(cx, conn);
+            }
+            Err(Ending::Refused) => self.end(cx, at, Ending::Cut),
+            Err(_) => (run.conn, run.again_ns) = (None, cx.now + ASK_AGAIN_NS),
+        }
+    }
+
+    fn tell_rank(&mut self, cx: &mut Context, at: Attempt) {
+        let Some(run) = self.runs.get(&at) else { return };
+        let due = run.known && !run.ranking && run.leaving.is_none() && run.priority != run.told_priority;
+        if !due {
+            return;
+        }
+        let (engine, priority, path) = (run.engine, run.priority, format!("/o/{}", run.ask.name));
+        let Ok(conn) = self.line(cx, engine, Role::Rank(at), false) else { return };
+        self.runs.entry(at).and_modify(|r| (r.ranking, r.told_priority) = (true, priority));
+        self.call(cx, conn, "PUT", &path, "", priority.to_string().as_bytes());
+    }
+
+    fn tell_leaving(&mut self, cx: &mut Context, at: Attempt) {
+        let Some(run) = self.runs.get(&at) else { return };
+        let (engine, path, asked_ns) = (run.engine, format!("/o/{}", run.ask.name), run.asked_ns);
+        let found = self.line(cx, engine, Role::GiveUp(at), false);
+        let Some(leaving) = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut()) else { return };
+        match found {
+            Ok(conn) => {
+                (leaving.conn, leaving.written_ns) = (Some(conn), None);
+                self.call(cx, conn, "DELETE", &path, "", b"");
+                self.written(cx, conn);
+            }
+            Err(Ending::Refused) => self.end(cx, at, Ending::GivenUp),
+            // A query that nobody asks for ends by itself.
+            Err(_) if cx.now >= asked_ns + FORGOTTEN_NS => self.end(cx, at, Ending::GivenUp),
+            Err(_) => (leaving.conn, leaving.again_ns) = (None, cx.now + ASK_AGAIN_NS / 2),
+        }
+    }
+
+    fn answer(&mut self, cx: &mut Context, conn: u64, role: Role, head: Head, body: Vec<u8>) {
+        match role {
+            Role::Idle => self.close(cx, conn),
+            Role::Discard => self.rest(cx, conn),
+            Role::GiveUp(at) => {
+                self.rest(cx, conn);
+                self.end(cx, at, Ending::GivenUp);
+            }
+            Role::Rank(at) => {
+                self.runs.entry(at).and_modify(|r| r.ranking = false);
+                self.rest(cx, conn);
+                self.tell_rank(cx, at);
+            }
+            Role::Post(at) | Role::Ask(at) => {
+                let Some(run) = self.runs.get_mut(&at) else { return self.rest(cx, conn) };
+                (run.whole, run.known, run.breaks) = (true, true, 0);
+                run.report = head.report.or(run.report);
+                match (head.status, head.never_ran) {
+                    (202, _) => {
+                        if let Some(note) = head.note {
+                            cx.router.note(at, note);
+                        }
+                        self.ask(cx, at, Some(conn));
+                        self.tell_rank(cx, at);
+                    }
+                    (200, _) => {
+                        (run.pages, run.next_page, run.rows) = (head.pages.unwrap_or(1), 1, body);
+                        self.page_or_end(cx, at, conn);
+                    }
+                    (503, true) => self.over(cx, at, conn, Ending::Full),
+                    (504, true) => self.over(cx, at, conn, Ending::Over),
+                    _ => self.over(cx, at, conn, Ending::EngineError),
+                }
+            }
+            Role::Page(at, number) => {
+                let Some(run) = self.runs.get_mut(&at) else { return self.rest(cx, conn) };
+                run.report = head.report.or(run.report);
+                if head.status != 200 {
+                    return self.over(cx, at, conn, Ending::EngineError);
+                }
+                if head.page.is_some_and(|n| n != number) || run.rows.len() + body.len() > RESULT_MOST {
+                    return self.over(cx, at, conn, Ending::Garbled);
+                }
+                run.rows.extend_from_slice(&body);
+                run.next_page += 1;
+                self.page_or_end(cx, at, conn);
+            }
+        }
+    }
+
+    fn page_or_end(&mut self, cx: &mut Context, at: Attempt, conn: u64) {
+        let Some(run) = self.runs.get(&at) else { return };
+        if run.next_page >= run.pages {
+            self.over(cx, at, conn, Ending::Served);
+        } else {
+            self.ask(cx, at, Some(conn));
+        }
+    }
+
+    fn over(&mut self, cx: &mut Context, at: Attempt, conn: u64, ending: Ending) {
+        self.rest(cx, conn);
+        self.end(cx, at, ending);
+    }
+
+    /// A connection is over: what that means depends on what it was used for.
+    fn lost(&mut self, cx: &mut Context, conn: u64, ending: Ending) {
+        let Some(line) = self.lines.get(&conn) else { return };
+        let (role, up, fresh) = (line.role, line.up, line.fresh);
+        self.close(cx, conn);
+        match role {
+            Role::Idle | Role::Discard => {}
+            Role::Rank(at) => {
+                self.runs.entry(at).and_modify(|r| r.ranking = false);
+            }
+            Role::GiveUp(at) => {
+                if !up && ending == Ending::Refused {
+                    return self.end(cx, at, Ending::GivenUp);
+                }
+                let asked_ns = self.runs.get(&at).map_or(0, |r| r.asked_ns);
+                if cx.now >= asked_ns + FORGOTTEN_NS {
+                    return self.end(cx, at, Ending::GivenUp);
+                }
+                if let Some(leaving) = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut()) {
+                    (leaving.conn, leaving.again_ns) =
+                        (None, if up { cx.now } else { cx.now + ASK_AGAIN_NS / 2 });
+                }
+            }
+            Role::Post(at) => {
+                let Some(run) = self.runs.get_mut(&at) else { return };
+                run.conn = None;
+                if run.leaving.is_some() {
+                    return;
+                }
+                if !up {
+                    self.end(cx, at, ending);
+                } else if !run.whole && !fresh {
+                    // Guards against an idle connection that closed as the call was written: it never ran.
+                    self.post(cx, at, true);
+                } else if !run.whole {
+                    self.end(cx, at, Ending::Unsent);
+                } else {
+                    self.again(cx, at);
+                }
+            }
+            Role::Ask(at) | Role::Page(at, _) => {
+                let Some(run) = self.runs.get_mut(&at) else { return };
+                run.conn = None;
+                if run.leaving.is_some() {
+                    return;
+                }
+                if !up && ending == Ending::Refused {
+                    // The process is gone, and the query with it: it may have run.
+                    self.end(cx, at, Ending::Cut);
+                } else if !up {
+                    run.again_ns = cx.now + ASK_AGAIN_NS;
+                } else {
+                    self.again(cx, at);
+                }
+            }
+        }
+    }
+
+    /// A query belongs to no connection: after a broken one it is asked for on another.
+    fn again(&mut self, cx: &mut Context, at: Attempt) {
+        let Some(run) = self.runs.get_mut(&at) else { return };
+        run.breaks += 1;
+        if run.breaks > 1 {
+            run.again_ns = cx.now + ASK_AGAIN_NS;
+        } else {
+            self.ask(cx, at, None);
+        }
+    }
+}
+
+impl Backend for HttpEngines {
+    fn change(&mut self, change: &Change) {
+        let (runs, lines) = (&self.runs, &self.lines);
+        self.targets.change(change, |id| {
+            runs.values().any(|r| r.engine == id) || lines.values().any(|l| l.engine == id)
+        });
+    }
+
+    fn start(&mut self, cx: &mut Context, start: Start) {
+        let run = Run {
+            engine: start.engine,
+            ask: start.ask,
+            class: start.class,
+            timeout_ns: start.timeout_ns,
+            once: start.once,
+            whole: false,
+            known: false,
+            conn: None,
+            asked_ns: cx.now,
+            again_ns: 0,
+            breaks: 0,
+            pages: 0,
+            next_page: 0,
+            rows: Vec::new(),
+            report: None,
+            priority: start.priority,
+            told_priority: start.priority,
+            ranking: false,
+            leaving: None,
+        };
+        self.runs.insert(start.attempt, run);
+        self.post(cx, start.attempt, false);
+    }
+
+    fn give_up(&mut self, cx: &mut Context, at: Attempt) {
+        let Some(run) = self.runs.get_mut(&at).filter(|r| r.leaving.is_none()) else { return };
+        if !run.whole {
+            // Not wholly written: closing the connection is enough, it never ran.
+            let conn = run.conn.take();
+            self.end(cx, at, Ending::GivenUp);
+            if let Some(conn) = conn {
+                self.close(cx, conn);
+            }
+            return;
+        }
+        run.leaving = Some(Leaving { conn: None, written_ns: None, again_ns: cx.now });
+        self.tell_leaving(cx, at);
+    }
+
+    fn rank(&mut self, cx: &mut Context, at: Attempt, priority: u8) {
+        self.runs.entry(at).and_modify(|r| r.priority = priority);
+        self.tell_rank(cx, at);
+    }
+
+    fn ready(&mut self, cx: &mut Context, conn: u64) {
+        let look = cx.net.service(conn);
+        if let Some(line) = self.lines.get_mut(&conn) {
+            line.up |= look.up;
+        }
+        self.written(cx, conn);
+        while let Some(role) = self.lines.get(&conn).map(|l| l.role) {
+            match read_answer(cx.net.input(conn)) {
+                Ok(None) => break,
+                Ok(Some((head, from, to))) => {
+                    let body = cx.net.input(conn)[from..to].to_vec();
+                    cx.net.consume(conn, to);
+                    let closes = head.closes;
+                    self.answer(cx, conn, role, head, body);
+                    if closes {
+                        self.lost(cx, conn, Ending::Cut);
+                    }
+                }
+                Err(fault) => {
+                    debug!("an engine's answer: {fault}");
+                    match role {
+                        Role::Post(at) | Role::Ask(at) | Role::Page(at, _) => {
+                            self.end(cx, at, Ending::Garbled)
+                        }
+                        _ => {}
+                    }
+                    return self.lost(cx, conn, Ending::Garbled);
+                }
+            }
+        }
+        if let Some(ending) = look.ended {
+            self.lost(cx, conn, ending);
+        }
+    }
+
+    fn tick(&mut self, cx: &mut Context) {
+        let (mut late, mut stale) = (Vec::new(), Vec::new());
+        for (conn, line) in &self.lines {
+            let age = cx.now.saturating_sub(line.since_ns);
+            match line.role {
+                Role::Idle if age > self.idle_ns.min(4 * REUSE_NS) => stale.push(*conn),
+                Role::Idle => {}
+                _ if !line.up && age > self.connect_ns => late.push((*conn, Ending::Unreachable)),
+                _ if line.up && age > SILENT_NS => late.push((*conn, Ending::Cut)),
+                _ => {}
+            }
+        }
+        stale.sort_unstable();
+        late.sort_unstable();
+        stale.into_iter().for_each(|conn| self.close(cx, conn));
+        late.into_iter().for_each(|(conn, ending)| self.lost(cx, conn, ending));
+        let due: Vec<(Attempt, bool)> = self
+            .runs
+            .iter()
+            .filter_map(|(at, run)| match &run.leaving {
+                None => (run.conn.is_none() && cx.now >= run.again_ns).then_some((*at, false)),
+                Some(l) => (l.conn.is_none() && cx.now >= l.again_ns
+                    || l.written_ns.is_some_and(|t| cx.now >= t + TOLD_NS))
+                .then_some((*at, true)),
+            })
+            .collect();
+        for (at, leaving) in due {
+            let told = self.runs.get(&at).and_then(|r| r.leaving.as_ref()).and_then(|l| l.written_ns);
+            match (leaving, told) {
+                (false, _) => self.ask(cx, at, None),
+                // The call has gone whole to a machine that says nothing.
+                (true, Some(written)) if cx.now >= written + TOLD_NS => self.end(cx, at, Ending::GivenUp),
+                (true, _) => self.tell_leaving(cx, at),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/engine/mod.rs
@@ -0,0 +1,104 @@
+//! The way to the engines: attempts go out, their news and endings come back.
+
+pub mod http;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::discovery::Change;
+use crate::interface::EngineId;
+use crate::net::Net;
+use crate::router::{Ask, Attempt, Router};
+
+/// An attempt to be started.
+pub struct Start {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Where to.
+    pub engine: EngineId,
+    /// How long the router will wait for it.
+    pub timeout_ns: u64,
+    /// Its priority.
+    pub priority: u8,
+    /// What to send.
+    pub ask: Rc<Ask>,
+    /// Name of its class.
+    pub class: String,
+    /// It must never run twice.
+    pub once: bool,
+}
+
+/// What a backend works with while it is called.
+pub struct Context<'a> {
+    /// The time.
+    pub now: u64,
+    /// The sockets.
+    pub net: &'a mut Net,
+    /// The core, which takes notes and endings.
+    pub router: &'a mut Router,
+}
+
+/// A protocol that engines speak. Every attempt started gets exactly one ending reported to the core.
+pub trait Backend {
+    /// Takes news of the engines.
+    fn change(&mut self, change: &Change);
+    /// Sends an attempt.
+    fn start(&mut self, cx: &mut Context, start: Start);
+    /// Gives an attempt up. Its ending is reported once the engine has been told.
+    fn give_up(&mut self, cx: &mut Context, attempt: Attempt);
+    /// Changes an attempt's priority.
+    fn rank(&mut self, cx: &mut Context, attempt: Attempt, priority: u8);
+    /// Takes what has happened on a connection of this backend.
+    fn ready(&mut self, cx: &mut Context, conn: u64);
+    /// Looks after what is due.
+    fn tick(&mut self, cx: &mut Context);
+}
+
+/// The engines that are known, with something of the backend's own for each.
+pub struct Targets<T> {
+    all: std::collections::BTreeMap<EngineId, Known<T>>,
+}
+
+/// A known engine.
+pub struct Known<T> {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The list names it.
+    pub listed: bool,
+    /// What the backend keeps for it.
+    pub own: T,
+}
+
+impl<T: Default> Default for Targets<T> {
+    fn default() -> Self {
+        Targets { all: Default::default() }
+    }
+}
+
+impl<T: Default> Targets<T> {
+    /// Takes news of the engines; `busy` says which are still needed though no list names them.
+    pub fn change(&mut self, change: &Change, busy: impl Fn(EngineId) -> bool) {
+        use crate::interface::{EngineState, MembershipKind};
+        if change.kind != MembershipKind::Delta {
+            self.all.values_mut().for_each(|k| k.listed = false);
+        }
+        for target in &change.targets {
+            let listed = target.entry.state != EngineState::Gone;
+            let new = || Known { address: target.address, listed, own: T::default() };
+            let known = self.all.entry(target.entry.engine).or_insert_with(new);
+            (known.address, known.listed) = (target.address, listed);
+        }
+        // Guards against a table that grows with every engine that ever was.
+        self.all.retain(|id, known| known.listed || busy(*id));
+    }
+
+    /// One of them.
+    pub fn get(&mut self, engine: EngineId) -> Option<&mut Known<T>> {
+        self.all.get_mut(&engine)
+    }
+
+    /// All of them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&EngineId, &mut Known<T>)> {
+        self.all.iter_mut()
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,48 @@
+//! The fronts: clients' messages become requests, answers become messages. All fronts make the same requests
+//! of the same core.
+
+pub mod msgpack;
+
+use crate::interface::{ClassId, Settings, TenantId};
+use crate::wire::{index_of, Names};
+
+/// Time that an answer may take from here to the client (ns): what is left of a request's time is shorter by it.
+pub const ANSWER_MARGIN_NS: u64 = 20_000_000;
+/// Requests that may be open in all: more are refused, as each may hold a statement and a result.
+pub const OPEN_MOST: usize = 1_200;
+/// Longest message of a client (bytes).
+pub const MESSAGE_MOST: usize = 128 << 10;
+
+/// What the fronts know of classes and tenants.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    names: Names,
+    deadlines_ns: Vec<u64>,
+}
+
+impl Directory {
+    /// Of a router's settings.
+    pub fn new(names: Names, settings: &Settings) -> Self {
+        Directory { names, deadlines_ns: settings.classes.iter().map(|c| c.deadline_ns).collect() }
+    }
+
+    /// A class by its name.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        index_of(&self.names.classes, name).map(ClassId)
+    }
+
+    /// A tenant by its name.
+    pub fn tenant(&self, name: &str) -> Option<TenantId> {
+        index_of(&self.names.tenants, name).map(TenantId)
+    }
+
+    /// The name of a class.
+    pub fn class_name(&self, class: ClassId) -> &str {
+        self.names.classes.get(class.0).map_or("", |n| n)
+    }
+
+    /// How long clients of a class wait at most.
+    pub fn deadline_ns(&self, class: ClassId) -> u64 {
+        self.deadlines_ns.get(class.0).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/src/logger.rs
@@ -0,0 +1,39 @@
+//! A small logger: one line an entry on standard error.
+
+use std::io::Write;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::{LevelFilter, Log, Metadata, Record};
+
+struct Logger;
+
+impl Log for Logger {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        metadata.level() <= log::max_level()
+    }
+
+    fn log(&self, record: &Record) {
+        if self.enabled(record.metadata()) {
+            let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            let level = record.level().as_str().to_ascii_lowercase();
+            // A log that can't be written must not stop the router.
+            let _ = writeln!(
+                std::io::stderr(),
+                "{}.{:03} {level} {}",
+                since.as_secs(),
+                since.subsec_millis(),
+                record.args()
+            );
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Starts logging at the level that `MARLJUNCTION_LOG` names, or at `info`.
+pub fn start() {
+    let level = std::env::var("MARLJUNCTION_LOG").ok().and_then(|l| l.parse().ok());
+    if log::set_logger(&Logger).is_ok() {
+        log::set_max_level(level.unwrap_or(LevelFilter::Info));
+    }
+}
--- /dev/null
+++ b/src/net/daemon.rs
@@ -0,0 +1,276 @@
+//! The program: one loop that gathers what is ready, hands it to the module in one go, and carries out what
+//! came back.
+
+use std::io::ErrorKind;
+use std::time::Duration;
+
+use log::{info, warn};
+use mio::net::TcpListener;
+use mio::{Events, Interest, Poll, Token};
+use signal_hook::consts::{SIGTERM, SIGUSR1};
+use signal_hook_mio::v1_0::Signals;
+
+use super::clock::Clock;
+use super::{Net, Owner};
+use crate::config::Config;
+use crate::discovery::stream::Stream;
+use crate::discovery::Change;
+use crate::engine::http::HttpEngines;
+use crate::engine::{Backend, Context, Start};
+use crate::front::msgpack::MsgpackFront;
+use crate::front::Directory;
+use crate::interface::{Effect, Settings};
+use crate::router::ending::Ending;
+use crate::router::{Command, Router};
+
+const MSGPACK: Token = Token(0);
+const SIGNALS: Token = Token(2);
+/// Numbers of connections start behind those of listeners.
+const FIRST_CONN: u64 = 15;
+/// Time after SIGTERM for which new connections are taken (ns): they go on coming for 400 ms.
+const ACCEPT_ON_NS: u64 = 600_000_000;
+/// Time after SIGTERM before which the program does not end (ns): requests come for 600 ms.
+const STAY_NS: u64 = 800_000_000;
+/// Wait after which a listener is tried again when no descriptor was to be had (ns).
+const ACCEPT_AGAIN_NS: u64 = 20_000_000;
+/// How often engines and discovery are looked after (ns).
+const TICK_NS: u64 = 20_000_000;
+
+/// A running router.
+pub struct Daemon {
+    poll: Poll,
+    clock: Clock,
+    net: Net,
+    router: Router,
+    settings: Settings,
+    directory: Directory,
+    listener: Option<TcpListener>,
+    signals: Signals,
+    clients_most: usize,
+    /// The listener is to be tried again: it may hold connections that no event tells of.
+    accept_at: Option<u64>,
+    stopping: Option<u64>,
+    msgpack: MsgpackFront,
+    engines: Box<dyn Backend>,
+    discovery: Option<Stream>,
+    /// Connections with input that no event tells of.
+    unread: Vec<u64>,
+    ticked_ns: u64,
+    commands: Vec<Command>,
+}
+
+impl Daemon {
+    /// Starts listening.
+    pub fn start(config: Config) -> Result<Daemon, String> {
+        let io = |what: &str, e: std::io::Error| format!("{what}: {e}");
+        let poll = Poll::new().map_err(|e| io("poll", e))?;
+        let registry = poll.registry().try_clone().map_err(|e| io("poll", e))?;
+        let address = config.listen.parse().map_err(|e| format!("listen address {}: {e}", config.listen))?;
+        let mut listener = TcpListener::bind(address).map_err(|e| io("listen", e))?;
+        registry.register(&mut listener, MSGPACK, Interest::READABLE).map_err(|e| io("listen", e))?;
+        let mut signals = Signals::new([SIGTERM, SIGUSR1]).map_err(|e| io("signals", e))?;
+        registry.register(&mut signals, SIGNALS, Interest::READABLE).map_err(|e| io("signals", e))?;
+        let directory = Directory::new(config.names.clone(), &config.settings);
+        let discovery = match &config.coordinator {
+            None => None,
+            Some(at) => {
+                let address = at.parse().map_err(|e| format!("coordinator address {at}: {e}"))?;
+                Some(Stream::new(address, config.names.clone(), config.known_index))
+            }
+        };
+        // Clients hold at most a third of the descriptors; the rest, less a few, is for engines.
+        let sockets = config.limits.sockets.max(64);
+        let mut daemon = Daemon {
+            poll,
+            clock: Clock::start(),
+            net: Net::new(registry, FIRST_CONN, sockets / 2),
+            router: Router::new(config.settings.clone(), config.seed),
+            msgpack: MsgpackFront::new(directory.clone()),
+            settings: config.settings,
+            directory,
+            listener: Some(listener),
+            signals,
+            clients_most: sockets * 2 / 5,
+            accept_at: None,
+            stopping: None,
+            engines: Box::new(HttpEngines::new(config.engine_idle_ns, config.connect_timeout_ns)),
+            discovery,
+            unread: Vec::new(),
+            ticked_ns: 0,
+            commands: Vec::new(),
+        };
+        for update in config.known {
+            daemon.change(update.change);
+        }
+        info!("{} listens on {}", config.name, config.listen);
+        Ok(daemon)
+    }
+
+    /// The address that clients connect to.
+    pub fn local_address(&self) -> Option<std::net::SocketAddr> {
+        self.listener.as_ref().and_then(|l| l.local_addr().ok())
+    }
+
+    fn change(&mut self, change: Change) {
+        self.engines.change(&change);
+        let entries = change.targets.iter().map(|t| t.entry).collect();
+        self.router.membership(change.kind, entries);
+    }
+
+    /// Serves until told to stop.
+    pub fn run(&mut self) -> Result<(), String> {
+        let mut events = Events::with_capacity(1024);
+        loop {
+            match self.poll.poll(&mut events, Some(self.wait())) {
+                Ok(()) => {}
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(format!("poll: {e}")),
+            }
+            let now = self.clock.now_ns();
+            let mut tokens: Vec<usize> = events.iter().map(|e| e.token().0).collect();
+            tokens.extend(std::mem::take(&mut self.unread).into_iter().map(|conn| conn as usize));
+            for token in tokens {
+                match Token(token) {
+                    MSGPACK => self.accept(now),
+                    SIGNALS => self.signal(now),
+                    Token(conn) => self.ready(now, conn as u64),
+                }
+            }
+            if self.accept_at.is_some_and(|at| now >= at) {
+                self.accept(now);
+            }
+            if now >= self.ticked_ns + TICK_NS {
+                self.ticked_ns = now;
+                self.tick(now);
+            }
+            self.turn();
+            if self.finished(now) {
+                info!("ends; {}", self.router.counters.line());
+                return Ok(());
+            }
+        }
+    }
+
+    fn wait(&self) -> Duration {
+        if !self.unread.is_empty() || self.router.has_news() {
+            return Duration::ZERO;
+        }
+        let now = self.clock.now_ns();
+        let due = self.router.next_due_ns().unwrap_or(u64::MAX).min(self.ticked_ns + TICK_NS);
+        Duration::from_nanos(due.saturating_sub(now))
+    }
+
+    fn accept(&mut self, now: u64) {
+        self.accept_at = None;
+        while let Some(listener) = &self.listener {
+            if self.net.count(Owner::Msgpack) >= self.clients_most {
+                // Guards against running out of descriptors: who has nothing open makes room, else all wait.
+                let Some(idle) = self.msgpack.idle() else {
+                    self.accept_at = Some(now + ACCEPT_AGAIN_NS);
+                    return;
+                };
+                self.msgpack.close(&mut self.net, &mut self.router, idle, Ending::Idle);
+            }
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    if let Ok(conn) = self.net.adopt(stream, Owner::Msgpack) {
+                        self.router.counters.accepted += 1;
+                        self.msgpack.accept(conn);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted || e.kind() == ErrorKind::ConnectionAborted => {}
+                Err(e) => {
+                    // Guards against spinning on a listener that has no descriptor to give.
+                    warn!("accept: {e}");
+                    self.router.counters.short_of_descriptors += 1;
+                    self.accept_at = Some(now + ACCEPT_AGAIN_NS);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn signal(&mut self, now: u64) {
+        for signal in self.signals.pending().collect::<Vec<_>>() {
+            if signal == SIGTERM {
+                info!("told to stop");
+                self.stopping.get_or_insert(now);
+            } else {
+                info!("{}", self.router.counters.line());
+            }
+        }
+    }
+
+    fn ready(&mut self, now: u64, conn: u64) {
+        match self.net.owner(conn) {
+            None => {}
+            Some(Owner::Msgpack) => self.msgpack.ready(now, &mut self.net, &mut self.router, conn),
+            Some(Owner::Postgres) => {}
+            Some(Owner::Engine) => {
+                let mut cx = Context { now, net: &mut self.net, router: &mut self.router };
+                self.engines.ready(&mut cx, conn);
+            }
+            Some(Owner::Discovery) => {
+                let found = self.discovery.as_mut().map(|d| d.ready(now, &mut self.net, conn));
+                found.into_iter().flatten().for_each(|change| self.change(change));
+            }
+        }
+        if self.net.has_more(conn) {
+            self.unread.push(conn);
+        }
+    }
+
+    fn tick(&mut self, now: u64) {
+        let mut cx = Context { now, net: &mut self.net, router: &mut self.router };
+        self.engines.tick(&mut cx);
+        if let Some(discovery) = &mut self.discovery {
+            discovery.tick(now, &mut self.net);
+        }
+    }
+
+    /// Hands what was gathered to the module and carries out what came back; what fails at once is handed
+    /// over in its turn.
+    fn turn(&mut self) {
+        loop {
+            let now = self.clock.now_ns();
+            let mut commands = std::mem::take(&mut self.commands);
+            self.router.turn(now, &mut commands);
+            for command in commands.drain(..) {
+                self.carry_out(now, command);
+            }
+            self.commands = commands;
+            if !self.router.has_news() {
+                return;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: u64, command: Command) {
+        let mut cx = Context { now, net: &mut self.net, router: &mut self.router };
+        match command {
+            Command::Start { attempt, engine, timeout_ns, priority, ask } => {
+                let class = self.directory.class_name(ask.class).to_owned();
+                let once = self.settings.classes[ask.class.0].effect == Effect::AtMostOnce;
+                let start = Start { attempt, engine, timeout_ns, priority, ask, class, once };
+                self.engines.start(&mut cx, start);
+            }
+            Command::GiveUp(attempt) => self.engines.give_up(&mut cx, attempt),
+            Command::Rank(attempt, priority) => self.engines.rank(&mut cx, attempt, priority),
+            Command::Answer(client, answer) => {
+                if self.net.owner(client.conn) == Some(Owner::Msgpack) {
+                    self.msgpack.answer(&mut self.net, &mut self.router, client, answer);
+                }
+            }
+        }
+    }
+
+    /// After SIGTERM: takes nothing new past a while, and ends once all is answered and written.
+    fn finished(&mut self, now: u64) -> bool {
+        let Some(since) = self.stopping else { return false };
+        if now >= since + ACCEPT_ON_NS {
+            self.listener = None;
+        }
+        now >= since + STAY_NS && self.router.owed() == 0 && self.net.all_written()
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,232 @@
+//! Sockets: connections with bounded buffers, and the budget of descriptors. Nothing here knows a protocol.
+
+pub mod clock;
+pub mod daemon;
+
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::SocketAddr;
+
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+
+use crate::router::ending::Ending;
+
+/// Output that one connection may have waiting (bytes): 32 results of the largest size and some room.
+const OUTPUT_MOST: usize = 2 << 20;
+/// Output that all connections together may have waiting (bytes): a quarter of the memory limit.
+const OUTPUT_ALL: usize = 48 << 20;
+/// Input that is read from one connection before its owner has taken some of it (bytes).
+const INPUT_MOST: usize = 256 << 10;
+
+/// Who a connection belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// A client of the platform's protocol.
+    Msgpack,
+    /// A client that speaks PostgreSQL.
+    Postgres,
+    /// An engine.
+    Engine,
+    /// The source of membership news.
+    Discovery,
+}
+
+struct Conn {
+    stream: TcpStream,
+    owner: Owner,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    written: usize,
+    connecting: bool,
+    /// It has more to read than was taken so far.
+    more: bool,
+    ended: Option<Ending>,
+}
+
+/// All connections, by numbers that are never used twice.
+pub struct Net {
+    registry: Registry,
+    conns: HashMap<u64, Conn>,
+    serial: u64,
+    waiting: usize,
+    engine_conns: usize,
+    engine_most: usize,
+    scratch: Vec<u8>,
+}
+
+/// What became of a connection when it was last looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Look {
+    /// It is up.
+    pub up: bool,
+    /// All output has been written to it.
+    pub drained: bool,
+    /// It is over; its input may still hold something.
+    pub ended: Option<Ending>,
+}
+
+impl Net {
+    /// No connections yet; engines may have `engine_most` of them.
+    pub fn new(registry: Registry, first: u64, engine_most: usize) -> Self {
+        Net {
+            registry,
+            conns: HashMap::new(),
+            serial: first,
+            waiting: 0,
+            engine_conns: 0,
+            engine_most,
+            scratch: vec![0; 64 << 10],
+        }
+    }
+
+    /// Starts a connection. No descriptor to be had is an ending like others.
+    pub fn connect(&mut self, to: SocketAddr, owner: Owner) -> Result<u64, Ending> {
+        if owner == Owner::Engine && self.engine_conns >= self.engine_most {
+            return Err(Ending::NoDescriptor);
+        }
+        let stream = TcpStream::connect(to).map_err(|e| match e.kind() {
+            ErrorKind::ConnectionRefused => Ending::Refused,
+            _ => Ending::NoDescriptor,
+        })?;
+        self.add(stream, owner, true)
+    }
+
+    /// Takes over a connection that a client opened.
+    pub fn adopt(&mut self, stream: TcpStream, owner: Owner) -> Result<u64, Ending> {
+        self.add(stream, owner, false)
+    }
+
+    fn add(&mut self, mut stream: TcpStream, owner: Owner, connecting: bool) -> Result<u64, Ending> {
+        self.serial += 1;
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let registered = self.registry.register(&mut stream, Token(self.serial as usize), interest);
+        registered.map_err(|_| Ending::NoDescriptor)?;
+        // Small messages must not wait for the acknowledgement of the ones before.
+        let _ = stream.set_nodelay(true);
+        self.engine_conns += usize::from(owner == Owner::Engine);
+        #[rustfmt::skip]
+        let conn = Conn {
+            stream, owner, connecting, input: Vec::new(), output: Vec::new(), written: 0, more: false, ended: None,
+        };
+        self.conns.insert(self.serial, conn);
+        Ok(self.serial)
+    }
+
+    /// Who a connection belongs to, while it is there.
+    pub fn owner(&self, id: u64) -> Option<Owner> {
+        self.conns.get(&id).map(|c| c.owner)
+    }
+
+    /// Connections of one owner.
+    pub fn count(&self, owner: Owner) -> usize {
+        self.conns.values().filter(|c| c.owner == owner).count()
+    }
+
+    /// Closes a connection; what it had not written is lost.
+    pub fn close(&mut self, id: u64) {
+        if let Some(mut conn) = self.conns.remove(&id) {
+            self.waiting -= conn.output.len() - conn.written;
+            self.engine_conns -= usize::from(conn.owner == Owner::Engine);
+            let _ = self.registry.deregister(&mut conn.stream);
+        }
+    }
+
+    /// Queues bytes and writes what can be written. False where they pass a bound: the connection is of no
+    /// use any more then.
+    pub fn send(&mut self, id: u64, bytes: &[u8]) -> bool {
+        let Some(conn) = self.conns.get_mut(&id) else { return false };
+        let pending = conn.output.len() - conn.written + bytes.len();
+        // Guards against clients that ask and do not read: what waits for them is memory.
+        if pending > OUTPUT_MOST || self.waiting + bytes.len() > OUTPUT_ALL {
+            return false;
+        }
+        conn.output.extend_from_slice(bytes);
+        self.waiting += bytes.len();
+        self.flush(id);
+        true
+    }
+
+    fn flush(&mut self, id: u64) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        while !conn.connecting && conn.ended.is_none() && conn.written < conn.output.len() {
+            match conn.stream.write(&conn.output[conn.written..]) {
+                Ok(n) => {
+                    conn.written += n;
+                    self.waiting -= n;
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                // An idle connection may close as it is written to; reading tells what came before.
+                Err(_) => break,
+            }
+        }
+        if conn.written == conn.output.len() {
+            conn.output.clear();
+            conn.written = 0;
+        }
+    }
+
+    /// Whether all output has been written to a connection that is up.
+    pub fn drained(&self, id: u64) -> bool {
+        self.conns.get(&id).is_some_and(|c| !c.connecting && c.output.is_empty())
+    }
+
+    /// Whether nothing waits to be written to any client.
+    pub fn all_written(&self) -> bool {
+        let client = |c: &&Conn| matches!(c.owner, Owner::Msgpack | Owner::Postgres);
+        self.conns.values().filter(client).all(|c| c.output.is_empty())
+    }
+
+    /// Moves what is ready in both directions.
+    pub fn service(&mut self, id: u64) -> Look {
+        let lost = Look { up: false, drained: false, ended: Some(Ending::Cut) };
+        let Some(conn) = self.conns.get_mut(&id) else { return lost };
+        if conn.connecting {
+            match conn.stream.take_error() {
+                Ok(None) => match conn.stream.peer_addr() {
+                    Ok(_) => conn.connecting = false,
+                    Err(_) => return Look { up: false, drained: false, ended: None },
+                },
+                Ok(Some(e)) | Err(e) => {
+                    let refused = e.kind() == ErrorKind::ConnectionRefused;
+                    conn.ended = Some(if refused { Ending::Refused } else { Ending::Unreachable });
+                }
+            }
+        }
+        self.flush(id);
+        let Some(conn) = self.conns.get_mut(&id) else { return lost };
+        conn.more = false;
+        while conn.ended.is_none() {
+            if conn.input.len() >= INPUT_MOST {
+                conn.more = true;
+                break;
+            }
+            match conn.stream.read(&mut self.scratch) {
+                Ok(0) => conn.ended = Some(Ending::Cut),
+                Ok(n) => conn.input.extend_from_slice(&self.scratch[..n]),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => conn.ended = Some(Ending::Cut),
+            }
+        }
+        Look { up: !conn.connecting, drained: conn.output.is_empty() && !conn.connecting, ended: conn.ended }
+    }
+
+    /// Whether a connection was left with something to read: no further event tells of it.
+    pub fn has_more(&self, id: u64) -> bool {
+        self.conns.get(&id).is_some_and(|c| c.more)
+    }
+
+    /// What has come in and was not taken yet.
+    pub fn input(&self, id: u64) -> &[u8] {
+        self.conns.get(&id).map_or(&[], |c| &c.input)
+    }
+
+    /// Takes the first bytes of the input.
+    pub fn consume(&mut self, id: u64, bytes: usize) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.input.drain(..bytes.min(conn.input.len()));
+        }
+    }
+}
--- /dev/null
+++ b/src/router/counters.rs
@@ -0,0 +1,68 @@
+//! What the router took in, sent, answered and saw end.
+
+use std::collections::BTreeMap;
+
+use super::ending::{Ending, ENDINGS};
+
+/// The counters of one process; they only grow.
+#[derive(Clone, Debug, Default)]
+pub struct Counters {
+    /// Requests taken.
+    pub taken: u64,
+    /// Attempts sent to engines.
+    pub sent: u64,
+    /// Answers: all rows.
+    pub served: u64,
+    /// Answers: trying again is harmless.
+    pub refused: u64,
+    /// Answers: failed.
+    pub failed: u64,
+    /// Requests whose client left before its answer.
+    pub left: u64,
+    /// Messages of clients that were turned away before they became requests.
+    pub rejected: u64,
+    /// Client connections accepted.
+    pub accepted: u64,
+    /// Connections opened to engines.
+    pub opened: u64,
+    /// Times that no descriptor was to be had.
+    pub short_of_descriptors: u64,
+    /// Membership events taken.
+    pub membership: u64,
+    endings: BTreeMap<Ending, u64>,
+}
+
+impl Counters {
+    /// Counts one ending.
+    pub fn ended(&mut self, ending: Ending) {
+        *self.endings.entry(ending).or_default() += 1;
+    }
+
+    /// How often something ended so.
+    pub fn endings(&self, ending: Ending) -> u64 {
+        self.endings.get(&ending).copied().unwrap_or(0)
+    }
+
+    /// One line with all of them.
+    pub fn line(&self) -> String {
+        let mut line = format!(
+            "taken={} sent={} served={} refused={} failed={} left={} rejected={} accepted={} opened={} \
+             short_of_descriptors={} membership={}",
+            self.taken,
+            self.sent,
+            self.served,
+            self.refused,
+            self.failed,
+            self.left,
+            self.rejected,
+            self.accepted,
+            self.opened,
+            self.short_of_descriptors,
+            self.membership
+        );
+        for (ending, name) in ENDINGS {
+            line.push_str(&format!(" ended_{name}={}", self.endings(ending)));
+        }
+        line
+    }
+}
--- /dev/null
+++ b/src/router/ending.rs
@@ -0,0 +1,89 @@
+//! Every way in which a connection, or what was under way on it, can end, and what each means.
+
+use crate::interface::Status;
+
+/// How a connection, a call or an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Ending {
+    /// The engine gave the whole result.
+    Served,
+    /// The engine answered that the query failed, or that it does not know it.
+    EngineError,
+    /// The engine is full: the query never ran.
+    Full,
+    /// The engine found the request over already: it never ran.
+    Over,
+    /// The engine refused the connection, or the session on it: nothing ran.
+    Refused,
+    /// No connection came up in time: nothing ran.
+    Unreachable,
+    /// The connection broke before the call was wholly written: it never ran.
+    Unsent,
+    /// No descriptor, or no known address, for the call: it was never sent.
+    NoDescriptor,
+    /// The connection broke after the call was wholly written, and nobody knows the query any more.
+    Cut,
+    /// The peer sent what cannot be read, or more than is allowed.
+    Garbled,
+    /// The attempt's time ran out.
+    TimedOut,
+    /// The attempt was given up.
+    GivenUp,
+    /// The client closed its connection, or it broke.
+    ClientGone,
+    /// The client took back one request, or asked for its cancellation.
+    Forgotten,
+    /// The connection had nothing to do, or was closed to free a descriptor.
+    Idle,
+    /// The program is ending.
+    Shutdown,
+}
+
+/// What an ending is to the decision module.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Meaning {
+    /// The outcome of an attempt.
+    Outcome(Status),
+    /// The client has left.
+    Left,
+    /// Nothing: no request is touched.
+    Nothing,
+}
+
+/// All endings, for counters.
+pub const ENDINGS: [(Ending, &str); 16] = [
+    (Ending::Served, "served"),
+    (Ending::EngineError, "engine_error"),
+    (Ending::Full, "full"),
+    (Ending::Over, "over"),
+    (Ending::Refused, "refused"),
+    (Ending::Unreachable, "unreachable"),
+    (Ending::Unsent, "unsent"),
+    (Ending::NoDescriptor, "no_descriptor"),
+    (Ending::Cut, "cut"),
+    (Ending::Garbled, "garbled"),
+    (Ending::TimedOut, "timed_out"),
+    (Ending::GivenUp, "given_up"),
+    (Ending::ClientGone, "client_gone"),
+    (Ending::Forgotten, "forgotten"),
+    (Ending::Idle, "idle"),
+    (Ending::Shutdown, "shutdown"),
+];
+
+impl Ending {
+    /// The one place where an ending becomes what the module is told.
+    pub fn meaning(self) -> Meaning {
+        match self {
+            Ending::Served => Meaning::Outcome(Status::Done),
+            Ending::EngineError | Ending::Garbled => Meaning::Outcome(Status::Error),
+            Ending::Full => Meaning::Outcome(Status::Busy),
+            Ending::Refused | Ending::Unreachable => Meaning::Outcome(Status::Refused),
+            Ending::Over | Ending::Unsent | Ending::NoDescriptor => Meaning::Outcome(Status::Skipped),
+            Ending::Cut => Meaning::Outcome(Status::Reset),
+            Ending::TimedOut => Meaning::Outcome(Status::TimedOut),
+            Ending::GivenUp => Meaning::Outcome(Status::Cancelled),
+            Ending::ClientGone | Ending::Forgotten => Meaning::Left,
+            Ending::Idle | Ending::Shutdown => Meaning::Nothing,
+        }
+    }
+}
--- /dev/null
+++ b/src/router/mod.rs
@@ -0,0 +1,458 @@
+//! The core: requests, attempts and their outcomes. It owns the table of open requests, the timers, the
+//! counters and the one final answer of each request. It knows no sockets and no wire.
+//!
+//! Fronts put requests in and take answers out; engines take attempts and report what becomes of them. All
+//! that comes in is gathered, and [`Router::turn`] hands it to the decision module in one go.
+
+pub mod counters;
+pub mod ending;
+pub mod statement;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::rc::Rc;
+
+use log::{debug, warn};
+
+use crate::control::Controller;
+use crate::interface::*;
+use counters::Counters;
+use ending::{Ending, Meaning};
+use statement::Statement;
+
+/// Time past a request's own within which its answer must have been given, or the core gives it (ns).
+const FINAL_GRACE_NS: u64 = 5_000_000;
+
+/// Where the answer to a request goes: a connection's number, never used twice, and a number of its own there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Client {
+    /// The connection.
+    pub conn: u64,
+    /// The call on it.
+    pub call: u64,
+}
+
+/// What a client asks for.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ask {
+    /// The client's own id of the request, passed on to engines.
+    pub name: String,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, where there are tenants.
+    pub tenant: Option<TenantId>,
+    /// Time until the answer must be on its way.
+    pub time_left_ns: u64,
+    /// Estimated work.
+    pub work_estimate_ns: Option<u64>,
+    /// Estimated memory.
+    pub memory_estimate_mb: Option<f64>,
+    /// The statement.
+    pub statement: Statement,
+}
+
+/// Rows of a result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Rows {
+    /// As text: a tab between columns, a line feed after each row.
+    Text(Vec<u8>),
+    /// Value by value; absent for NULL.
+    Cells(Vec<Vec<Option<Vec<u8>>>>),
+}
+
+impl Rows {
+    /// As text.
+    pub fn into_text(self) -> Vec<u8> {
+        match self {
+            Rows::Text(text) => text,
+            Rows::Cells(rows) => {
+                let mut text = Vec::new();
+                for row in rows {
+                    for (i, cell) in row.iter().enumerate() {
+                        text.extend_from_slice(if i > 0 { b"\t" } else { b"" });
+                        text.extend_from_slice(cell.as_deref().unwrap_or(b"\\N"));
+                    }
+                    text.push(b'\n');
+                }
+                text
+            }
+        }
+    }
+
+    /// Value by value.
+    pub fn into_cells(self) -> Vec<Vec<Option<Vec<u8>>>> {
+        match self {
+            Rows::Cells(rows) => rows,
+            Rows::Text(text) => text
+                .split_inclusive(|b| *b == b'\n')
+                .map(|row| row.strip_suffix(b"\n").unwrap_or(row))
+                .map(|row| row.split(|b| *b == b'\t').map(|cell| Some(cell.to_vec())).collect())
+                .collect(),
+        }
+    }
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// All rows.
+    Served(Rows),
+    /// Refused: trying again does no harm.
+    Refused {
+        /// When to come back, in milliseconds.
+        backoff_ms: u64,
+        /// How the last attempt ended, where there was one.
+        after: Option<Ending>,
+    },
+    /// Failed; the last attempt's ending, where there was one.
+    Failed(Option<Ending>),
+}
+
+/// An attempt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Attempt {
+    /// The request.
+    pub request: RequestId,
+    /// Its number, from 0.
+    pub number: u32,
+}
+
+/// What the core wants done.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Send an attempt to an engine.
+    Start {
+        /// The attempt.
+        attempt: Attempt,
+        /// Where to.
+        engine: EngineId,
+        /// How long the router will wait for it.
+        timeout_ns: u64,
+        /// Its priority.
+        priority: u8,
+        /// What to send.
+        ask: Rc<Ask>,
+    },
+    /// Give an attempt up; it stays out until its ending is reported.
+    GiveUp(Attempt),
+    /// Change the priority of an attempt that is out.
+    Rank(Attempt, u8),
+    /// Give a client its final answer.
+    Answer(Client, Answer),
+}
+
+struct Out {
+    number: u32,
+    engine: EngineId,
+    sent_ns: u64,
+}
+
+struct Open {
+    ask: Rc<Ask>,
+    client: Client,
+    /// The final answer was given, or is owed to nobody any more.
+    concluded: bool,
+    attempts: u32,
+    out: Option<Out>,
+    last: Option<Ending>,
+    priority: u8,
+    expires_ns: u64,
+}
+
+enum Inbound {
+    Arrival(RequestId),
+    Left(RequestId, Ending),
+    Note(Attempt, Note),
+    Ended(Attempt, Ending, Option<Rows>, Option<LoadReport>),
+    Membership(MembershipKind, Vec<EngineEntry>),
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Module(TimerToken),
+    TimeOut(Attempt),
+    Final(RequestId),
+}
+
+/// The core of one router.
+pub struct Router {
+    control: Controller,
+    open: HashMap<RequestId, Open>,
+    timers: BinaryHeap<Reverse<(u64, u64, Timer)>>,
+    batch: Vec<Inbound>,
+    actions: Vec<Action>,
+    serial: u64,
+    /// The counters.
+    pub counters: Counters,
+}
+
+impl Router {
+    /// A core around a fresh decision module.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Router {
+            control: Controller::new(settings, seed),
+            open: HashMap::new(),
+            timers: BinaryHeap::new(),
+            batch: Vec::new(),
+            actions: Vec::new(),
+            serial: 0,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Takes a request; it is owed one final answer from here on.
+    pub fn take(&mut self, now_ns: u64, client: Client, ask: Ask) -> RequestId {
+        self.serial += 1;
+        let id = RequestId(self.serial);
+        let expires_ns = now_ns.saturating_add(ask.time_left_ns);
+        let open = Open {
+            ask: Rc::new(ask),
+            client,
+            concluded: false,
+            attempts: 0,
+            out: None,
+            last: None,
+            priority: 1,
+            expires_ns,
+        };
+        self.open.insert(id, open);
+        self.counters.taken += 1;
+        self.set_timer(expires_ns.saturating_add(FINAL_GRACE_NS), Timer::Final(id));
+        self.batch.push(Inbound::Arrival(id));
+        id
+    }
+
+    /// The client waits no longer: nothing is owed.
+    pub fn leave(&mut self, id: RequestId, ending: Ending) {
+        self.batch.push(Inbound::Left(id, ending));
+    }
+
+    /// News of a running attempt.
+    pub fn note(&mut self, attempt: Attempt, note: Note) {
+        self.batch.push(Inbound::Note(attempt, note));
+    }
+
+    /// An attempt has ended; only the first ending of an attempt counts.
+    pub fn ended(&mut self, at: Attempt, ending: Ending, rows: Option<Rows>, report: Option<LoadReport>) {
+        self.batch.push(Inbound::Ended(at, ending, rows, report));
+    }
+
+    /// News of the engines.
+    pub fn membership(&mut self, kind: MembershipKind, entries: Vec<EngineEntry>) {
+        self.batch.push(Inbound::Membership(kind, entries));
+    }
+
+    /// Requests that are owed an answer or have an attempt out.
+    pub fn open_requests(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Requests that are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.open.values().filter(|o| !o.concluded).count()
+    }
+
+    /// When the next timer is due.
+    pub fn next_due_ns(&self) -> Option<u64> {
+        self.timers.peek().map(|Reverse((due, ..))| *due)
+    }
+
+    /// Whether something waits for the module.
+    pub fn has_news(&self) -> bool {
+        !self.batch.is_empty()
+    }
+
+    fn set_timer(&mut self, due_ns: u64, timer: Timer) {
+        self.serial += 1;
+        self.timers.push(Reverse((due_ns, self.serial, timer)));
+    }
+
+    /// Hands all that was gathered, and all timers that are due, to the module; adds to `out` what is to be done.
+    pub fn turn(&mut self, now_ns: u64, out: &mut Vec<Command>) {
+        let mut batch = std::mem::take(&mut self.batch);
+        for inbound in batch.drain(..) {
+            self.inbound(now_ns, inbound, out);
+        }
+        self.batch = batch;
+        while self.next_due_ns().is_some_and(|due| due <= now_ns) {
+            let Some(Reverse((_, _, timer))) = self.timers.pop() else { break };
+            match timer {
+                Timer::Module(token) => self.decide(now_ns, Event::Timer(token), out),
+                Timer::TimeOut(at) => self.time_out(now_ns, at, out),
+                Timer::Final(id) => self.overdue(now_ns, id, out),
+            }
+        }
+    }
+
+    fn inbound(&mut self, now: u64, inbound: Inbound, out: &mut Vec<Command>) {
+        match inbound {
+            Inbound::Arrival(id) => {
+                let Some(open) = self.open.get(&id) else { return };
+                let ask = &open.ask;
+                let request = Request {
+                    id,
+                    class: ask.class,
+                    tenant: ask.tenant,
+                    time_left_ns: open.expires_ns.saturating_sub(now),
+                    data_set: statement::table_group(&ask.statement.text),
+                    work_estimate_ns: ask.work_estimate_ns,
+                    memory_estimate_mb: ask.memory_estimate_mb,
+                    ..Request::default()
+                };
+                self.decide(now, Event::Arrival(request), out);
+            }
+            Inbound::Left(id, ending) => {
+                let Some(open) = self.open.get_mut(&id) else { return };
+                if !std::mem::replace(&mut open.concluded, true) {
+                    self.counters.left += 1;
+                    self.counters.ended(ending);
+                    debug_assert_eq!(ending.meaning(), Meaning::Left);
+                    self.decide(now, Event::Left(id), out);
+                    self.tidy(id);
+                }
+            }
+            Inbound::Note(at, note) => {
+                let current = self.open.get(&at.request).and_then(|o| o.out.as_ref());
+                if current.is_some_and(|c| c.number == at.number) {
+                    self.decide(now, Event::Progress(at.request, at.number, note), out);
+                }
+            }
+            Inbound::Ended(at, ending, rows, report) => self.end_attempt(now, at, ending, rows, report, out),
+            Inbound::Membership(kind, entries) => {
+                self.counters.membership += 1;
+                self.decide(now, Event::Membership(kind, entries), out);
+            }
+        }
+    }
+
+    fn end_attempt(
+        &mut self,
+        now: u64,
+        at: Attempt,
+        ending: Ending,
+        rows: Option<Rows>,
+        report: Option<LoadReport>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(open) = self.open.get_mut(&at.request) else { return };
+        // Guards against a second ending of one attempt, as when its time ran out while it was being given up.
+        let Some(ran) = open.out.take_if(|o| o.number == at.number) else { return };
+        self.counters.ended(ending);
+        open.last = Some(ending);
+        let Meaning::Outcome(status) = ending.meaning() else { return };
+        if let (Ending::Served, Some(rows), false) = (ending, rows, open.concluded) {
+            open.concluded = true;
+            self.counters.served += 1;
+            out.push(Command::Answer(open.client, Answer::Served(rows)));
+        }
+        let outcome = Outcome {
+            request: at.request,
+            attempt: at.number,
+            engine: ran.engine,
+            status,
+            latency_ns: now.saturating_sub(ran.sent_ns),
+            concluded: open.concluded,
+            work_ns: None,
+            memory_mb: None,
+            report,
+        };
+        if status != Status::Done {
+            debug!("request {} attempt {} ended {ending:?}", at.request.0, at.number);
+        }
+        self.decide(now, Event::Outcome(outcome), out);
+        self.tidy(at.request);
+    }
+
+    fn time_out(&mut self, now: u64, at: Attempt, out: &mut Vec<Command>) {
+        let current = self.open.get(&at.request).and_then(|o| o.out.as_ref());
+        if current.is_some_and(|c| c.number == at.number) {
+            out.push(Command::GiveUp(at));
+            self.end_attempt(now, at, Ending::TimedOut, None, None, out);
+        }
+    }
+
+    /// Guards against a request that nobody answers: its time is over, so it fails, or is refused where no
+    /// attempt was made.
+    fn overdue(&mut self, now: u64, id: RequestId, out: &mut Vec<Command>) {
+        let Some(open) = self.open.get(&id).filter(|o| !o.concluded) else { return };
+        warn!("request {} had no answer at its end", id.0);
+        let answer = match open.attempts {
+            0 => Answer::Refused { backoff_ms: 100, after: None },
+            _ => Answer::Failed(open.last),
+        };
+        self.conclude(id, answer, out);
+        self.decide(now, Event::Left(id), out);
+        self.tidy(id);
+    }
+
+    /// The one place where a request that was not served gets its final answer.
+    fn conclude(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Command>) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.concluded) else { return };
+        open.concluded = true;
+        match answer {
+            Answer::Refused { .. } => self.counters.refused += 1,
+            _ => self.counters.failed += 1,
+        }
+        out.push(Command::Answer(open.client, answer));
+    }
+
+    fn tidy(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|o| o.concluded && o.out.is_none()) {
+            self.open.remove(&id);
+        }
+    }
+
+    /// Hands one event to the module and takes its actions.
+    fn decide(&mut self, now: u64, event: Event, out: &mut Vec<Command>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.control.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(now, action, out);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, now: u64, action: Action, out: &mut Vec<Command>) {
+        match action {
+            Action::Send { request, engine, timeout_ns } => {
+                let Some(open) = self.open.get_mut(&request) else { return };
+                let attempt = Attempt { request, number: open.attempts };
+                open.attempts += 1;
+                open.out = Some(Out { number: attempt.number, engine, sent_ns: now });
+                let (priority, ask) = (open.priority, open.ask.clone());
+                let due = now.saturating_add(timeout_ns).min(open.expires_ns);
+                self.counters.sent += 1;
+                self.set_timer(due, Timer::TimeOut(attempt));
+                let timeout_ns = due.saturating_sub(now);
+                out.push(Command::Start { attempt, engine, timeout_ns, priority, ask });
+            }
+            Action::Cancel { request, attempt } => {
+                out.push(Command::GiveUp(Attempt { request, number: attempt }))
+            }
+            Action::Refuse { request, retry_after_ns } => {
+                let after = self.open.get(&request).and_then(|o| o.last);
+                let backoff_ms = retry_after_ns.unwrap_or(100_000_000).div_ceil(1_000_000).max(1);
+                self.conclude(request, Answer::Refused { backoff_ms, after }, out);
+                self.tidy(request);
+            }
+            Action::Fail(request) => {
+                let after = self.open.get(&request).and_then(|o| o.last);
+                self.conclude(request, Answer::Failed(after), out);
+                self.tidy(request);
+            }
+            Action::SetTerms { request, priority, .. } => {
+                let Some(open) = self.open.get_mut(&request) else { return };
+                open.priority = priority;
+                if let Some(ran) = &open.out {
+                    out.push(Command::Rank(Attempt { request, number: ran.number }, priority));
+                }
+            }
+            Action::SetTimer { after_ns, token } => {
+                self.set_timer(now.saturating_add(after_ns), Timer::Module(token))
+            }
+            Action::Log(text) => log::info!("{text}"),
+            // This program has no probes, no peers and a feed that needs no asking.
+            Action::Probe(_) | Action::Tell(..) | Action::Subscribe => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/router/statement.rs
@@ -0,0 +1,195 @@
+//! The statement of a request: its text, its parameters and the group of tables that it names.
+
+/// A statement as a client sent it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Statement {
+    /// The text, unchanged.
+    pub text: Vec<u8>,
+    /// Parameters of an extended query, in order.
+    pub params: Vec<Param>,
+}
+
+/// One bound parameter.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Param {
+    /// Type by its object id; 0 leaves it to the engine.
+    pub type_id: u32,
+    /// The value is in the type's binary form.
+    pub binary: bool,
+    /// The value; absent for NULL.
+    pub value: Option<Vec<u8>>,
+}
+
+/// A piece of SQL text, as far as routing tells pieces apart.
+enum Piece {
+    /// A name, folded to lower case unless it was quoted.
+    Name(String),
+    /// A parameter's number.
+    Param(usize),
+    /// Any other code byte.
+    Code(u8),
+    /// A string, a comment or blank space, passed over.
+    Other,
+}
+
+struct Pieces<'a> {
+    rest: &'a [u8],
+}
+
+fn until(text: &[u8], end: &[u8], from: usize) -> usize {
+    let found = text.get(from..).and_then(|t| t.windows(end.len()).position(|w| w == end));
+    found.map_or(text.len(), |at| from + at + end.len())
+}
+
+fn is_name(b: u8) -> bool {
+    b.is_ascii_alphanumeric() || b == b'_' || b >= 0x80
+}
+
+/// The end of a quoted text that starts at 0; a doubled quote stands for itself.
+fn quoted(text: &[u8], quote: u8, escapes: bool) -> usize {
+    let mut at = 1;
+    while at < text.len() {
+        let doubled = text[at] == quote && text.get(at + 1) == Some(&quote);
+        if doubled || escapes && text[at] == b'\\' {
+            at += 2;
+        } else if text[at] == quote {
+            return at + 1;
+        } else {
+            at += 1;
+        }
+    }
+    text.len()
+}
+
+/// The end of a block comment that starts at 0; they nest.
+fn block_comment(text: &[u8]) -> usize {
+    let (mut at, mut depth) = (2, 1);
+    while at < text.len() && depth > 0 {
+        match text[at..].get(..2) {
+            Some(b"/*") => (at, depth) = (at + 2, depth + 1),
+            Some(b"*/") => (at, depth) = (at + 2, depth - 1),
+            _ => at += 1,
+        }
+    }
+    at.min(text.len())
+}
+
+impl<'a> Iterator for Pieces<'a> {
+    type Item = (Piece, &'a [u8]);
+
+    fn next(&mut self) -> Option<Self::Item> {
+        let text = self.rest;
+        let (first, second) = (*text.first()?, text.get(1).copied().unwrap_or(0));
+        let word = text.iter().position(|b| !is_name(*b)).unwrap_or(text.len());
+        let (end, piece) = match first {
+            b'\'' => (quoted(text, b'\'', false), None),
+            b'e' | b'E' if second == b'\'' => (1 + quoted(&text[1..], b'\'', true), None),
+            b'-' if second == b'-' => (until(text, b"\n", 0), None),
+            b'/' if second == b'*' => (block_comment(text), None),
+            b'"' => {
+                let end = quoted(text, b'"', false);
+                let inner = &text[1..end.max(2) - 1];
+                (end, Some(Piece::Name(String::from_utf8_lossy(inner).into_owned())))
+            }
+            b'$' if second.is_ascii_digit() => {
+                let digits = text[1..].iter().position(|b| !b.is_ascii_digit()).unwrap_or(text.len() - 1);
+                let number = std::str::from_utf8(&text[1..=digits]).ok().and_then(|t| t.parse().ok());
+                (digits + 1, Some(Piece::Param(number.unwrap_or(0))))
+            }
+            b'$' => {
+                let tag = text[1..].iter().position(|b| !is_name(*b)).map_or(0, |n| n + 1);
+                match text.get(tag) {
+                    Some(b'$') if tag > 0 => (until(text, &text[..=tag], tag + 1), None),
+                    _ => (1, Some(Piece::Code(b'$'))),
+                }
+            }
+            _ if word > 0 => {
+                (word, Some(Piece::Name(String::from_utf8_lossy(&text[..word]).to_ascii_lowercase())))
+            }
+            _ if first.is_ascii_whitespace() => (1, None),
+            _ => (1, Some(Piece::Code(first))),
+        };
+        let (taken, rest) = text.split_at(end.min(text.len()));
+        self.rest = rest;
+        Some((piece.unwrap_or(Piece::Other), taken))
+    }
+}
+
+fn pieces(text: &[u8]) -> Pieces<'_> {
+    Pieces { rest: text }
+}
+
+/// The group of tables that a statement reads or writes: the number behind the underscore of the first
+/// schema named outside strings and comments, other than `staging`.
+pub fn table_group(text: &[u8]) -> Option<u64> {
+    let code: Vec<Piece> = pieces(text).map(|p| p.0).filter(|p| !matches!(p, Piece::Other)).collect();
+    code.windows(2).find_map(|pair| match pair {
+        [Piece::Name(name), Piece::Code(b'.')] if name != "staging" => {
+            name.rsplit_once('_').and_then(|(_, number)| number.parse().ok())
+        }
+        _ => None,
+    })
+}
+
+/// The statements in a text that `;` separates, each with its first words in lower case; empty ones are
+/// left out.
+pub fn split(text: &[u8]) -> Vec<(Vec<u8>, Vec<String>)> {
+    let mut all: Vec<(Vec<u8>, Vec<String>)> = vec![Default::default()];
+    for (piece, bytes) in pieces(text) {
+        if matches!(piece, Piece::Code(b';')) {
+            all.push(Default::default());
+        } else if let Some((statement, words)) = all.last_mut() {
+            statement.extend_from_slice(bytes);
+            match piece {
+                Piece::Name(name) if words.len() < 4 => words.push(name),
+                Piece::Code(_) | Piece::Param(..) if words.is_empty() => words.push(String::new()),
+                _ => {}
+            }
+        }
+    }
+    all.retain(|s| !s.1.is_empty());
+    all
+}
+
+/// How many parameters a statement names.
+pub fn param_count(text: &[u8]) -> usize {
+    let number = |p: (Piece, &[u8])| if let Piece::Param(n) = p.0 { n } else { 0 };
+    pieces(text).map(number).max().unwrap_or(0)
+}
+
+impl Statement {
+    /// A statement without parameters.
+    pub fn plain(text: Vec<u8>) -> Self {
+        Statement { text, params: Vec::new() }
+    }
+
+    /// The text with each parameter written in as a literal, for engines that take no parameters; absent
+    /// where one is in binary form or missing.
+    pub fn inlined(&self) -> Option<Vec<u8>> {
+        if self.params.is_empty() {
+            return Some(self.text.clone());
+        }
+        let mut out = Vec::with_capacity(self.text.len());
+        for (piece, bytes) in pieces(&self.text) {
+            let Piece::Param(number) = piece else {
+                out.extend_from_slice(bytes);
+                continue;
+            };
+            let param = number.checked_sub(1).and_then(|n| self.params.get(n))?;
+            match &param.value {
+                None => out.extend_from_slice(b"NULL"),
+                Some(_) if param.binary => return None,
+                Some(value) => {
+                    // Guards against a value that ends its own literal: quotes are doubled, and a backslash
+                    // has only its plain meaning in a standard string.
+                    out.push(b'\'');
+                    for byte in value {
+                        out.extend(std::iter::repeat_n(*byte, if *byte == b'\'' { 2 } else { 1 }));
+                    }
+                    out.push(b'\'');
+                }
+            }
+        }
+        Some(out)
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -120,19 +120,25 @@
 }
 
 /// The names behind the module's numbers, of one instance.
-#[derive(Default)]
-struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Request classes.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Machine kinds.
+    pub kinds: Vec<String>,
 }
 
-fn index_of(names: &[String], name: &str) -> Option<usize> {
+/// The number of a name in its list.
+pub fn index_of(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
 }
 
-fn read_settings(text: &str) -> Result<(Settings, Names), String> {
+/// Reads the settings object: the simulator's first message and the configuration hold the same one.
+pub fn read_settings(text: &str) -> Result<(Settings, Names), String> {
     let raw: RawSettings = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
     let names = Names {
         classes: raw.request_classes.iter().map(|c| c.name.clone()).collect(),
