--- a/src/config.rs
+++ b/src/config.rs
@@ -36,6 +36,58 @@
     settings: &'a RawValue,
 }
 
+/// The PostgreSQL side, from a file of its own; without one it is off.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PostgresFile {
+    /// Where PostgreSQL clients connect; absent for nowhere.
+    pub listen: Option<String>,
+    /// Class of requests whose session names none.
+    pub class: String,
+    /// Names of a result's columns.
+    pub columns: Vec<String>,
+    /// Sessions that may be open.
+    pub sessions: usize,
+    /// What the engines speak.
+    #[serde(default)]
+    pub engines: EngineFile,
+    /// Consul in the coordinator's place.
+    pub consul: Option<ConsulFile>,
+}
+
+/// What the engines speak.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "lowercase", deny_unknown_fields)]
+pub enum EngineFile {
+    /// The platform's HTTP.
+    #[default]
+    Http,
+    /// PostgreSQL, as this user on this database.
+    Postgres {
+        /// The user.
+        user: String,
+        /// The database.
+        database: String,
+    },
+}
+
+/// Where Consul is, and the engines' service there.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConsulFile {
+    /// Its address.
+    pub address: String,
+    /// The service.
+    pub service: String,
+}
+
+impl PostgresFile {
+    /// Reads the JSON text.
+    pub fn read(text: &str) -> Result<PostgresFile, String> {
+        serde_json::from_str(text).map_err(|e| format!("PostgreSQL file: {e}"))
+    }
+}
+
 #[derive(Deserialize)]
 struct Timing {
     #[serde(default)]
--- a/src/discovery/stream.rs
+++ b/src/discovery/stream.rs
@@ -5,7 +5,7 @@
 use log::{info, warn};
 use serde::Deserialize;
 
-use super::{engine_id, Change, Target};
+use super::{engine_id, Change, Chunks, Target};
 use crate::engine::http::head::{read_head, Head};
 use crate::interface::*;
 use crate::net::{Net, Owner};
@@ -86,9 +86,7 @@
 /// A reader of server-sent events, over a body in chunks or as it is.
 #[derive(Default)]
 pub struct EventReader {
-    chunked: bool,
-    /// Bytes of the present chunk that are to come; the line feed behind it counts.
-    chunk_left: usize,
+    chunks: Option<Chunks>,
     text: Vec<u8>,
     id: Option<u64>,
     data: String,
@@ -97,35 +95,19 @@
 impl EventReader {
     /// A reader for a body in chunks, or not.
     pub fn new(chunked: bool) -> Self {
-        EventReader { chunked, ..EventReader::default() }
+        EventReader { chunks: chunked.then(Chunks::default), ..EventReader::default() }
     }
 
     /// Takes what it can of `input`, adds the data of whole events to `out` with their numbers, and returns
     /// how much it took; an error where the stream can't be read or has ended.
     pub fn take(&mut self, input: &[u8], out: &mut Vec<(Option<u64>, String)>) -> Result<usize, String> {
-        let mut taken = 0;
-        if self.chunked {
-            while taken < input.len() {
-                if self.chunk_left > 0 {
-                    let part = self.chunk_left.min(input.len() - taken);
-                    let body = part.min(self.chunk_left.saturating_sub(2));
-                    self.text.extend_from_slice(&input[taken..taken + body]);
-                    (self.chunk_left, taken) = (self.chunk_left - part, taken + part);
-                    continue;
-                }
-                match httparse::parse_chunk_size(&input[taken..]) {
-                    Ok(httparse::Status::Complete((_, 0))) => return Err("the stream has ended".into()),
-                    Ok(httparse::Status::Complete((head, size))) if size <= LINE_MOST as u64 => {
-                        (taken, self.chunk_left) = (taken + head, size as usize + 2);
-                    }
-                    Ok(httparse::Status::Partial) => break,
-                    _ => return Err("bad chunk".into()),
-                }
+        let (taken, ended) = match &mut self.chunks {
+            Some(chunks) => chunks.take(input, &mut self.text)?,
+            None => {
+                self.text.extend_from_slice(input);
+                (input.len(), false)
             }
-        } else {
-            self.text.extend_from_slice(input);
-            taken = input.len();
-        }
+        };
         while let Some(end) = self.text.iter().position(|b| *b == b'\n') {
             let line: Vec<u8> = self.text.drain(..=end).collect();
             self.line(String::from_utf8_lossy(&line).trim_end_matches(['\r', '\n']), out);
@@ -133,6 +115,9 @@
         if self.text.len() > LINE_MOST || self.data.len() > LINE_MOST {
             return Err("a line is too long".into());
         }
+        if ended {
+            return Err("the stream has ended".into());
+        }
         Ok(taken)
     }
 
--- a/src/engine/http/head.rs
+++ b/src/engine/http/head.rs
@@ -89,9 +89,6 @@
         }
     }
     head.note = outcome.and_then(|name| read_note(&name, reading.as_deref()));
-    if head.length.is_some_and(|l| l > BODY_MOST) {
-        return Err("the body is too long".into());
-    }
     Ok(Some((head, size)))
 }
 
@@ -103,5 +100,8 @@
         None if head.status == 204 || head.status == 304 => 0,
         None => return Err("the body's length is not told".into()),
     };
+    if length > BODY_MOST {
+        return Err("the body is too long".into());
+    }
     Ok((input.len() >= size + length).then_some((head, size, size + length)))
 }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! The way to the engines: attempts go out, their news and endings come back.
 
 pub mod http;
+pub mod postgres;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,6 +2,7 @@
 //! of the same core.
 
 pub mod msgpack;
+pub mod postgres;
 
 use crate::interface::{ClassId, Settings, TenantId};
 use crate::wire::{index_of, Names};
@@ -41,6 +42,11 @@
         self.names.classes.get(class.0).map_or("", |n| n)
     }
 
+    /// The name of a tenant.
+    pub fn tenant_name(&self, tenant: TenantId) -> &str {
+        self.names.tenants.get(tenant.0).map_or("", |n| n)
+    }
+
     /// How long clients of a class wait at most.
     pub fn deadline_ns(&self, class: ClassId) -> u64 {
         self.deadlines_ns.get(class.0).copied().unwrap_or(0)
--- a/src/front/msgpack.rs
+++ b/src/front/msgpack.rs
@@ -127,7 +127,10 @@
 
     /// Takes what a client has sent.
     pub fn ready(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
-        let look = net.service(conn);
+        // Guards against running what a client sent that has gone since: nobody waits for it.
+        if net.service(conn).ended.is_some() {
+            return self.close(net, router, conn, Ending::ClientGone);
+        }
         loop {
             match read_message(net.input(conn)) {
                 Ok(None) => break,
@@ -142,9 +145,6 @@
                 }
             }
         }
-        if look.ended.is_some() {
-            self.close(net, router, conn, Ending::ClientGone);
-        }
     }
 
     fn message(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64, message: Message) {
@@ -201,7 +201,7 @@
             Answer::Refused { backoff_ms, .. } => {
                 error(client.call, "Backoff", &[("backoff", backoff_ms.to_string())])
             }
-            Answer::Failed(after) => {
+            Answer::Failed(after, _) => {
                 let why = after.map_or_else(String::new, |e| format!("{e:?}"));
                 error(client.call, "Lost", &[("why", why)])
             }
--- /dev/null
+++ b/src/front/postgres/codec.rs
@@ -0,0 +1,304 @@
+//! Messages of the PostgreSQL protocol 3.0, as a server reads and writes them.
+//!
+//! Every read is checked against the message's own bounds. `postgres-protocol` reads and writes a client's
+//! side only, and `pgwire`, which has both, was measured: without its async parts it brings 24 crates, and its
+//! readers trust the lengths inside a message, so that a cut `Parse` panics. So the server's side is here, and
+//! the engines' side uses `postgres-protocol`, whose framing is used here too.
+
+use postgres_protocol::message::backend::Header;
+
+use crate::front::MESSAGE_MOST;
+
+/// What a client can send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClientMessage {
+    /// Asks for encryption.
+    Encrypt,
+    /// Asks for the end of what another connection runs, by its number and key.
+    Cancel(i32, i32),
+    /// Starts a session: minor version and parameters.
+    Startup(u16, Vec<(String, String)>),
+    /// A simple query.
+    Query(Vec<u8>),
+    /// Prepares a statement: name, text, types of parameters.
+    Parse(String, Vec<u8>, Vec<u32>),
+    /// Makes a portal.
+    Bind(Bind),
+    /// Asks what a statement (true) or a portal takes and gives.
+    Describe(bool, String),
+    /// Runs a portal, for so many rows at most; 0 for all.
+    Execute(String, u32),
+    /// Drops a statement (true) or a portal.
+    Close(bool, String),
+    /// Asks for all answers so far.
+    Flush,
+    /// Ends a run of extended messages.
+    Sync,
+    /// Ends the session.
+    Terminate,
+    /// A password, though none was asked for; or copied data, though no copy runs.
+    Ignored,
+    /// A function call, which is not supported.
+    Call,
+}
+
+/// A `Bind` message.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Bind {
+    /// The portal to make.
+    pub portal: String,
+    /// The statement that it is of.
+    pub statement: String,
+    /// Whether parameters are in binary form: none, one for all, or one each.
+    pub formats: Vec<bool>,
+    /// The parameters; absent for NULL.
+    pub params: Vec<Option<Vec<u8>>>,
+    /// Whether columns are wanted in binary form, as for parameters.
+    pub results: Vec<bool>,
+}
+
+/// The parts of one message, none of them past its end.
+struct Parts<'a>(&'a [u8]);
+
+impl<'a> Parts<'a> {
+    fn take(&mut self, bytes: usize) -> Result<&'a [u8], String> {
+        let (part, rest) = self.0.split_at_checked(bytes).ok_or("a message is cut short")?;
+        self.0 = rest;
+        Ok(part)
+    }
+    fn byte(&mut self) -> Result<u8, String> {
+        Ok(self.take(1)?[0])
+    }
+    fn short(&mut self) -> Result<u16, String> {
+        self.take(2).map(|b| u16::from_be_bytes([b[0], b[1]]))
+    }
+    fn long(&mut self) -> Result<i32, String> {
+        self.take(4).map(|b| i32::from_be_bytes([b[0], b[1], b[2], b[3]]))
+    }
+    fn bytes(&mut self) -> Result<&'a [u8], String> {
+        let end = self.0.iter().position(|b| *b == 0).ok_or("a text does not end")?;
+        let text = self.take(end)?;
+        self.take(1)?;
+        Ok(text)
+    }
+    fn text(&mut self) -> Result<String, String> {
+        String::from_utf8(self.bytes()?.to_vec()).map_err(|_| "a name is not UTF-8".into())
+    }
+    fn list<T>(&mut self, one: impl Fn(&mut Self) -> Result<T, String>) -> Result<Vec<T>, String> {
+        let count = self.short()?;
+        (0..count).map(|_| one(self)).collect()
+    }
+    fn format(&mut self) -> Result<bool, String> {
+        match self.short()? {
+            0 => Ok(false),
+            1 => Ok(true),
+            other => Err(format!("unknown format {other}")),
+        }
+    }
+    fn value(&mut self) -> Result<Option<Vec<u8>>, String> {
+        match self.long()? {
+            -1 => Ok(None),
+            length => {
+                let length = usize::try_from(length).map_err(|_| "bad length of a value")?;
+                Ok(Some(self.take(length)?.to_vec()))
+            }
+        }
+    }
+    fn is_statement(&mut self) -> Result<bool, String> {
+        match self.byte()? {
+            b'S' => Ok(true),
+            b'P' => Ok(false),
+            other => Err(format!("neither statement nor portal: {other}")),
+        }
+    }
+}
+
+/// Reads the first message of a connection, with its size; nothing where it has not come whole.
+pub fn read_startup(input: &[u8]) -> Result<Option<(ClientMessage, usize)>, String> {
+    let mut parts = Parts(input);
+    let Ok(length) = parts.long() else { return Ok(None) };
+    let size = usize::try_from(length).ok().filter(|s| (8..=10_000).contains(s)).ok_or("bad length")?;
+    if input.len() < size {
+        return Ok(None);
+    }
+    let mut parts = Parts(&input[4..size]);
+    let message = match (parts.short()?, parts.short()?) {
+        (1234, 5679 | 5680) => ClientMessage::Encrypt,
+        (1234, 5678) => ClientMessage::Cancel(parts.long()?, parts.long()?),
+        (3, minor) => {
+            let mut params = Vec::new();
+            while let Some(name) = Some(parts.text()?).filter(|n| !n.is_empty()) {
+                params.push((name, parts.text()?));
+            }
+            ClientMessage::Startup(minor, params)
+        }
+        (major, minor) => return Err(format!("unsupported protocol {major}.{minor}")),
+    };
+    Ok(Some((message, size)))
+}
+
+/// Reads one message of a session, with its size; nothing where it has not come whole.
+pub fn read_message(input: &[u8]) -> Result<Option<(ClientMessage, usize)>, String> {
+    let Some(header) = Header::parse(input).map_err(|e| e.to_string())? else { return Ok(None) };
+    let size = header.len() as usize + 1;
+    if size > MESSAGE_MOST {
+        return Err("a message is too long".into());
+    }
+    if input.len() < size {
+        return Ok(None);
+    }
+    let mut parts = Parts(&input[5..size]);
+    let message = match header.tag() {
+        b'Q' => ClientMessage::Query(parts.bytes()?.to_vec()),
+        b'P' => {
+            let (name, text) = (parts.text()?, parts.bytes()?.to_vec());
+            ClientMessage::Parse(name, text, parts.list(|p| p.long().map(|t| t as u32))?)
+        }
+        b'B' => ClientMessage::Bind(Bind {
+            portal: parts.text()?,
+            statement: parts.text()?,
+            formats: parts.list(Parts::format)?,
+            params: parts.list(Parts::value)?,
+            results: parts.list(Parts::format)?,
+        }),
+        b'D' => ClientMessage::Describe(parts.is_statement()?, parts.text()?),
+        b'E' => ClientMessage::Execute(parts.text()?, u32::try_from(parts.long()?).unwrap_or(0)),
+        b'C' => ClientMessage::Close(parts.is_statement()?, parts.text()?),
+        b'H' => ClientMessage::Flush,
+        b'S' => ClientMessage::Sync,
+        b'X' => ClientMessage::Terminate,
+        b'p' | b'd' | b'c' | b'f' => return Ok(Some((ClientMessage::Ignored, size))),
+        b'F' => return Ok(Some((ClientMessage::Call, size))),
+        other => return Err(format!("unknown message {other}")),
+    };
+    match parts.0 {
+        [] => Ok(Some((message, size))),
+        _ => Err("a message is longer than its parts".into()),
+    }
+}
+
+/// Messages of the server, in the order written.
+#[derive(Default)]
+pub struct Reply {
+    /// The bytes.
+    pub bytes: Vec<u8>,
+}
+
+impl Reply {
+    fn message(&mut self, tag: u8, body: &[u8]) {
+        self.bytes.push(tag);
+        self.bytes.extend_from_slice(&(body.len() as u32 + 4).to_be_bytes());
+        self.bytes.extend_from_slice(body);
+    }
+
+    fn texts(&mut self, tag: u8, texts: &[&str]) {
+        let mut body = Vec::new();
+        for text in texts {
+            body.extend_from_slice(text.as_bytes());
+            body.push(0);
+        }
+        self.message(tag, &body);
+    }
+
+    /// No encryption.
+    pub fn no_encryption(&mut self) {
+        self.bytes.push(b'N');
+    }
+
+    /// The session is open, under a number and a key for its cancellation.
+    pub fn welcome(&mut self, statuses: &[(&str, &str)], number: i32, key: i32) {
+        self.message(b'R', &0_u32.to_be_bytes());
+        statuses.iter().for_each(|(name, value)| self.status(name, value));
+        self.message(b'K', &[number.to_be_bytes(), key.to_be_bytes()].concat());
+        self.ready();
+    }
+
+    /// Only the older minor version is spoken.
+    pub fn negotiate(&mut self) {
+        self.message(b'v', &[0; 8]);
+    }
+
+    /// A parameter's value.
+    pub fn status(&mut self, name: &str, value: &str) {
+        self.texts(b'S', &[name, value]);
+    }
+
+    /// Ready for the next query; there is never a transaction.
+    pub fn ready(&mut self) {
+        self.message(b'Z', b"I");
+    }
+
+    /// One of the messages that say a step is done: `1` parse, `2` bind, `3` close, `n` no data, `s` portal
+    /// suspended, `I` empty query.
+    pub fn step(&mut self, tag: u8) {
+        self.message(tag, &[]);
+    }
+
+    /// Types of a statement's parameters.
+    pub fn parameters(&mut self, types: &[u32]) {
+        let mut body = (types.len() as u16).to_be_bytes().to_vec();
+        types.iter().for_each(|t| body.extend_from_slice(&t.to_be_bytes()));
+        self.message(b't', &body);
+    }
+
+    /// Columns of text, each in binary form or not; the two forms of a text are the same bytes.
+    pub fn columns(&mut self, names: &[String], binary: &[bool]) {
+        let mut body = (names.len() as u16).to_be_bytes().to_vec();
+        for (i, name) in names.iter().enumerate() {
+            let format = u16::from(binary.get(i).or(binary.first()).copied().unwrap_or(false));
+            body.extend_from_slice(name.as_bytes());
+            body.push(0);
+            body.extend_from_slice(&[0; 6]);
+            body.extend_from_slice(&TEXT.to_be_bytes());
+            body.extend_from_slice(&(-1_i16).to_be_bytes());
+            body.extend_from_slice(&(-1_i32).to_be_bytes());
+            body.extend_from_slice(&format.to_be_bytes());
+        }
+        self.message(b'T', &body);
+    }
+
+    /// A row.
+    pub fn row(&mut self, cells: &[Option<Vec<u8>>]) {
+        let mut body = (cells.len() as u16).to_be_bytes().to_vec();
+        for cell in cells {
+            body.extend_from_slice(&cell.as_ref().map_or(-1, |c| c.len() as i32).to_be_bytes());
+            body.extend_from_slice(cell.as_deref().unwrap_or_default());
+        }
+        self.message(b'D', &body);
+    }
+
+    /// A statement is done.
+    pub fn complete(&mut self, tag: &str) {
+        self.texts(b'C', &[tag]);
+    }
+
+    /// An error; `fatal` ends the session.
+    pub fn error(&mut self, fault: &SqlFault, fatal: bool) {
+        let severity = if fatal { "FATAL" } else { "ERROR" };
+        let mut body = format!("S{severity}\0V{severity}\0C{}\0M{}\0", fault.state, fault.message);
+        if !fault.hint.is_empty() {
+            body.push_str(&format!("H{}\0", fault.hint));
+        }
+        body.push('\0');
+        self.message(b'E', body.as_bytes());
+    }
+}
+
+/// The type of text.
+pub const TEXT: u32 = 25;
+
+/// An error as a client is told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SqlFault {
+    /// SQLSTATE.
+    pub state: String,
+    /// What went wrong.
+    pub message: String,
+    /// What to do about it.
+    pub hint: String,
+}
+
+/// An error without a hint.
+pub fn fault(state: &str, message: impl Into<String>) -> SqlFault {
+    SqlFault { state: state.into(), message: message.into().replace('\0', " "), hint: String::new() }
+}
--- /dev/null
+++ b/src/front/postgres/mod.rs
@@ -0,0 +1,528 @@
+//! The front for clients that speak PostgreSQL, with extended queries. Each `Execute` of a routed statement is
+//! one request of the core; the messages behind it wait in the connection's input until it is answered.
+
+pub mod codec;
+pub mod session;
+
+use std::collections::{HashMap, VecDeque};
+
+use log::debug;
+
+use self::codec::{fault, read_message, read_startup, Bind, ClientMessage, Reply, SqlFault};
+use self::session::{Held, Kind, Settings};
+use super::{Directory, ANSWER_MARGIN_NS, OPEN_MOST};
+use crate::interface::{ClassId, RequestId};
+use crate::net::Net;
+use crate::router::ending::Ending;
+use crate::router::statement::Statement;
+use crate::router::{Answer, Ask, Client, Router};
+
+/// The version that clients are told: what the protocol's present drivers expect.
+pub const SERVER_VERSION: &str = "15.0";
+/// Portals of a session that may hold rows at one time (count).
+const SUSPENDED_MOST: usize = 4;
+
+/// How the front is set up.
+#[derive(Clone, Debug)]
+pub struct PostgresSetup {
+    /// Class of requests whose session names none.
+    pub class: ClassId,
+    /// Names of a result's columns.
+    pub columns: Vec<String>,
+    /// Engines take no parameters but in the text.
+    pub inlines: bool,
+    /// Sessions that may be open.
+    pub sessions_most: usize,
+}
+
+/// What a session waits for.
+struct Running {
+    request: RequestId,
+    call: u64,
+    /// The portal with its row limit; absent for a simple query.
+    portal: Option<(String, u32)>,
+    kind: Kind,
+}
+
+#[derive(Default)]
+struct Session {
+    started: bool,
+    key: i32,
+    settings: Settings,
+    start: Settings,
+    held: Held,
+    running: Option<Running>,
+    /// After an error: everything up to `Sync` is discarded.
+    skipping: bool,
+    suspended: usize,
+    calls: u64,
+}
+
+/// The front.
+pub struct PostgresFront {
+    directory: Directory,
+    setup: PostgresSetup,
+    sessions: HashMap<u64, Session>,
+    seed: u64,
+}
+
+/// The one place where an answer that is not served becomes an SQLSTATE. A refusal tells when to come back.
+fn sql_fault(answer: &Answer) -> SqlFault {
+    let (ending, backoff) = match answer {
+        Answer::Refused { after, backoff_ms, .. } => (*after, Some(*backoff_ms)),
+        Answer::Failed(after, _) => (*after, None),
+        Answer::Served(_) => (Some(Ending::Served), None),
+    };
+    let told = match answer {
+        Answer::Refused { fault, .. } | Answer::Failed(_, fault) => fault.clone(),
+        Answer::Served(_) => None,
+    };
+    let (state, message) = match (ending, told) {
+        (Some(Ending::EngineError), Some(told)) => (told.state, told.message),
+        (Some(Ending::TimedOut), _) => {
+            ("57014".into(), "canceling statement due to statement timeout".into())
+        }
+        (Some(Ending::Forgotten), _) => ("57014".into(), "canceling statement due to user request".into()),
+        (Some(Ending::Cut), _) => {
+            ("08007".into(), "the engine was lost: the statement may have run".to_owned())
+        }
+        (Some(Ending::GivenUp), _) => ("57014".into(), "the statement took too long and was given up".into()),
+        (Some(Ending::EngineError), None) => ("58000".into(), "the engine reported an error".into()),
+        (Some(Ending::Garbled), _) => ("08P01".into(), "the engine's answer cannot be read".into()),
+        (Some(Ending::Refused | Ending::Unreachable | Ending::Unsent), _) => {
+            ("57P03".into(), "no engine could be reached: the statement never ran".into())
+        }
+        (Some(Ending::Full | Ending::Over | Ending::NoDescriptor), _) | (None, _) => {
+            ("53000".into(), "no engine can run the statement in time".into())
+        }
+        (Some(other), _) => ("58000".into(), format!("the statement ended: {other:?}")),
+    };
+    let hint = backoff.map_or_else(String::new, |ms| format!("retry after {ms} ms"));
+    SqlFault { hint, ..fault(&state, message) }
+}
+
+impl PostgresFront {
+    /// No sessions yet.
+    pub fn new(directory: Directory, setup: PostgresSetup, seed: u64) -> Self {
+        PostgresFront { directory, setup, sessions: HashMap::new(), seed }
+    }
+
+    /// A client has connected.
+    pub fn accept(&mut self, conn: u64) {
+        self.sessions.insert(conn, Session::default());
+    }
+
+    /// Sessions that are open.
+    pub fn sessions(&self) -> usize {
+        self.sessions.len()
+    }
+
+    fn random(&mut self) -> u64 {
+        // Weyl's sequence through a mixer: numbers to tell requests apart, and keys as hard to guess as the seed.
+        self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let x = (self.seed ^ (self.seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 31)
+    }
+
+    /// A session is over; what runs for it is given up.
+    pub fn close(&mut self, net: &mut Net, router: &mut Router, conn: u64, ending: Ending) {
+        if let Some(session) = self.sessions.remove(&conn) {
+            if let Some(running) = session.running {
+                router.leave(running.request, Ending::ClientGone);
+            }
+            router.counters.ended(ending);
+        }
+        net.close(conn);
+    }
+
+    /// Takes what a client has sent.
+    pub fn ready(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
+        // Guards against running what a client sent that has gone since: nobody waits for it.
+        if net.service(conn).ended.is_some() {
+            return self.close(net, router, conn, Ending::ClientGone);
+        }
+        self.advance(now, net, router, conn);
+    }
+
+    /// Takes messages until one has to wait for its answer.
+    fn advance(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
+        let mut reply = Reply::default();
+        let mut over = None;
+        while let Some(session) = self.sessions.get(&conn).filter(|s| s.running.is_none()) {
+            let read =
+                if session.started { read_message(net.input(conn)) } else { read_startup(net.input(conn)) };
+            match read {
+                Ok(None) => break,
+                Ok(Some((message, size))) => {
+                    net.consume(conn, size);
+                    over = self.message(now, router, conn, message, &mut reply);
+                }
+                Err(why) => {
+                    debug!("a client's message: {why}");
+                    router.counters.rejected += 1;
+                    reply.error(&fault("08P01", why), true);
+                    over = Some(Ending::Garbled);
+                }
+            }
+            if over.is_some() {
+                break;
+            }
+        }
+        self.write(net, router, conn, reply, over);
+    }
+
+    fn write(&mut self, net: &mut Net, router: &mut Router, conn: u64, reply: Reply, over: Option<Ending>) {
+        let sent = reply.bytes.is_empty() || net.send(conn, &reply.bytes);
+        if let Some(ending) = over.or((!sent).then_some(Ending::Garbled)) {
+            self.close(net, router, conn, ending);
+        }
+    }
+
+    fn message(
+        &mut self,
+        now: u64,
+        router: &mut Router,
+        conn: u64,
+        message: ClientMessage,
+        reply: &mut Reply,
+    ) -> Option<Ending> {
+        match message {
+            ClientMessage::Encrypt => reply.no_encryption(),
+            ClientMessage::Cancel(number, key) => {
+                let found =
+                    self.sessions.iter().find(|(c, s)| s.started && **c as i32 == number && s.key == key);
+                if let Some(running) = found.and_then(|(_, s)| s.running.as_ref()) {
+                    router.cancel(running.request);
+                }
+                return Some(Ending::Idle);
+            }
+            ClientMessage::Startup(minor, params) => return self.startup(router, conn, minor, params, reply),
+            ClientMessage::Terminate => return Some(Ending::ClientGone),
+            ClientMessage::Sync => {
+                if let Some(session) = self.sessions.get_mut(&conn) {
+                    (session.skipping, session.suspended) = (false, 0);
+                    session.held.drop_portals();
+                }
+                reply.ready();
+            }
+            ClientMessage::Query(text) => {
+                if self.sessions.get(&conn).is_some_and(|s| s.skipping) {
+                    return None;
+                }
+                if let Err(fault) = self.query(now, router, conn, text, reply) {
+                    reply.error(&fault, false);
+                    reply.ready();
+                }
+            }
+            message => {
+                if self.sessions.get(&conn).is_some_and(|s| s.skipping) {
+                    return None;
+                }
+                if let Err(fault) = self.extended(now, router, conn, message, reply) {
+                    reply.error(&fault, false);
+                    if let Some(session) = self.sessions.get_mut(&conn) {
+                        session.skipping = true;
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    fn startup(
+        &mut self,
+        router: &mut Router,
+        conn: u64,
+        minor: u16,
+        params: Vec<(String, String)>,
+        reply: &mut Reply,
+    ) -> Option<Ending> {
+        let key = self.random() as i32;
+        let full = self.sessions.len() > self.setup.sessions_most;
+        let session = self.sessions.get_mut(&conn)?;
+        session.settings.class = Some(self.setup.class);
+        let mut result = if full { Err(fault("53300", "too many sessions are open")) } else { Ok(()) };
+        for (name, value) in params {
+            // `options` holds settings as a server's command line would: `-c name=value`.
+            let pairs: Vec<(String, String)> = match name.as_str() {
+                "options" => value
+                    .split_whitespace()
+                    .filter_map(|word| word.trim_start_matches("-c").trim_start_matches("--").split_once('='))
+                    .map(|(n, v)| (n.to_ascii_lowercase(), v.to_owned()))
+                    .collect(),
+                "user" | "database" | "replication" => Vec::new(),
+                _ => vec![(name, value)],
+            };
+            for (name, value) in pairs {
+                let set = session.settings.set(&self.directory, &name, &value);
+                result = result.and(set);
+            }
+        }
+        if let Err(fault) = result {
+            router.counters.rejected += 1;
+            reply.error(&fault, true);
+            return Some(Ending::Garbled);
+        }
+        (session.started, session.key, session.start) = (true, key, session.settings.clone());
+        if minor > 0 {
+            reply.negotiate();
+        }
+        let statuses = [
+            ("server_version", SERVER_VERSION),
+            ("server_encoding", "UTF8"),
+            ("client_encoding", "UTF8"),
+            ("DateStyle", "ISO, MDY"),
+            ("TimeZone", "UTC"),
+            ("integer_datetimes", "on"),
+            ("standard_conforming_strings", "on"),
+        ];
+        reply.welcome(&statuses, conn as i32, key);
+        None
+    }
+
+    fn query(
+        &mut self,
+        now: u64,
+        router: &mut Router,
+        conn: u64,
+        text: Vec<u8>,
+        reply: &mut Reply,
+    ) -> Result<(), SqlFault> {
+        let kind = session::classify(&text)?;
+        if self.local(conn, &kind, reply, true)? {
+            reply.ready();
+            return Ok(());
+        }
+        self.run(now, router, conn, Statement::plain(text), kind, None)
+    }
+
+    fn extended(
+        &mut self,
+        now: u64,
+        router: &mut Router,
+        conn: u64,
+        message: ClientMessage,
+        reply: &mut Reply,
+    ) -> Result<(), SqlFault> {
+        let (inlines, columns) = (self.setup.inlines, self.setup.columns.clone());
+        let Some(session) = self.sessions.get_mut(&conn) else { return Ok(()) };
+        match message {
+            ClientMessage::Parse(name, text, types) => {
+                session.held.parse(name, text, types)?;
+                reply.step(b'1');
+            }
+            ClientMessage::Bind(bind @ Bind { .. }) => {
+                session.held.bind(bind, inlines)?;
+                reply.step(b'2');
+            }
+            ClientMessage::Describe(true, name) => {
+                let statement = session.held.statement(&name)?;
+                reply.parameters(&statement.types);
+                describe(&statement.kind, &columns, &[], reply);
+            }
+            ClientMessage::Describe(false, name) => {
+                let portal = session.held.portal(&name)?;
+                describe(&portal.kind, &columns, &portal.results, reply);
+            }
+            ClientMessage::Close(statement, name) => {
+                session.held.drop_one(statement, &name);
+                reply.step(b'3');
+            }
+            ClientMessage::Execute(name, limit) => {
+                let portal = session.held.portal(&name)?;
+                if portal.rows.is_some() {
+                    give_rows(session, &name, limit, reply);
+                    return Ok(());
+                }
+                let (statement, kind) = (portal.statement.clone(), portal.kind.clone());
+                if self.local(conn, &kind, reply, false)? {
+                    return Ok(());
+                }
+                // Guards against results that wait for their client without bound.
+                if self.sessions.get(&conn).is_some_and(|s| limit > 0 && s.suspended >= SUSPENDED_MOST) {
+                    return Err(fault("54000", "too many portals are suspended"));
+                }
+                self.run(now, router, conn, statement, kind, Some((name, limit)))?;
+            }
+            ClientMessage::Call => return Err(fault("0A000", "function calls are not supported")),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Does what needs no engine; false for what does. `describes` says that columns are to be told too.
+    fn local(
+        &mut self,
+        conn: u64,
+        kind: &Kind,
+        reply: &mut Reply,
+        describes: bool,
+    ) -> Result<bool, SqlFault> {
+        let Some(session) = self.sessions.get_mut(&conn) else { return Ok(true) };
+        match kind {
+            Kind::Routed(..) => return Ok(false),
+            Kind::Empty => reply.step(b'I'),
+            Kind::Set(name, None) if name == "all" => {
+                session.settings = session.start.clone();
+                reply.complete("RESET");
+            }
+            Kind::Set(name, None) => {
+                let start = session.start.show(&self.directory, name).unwrap_or_default();
+                if !start.is_empty() || !name.starts_with("marljunction.") {
+                    session.settings.set(&self.directory, name, &start)?;
+                } else {
+                    session.settings.tenant = None;
+                }
+                reply.complete("RESET");
+            }
+            Kind::Set(name, Some(value)) => {
+                session.settings.set(&self.directory, name, value)?;
+                if name == "application_name" {
+                    reply.status(name, value);
+                }
+                reply.complete("SET");
+            }
+            Kind::Show(name) => {
+                let value = session.settings.show(&self.directory, name)?;
+                if describes {
+                    reply.columns(std::slice::from_ref(name), &[]);
+                }
+                reply.row(&[Some(value.into_bytes())]);
+                reply.complete("SHOW");
+            }
+        }
+        Ok(true)
+    }
+
+    /// Makes a request of a statement.
+    fn run(
+        &mut self,
+        now: u64,
+        router: &mut Router,
+        conn: u64,
+        statement: Statement,
+        kind: Kind,
+        portal: Option<(String, u32)>,
+    ) -> Result<(), SqlFault> {
+        if router.open_requests() >= OPEN_MOST {
+            router.counters.rejected += 1;
+            return Err(SqlFault {
+                hint: "retry after 200 ms".into(),
+                ..fault("53000", "too many requests are open")
+            });
+        }
+        let name = format!("{:016x}", self.random());
+        let Some(session) = self.sessions.get_mut(&conn) else { return Ok(()) };
+        session.calls += 1;
+        let (call, settings) = (session.calls, &session.settings);
+        let class = settings.class.unwrap_or(self.setup.class);
+        let deadline_ns = self.directory.deadline_ns(class);
+        let timeout_ns = match settings.timeout_ms {
+            0 => deadline_ns,
+            ms => ms.saturating_mul(1_000_000).min(deadline_ns),
+        };
+        let ask = Ask {
+            name,
+            class,
+            tenant: settings.tenant,
+            time_left_ns: timeout_ns.saturating_sub(ANSWER_MARGIN_NS),
+            work_estimate_ns: settings.cost_ms.map(|ms| (ms * 1e6) as u64),
+            memory_estimate_mb: settings.memory_mb,
+            statement,
+        };
+        let request = router.take(now, Client { conn, call }, ask);
+        session.running = Some(Running { request, call, portal, kind });
+        Ok(())
+    }
+
+    /// Gives a request its final answer, and goes on with the messages behind it.
+    pub fn answer(&mut self, now: u64, net: &mut Net, router: &mut Router, client: Client, answer: Answer) {
+        let Some(session) = self.sessions.get_mut(&client.conn) else { return };
+        let Some(running) = session.running.take_if(|r| r.call == client.call) else { return };
+        let mut reply = Reply::default();
+        match (answer, running.portal) {
+            (Answer::Served(rows), portal) => {
+                let rows: VecDeque<_> = rows.into_cells().into();
+                let width = self.setup.columns.len();
+                let gives = matches!(running.kind, Kind::Routed(true, _));
+                match portal {
+                    _ if gives && rows.iter().any(|row| row.len() != width) => {
+                        // Guards against rows that don't fit what the client was told of them.
+                        reply.error(
+                            &fault("42804", "the result has other columns than this service gives"),
+                            false,
+                        );
+                        session.skipping = portal.is_some();
+                        if portal.is_none() {
+                            reply.ready();
+                        }
+                    }
+                    None => {
+                        if gives {
+                            reply.columns(&self.setup.columns, &[]);
+                            rows.iter().for_each(|row| reply.row(row));
+                        }
+                        reply.complete(&tag(&running.kind, rows.len()));
+                        reply.ready();
+                    }
+                    Some((name, limit)) => {
+                        if let Ok(portal) = session.held.portal(&name) {
+                            portal.rows = Some((rows, 0));
+                        }
+                        give_rows(session, &name, limit, &mut reply);
+                    }
+                }
+            }
+            (answer, portal) => {
+                reply.error(&sql_fault(&answer), false);
+                session.skipping = portal.is_some();
+                if portal.is_none() {
+                    reply.ready();
+                }
+            }
+        }
+        self.write(net, router, client.conn, reply, None);
+        // What came in meanwhile waits in the connection; reading goes on where it stopped for lack of room.
+        if self.sessions.contains_key(&client.conn) {
+            self.ready(now, net, router, client.conn);
+        }
+    }
+}
+
+fn tag(kind: &Kind, rows: usize) -> String {
+    match kind {
+        Kind::Routed(_, word) => format!("{word} {rows}"),
+        _ => "SELECT 0".into(),
+    }
+}
+
+fn describe(kind: &Kind, columns: &[String], binary: &[bool], reply: &mut Reply) {
+    match kind {
+        Kind::Routed(true, _) => reply.columns(columns, binary),
+        Kind::Show(name) => reply.columns(std::slice::from_ref(name), binary),
+        _ => reply.step(b'n'),
+    }
+}
+
+/// Gives rows of a portal that has run, up to a limit, and says whether more are left.
+fn give_rows(session: &mut Session, name: &str, limit: u32, reply: &mut Reply) {
+    let Ok(portal) = session.held.portal(name) else { return };
+    let Some((rows, given)) = &mut portal.rows else { return };
+    let gives = matches!(portal.kind, Kind::Routed(true, _));
+    let count = if limit == 0 || !gives { rows.len() } else { rows.len().min(limit as usize) };
+    for row in rows.drain(..count) {
+        if gives {
+            reply.row(&row);
+        }
+    }
+    let first = *given == 0;
+    *given += count;
+    if rows.is_empty() {
+        reply.complete(&tag(&portal.kind, count));
+        session.suspended = session.suspended.saturating_sub(usize::from(!first));
+    } else {
+        reply.step(b's');
+        session.suspended += usize::from(first);
+    }
+}
--- /dev/null
+++ b/src/front/postgres/session.rs
@@ -0,0 +1,290 @@
+//! What a session remembers: its parameters, statements and portals.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::codec::{fault, Bind, SqlFault, TEXT};
+use crate::front::Directory;
+use crate::interface::{ClassId, TenantId};
+use crate::router::statement::{param_count, split, Param, Statement};
+use crate::router::Row;
+
+/// Statements and portals that a session may hold, of each (count), and their bytes in all.
+const HELD_MOST: usize = 64;
+const HELD_BYTES: usize = 512 << 10;
+
+/// What a statement is to the router.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Nothing at all.
+    Empty,
+    /// Goes to an engine; whether it gives rows, and the word of its completion.
+    Routed(bool, String),
+    /// Sets a session parameter, or all of them back to their start.
+    Set(String, Option<String>),
+    /// Shows a session parameter.
+    Show(String),
+}
+
+/// A prepared statement.
+#[derive(Clone, Debug)]
+pub struct Prepared {
+    /// Its text.
+    pub text: Vec<u8>,
+    /// Types of its parameters.
+    pub types: Vec<u32>,
+    /// What it is.
+    pub kind: Kind,
+}
+
+/// A portal.
+#[derive(Clone, Debug)]
+pub struct Portal {
+    /// The statement with its parameters.
+    pub statement: Statement,
+    /// What it is.
+    pub kind: Kind,
+    /// Columns wanted in binary form.
+    pub results: Vec<bool>,
+    /// What is left of its result once it has run, and how many rows were given.
+    pub rows: Option<(VecDeque<Row>, usize)>,
+}
+
+/// Session parameters.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Class of its requests.
+    pub class: Option<ClassId>,
+    /// Tenant of its requests.
+    pub tenant: Option<TenantId>,
+    /// `statement_timeout`, in milliseconds; 0 for none.
+    pub timeout_ms: u64,
+    /// Estimated work, in milliseconds.
+    pub cost_ms: Option<f64>,
+    /// Estimated memory, in megabytes.
+    pub memory_mb: Option<f64>,
+    /// Whatever else was set, as clients ask for it again.
+    pub others: BTreeMap<String, String>,
+}
+
+/// A span of time as PostgreSQL writes it: milliseconds, or with a unit.
+fn milliseconds(text: &str) -> Option<u64> {
+    let text = text.trim();
+    let digits = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
+    let number: u64 = text[..digits].parse().ok()?;
+    match text[digits..].trim() {
+        "" | "ms" => Some(number),
+        "s" => number.checked_mul(1_000),
+        "min" => number.checked_mul(60_000),
+        "h" => number.checked_mul(3_600_000),
+        _ => None,
+    }
+}
+
+impl Settings {
+    /// Sets one parameter.
+    pub fn set(&mut self, directory: &Directory, name: &str, value: &str) -> Result<(), SqlFault> {
+        let bad = || fault("22023", format!("invalid value for parameter \"{name}\": \"{value}\""));
+        let number = || match value.parse::<f64>() {
+            Ok(n) if n.is_finite() && n >= 0.0 => Ok(Some(n).filter(|n| *n > 0.0)),
+            _ => Err(bad()),
+        };
+        match name {
+            "marljunction.class" => self.class = Some(directory.class(value).ok_or_else(bad)?),
+            "marljunction.tenant" => self.tenant = Some(directory.tenant(value).ok_or_else(bad)?),
+            "statement_timeout" => self.timeout_ms = milliseconds(value).ok_or_else(bad)?,
+            "marljunction.cost_ms" => self.cost_ms = number()?,
+            "marljunction.memory_mb" => self.memory_mb = number()?,
+            _ if name.starts_with("marljunction.") => {
+                return Err(fault("42704", format!("unrecognized configuration parameter \"{name}\"")))
+            }
+            _ => {
+                // Guards against a session that sets names without end.
+                if self.others.len() >= HELD_MOST && !self.others.contains_key(name) {
+                    return Err(fault("54000", "too many parameters are set"));
+                }
+                self.others.insert(name.to_owned(), value.chars().take(1_000).collect());
+            }
+        }
+        Ok(())
+    }
+
+    /// A parameter's value as text.
+    pub fn show(&self, directory: &Directory, name: &str) -> Result<String, SqlFault> {
+        Ok(match name {
+            "marljunction.class" => self.class.map_or("", |c| directory.class_name(c)).to_owned(),
+            "marljunction.tenant" => self.tenant.map_or("", |t| directory.tenant_name(t)).to_owned(),
+            "statement_timeout" => self.timeout_ms.to_string(),
+            "marljunction.cost_ms" => self.cost_ms.unwrap_or(0.0).to_string(),
+            "marljunction.memory_mb" => self.memory_mb.unwrap_or(0.0).to_string(),
+            "server_version" => super::SERVER_VERSION.to_owned(),
+            "transaction_isolation" | "transaction" => "read committed".to_owned(),
+            _ => {
+                self.others.get(name).cloned().ok_or_else(|| {
+                    fault("42704", format!("unrecognized configuration parameter \"{name}\""))
+                })?
+            }
+        })
+    }
+}
+
+/// The name and value of `SET [SESSION] name {= | TO} value`.
+fn read_set(text: &str) -> Option<(String, Option<String>)> {
+    let rest = text.trim().get(3..)?.trim_start();
+    let first = rest.split_whitespace().next()?;
+    let session = first.eq_ignore_ascii_case("session");
+    let rest = if session { rest[first.len()..].trim_start() } else { rest };
+    let end = rest.find(|c: char| !(c.is_ascii_alphanumeric() || c == '_' || c == '.'))?;
+    let (name, value) = (rest[..end].to_ascii_lowercase(), rest[end..].trim_start());
+    let to = value.get(..2).is_some_and(|w| w.eq_ignore_ascii_case("to"));
+    let value = value.strip_prefix('=').or(value.get(2..).filter(|_| to))?.trim();
+    let quoted = value.strip_prefix('\'').and_then(|v| v.strip_suffix('\''));
+    let value = quoted.map_or(value.to_owned(), |v| v.replace("''", "'"));
+    Some((name, Some(value).filter(|v| !v.eq_ignore_ascii_case("default"))))
+}
+
+/// Says what a text is; what one routed statement can't do is refused before anything runs.
+pub fn classify(text: &[u8]) -> Result<Kind, SqlFault> {
+    let statements = split(text);
+    let (statement, words) = match &statements[..] {
+        [] => return Ok(Kind::Empty),
+        [one] => one,
+        _ => return Err(fault("0A000", "several statements in one query are not supported")),
+    };
+    let word = |n: usize| words.get(n).map_or("", String::as_str);
+    let text = String::from_utf8_lossy(statement);
+    match word(0) {
+        "set" if word(1) == "local" || word(1) == "transaction" => {
+            Err(fault("0A000", "explicit transactions are not supported"))
+        }
+        "set" => match read_set(&text) {
+            Some((name, value)) => Ok(Kind::Set(name, value)),
+            None => Err(fault("42601", "cannot read this SET")),
+        },
+        "reset" | "discard" if word(1) == "all" => Ok(Kind::Set("all".into(), None)),
+        "reset" | "show" => {
+            let name = text.split_whitespace().nth(1).unwrap_or("").to_ascii_lowercase();
+            Ok(if word(0) == "show" { Kind::Show(name) } else { Kind::Set(name, None) })
+        }
+        "begin" | "start" | "commit" | "rollback" | "end" | "abort" | "savepoint" | "release" => {
+            Err(fault("0A000", "explicit transactions are not supported"))
+        }
+        "copy" | "prepare" | "execute" | "deallocate" | "declare" | "fetch" | "move" | "close" | "listen"
+        | "notify" | "unlisten" | "lock" | "discard" => {
+            Err(fault("0A000", format!("{} is not supported", word(0).to_ascii_uppercase())))
+        }
+        first => {
+            let plain = !matches!(first, "insert" | "update" | "delete" | "merge");
+            let returning = text.to_ascii_lowercase().contains("returning");
+            let rows = plain
+                && !matches!(first, "create" | "alter" | "drop" | "truncate" | "call" | "do" | "refresh")
+                || returning;
+            let done = match first {
+                "insert" => "INSERT 0".to_owned(),
+                "update" | "delete" | "merge" => first.to_ascii_uppercase(),
+                _ => "SELECT".to_owned(),
+            };
+            Ok(Kind::Routed(rows, done))
+        }
+    }
+}
+
+/// The statements and portals of a session, within bounds.
+#[derive(Default)]
+pub struct Held {
+    statements: BTreeMap<String, Prepared>,
+    portals: BTreeMap<String, Portal>,
+    bytes: usize,
+}
+
+impl Held {
+    /// Prepares a statement.
+    pub fn parse(&mut self, name: String, text: Vec<u8>, types: Vec<u32>) -> Result<(), SqlFault> {
+        if !name.is_empty() && self.statements.contains_key(&name) {
+            return Err(fault("42P05", format!("prepared statement \"{name}\" already exists")));
+        }
+        let kind = classify(&text)?;
+        let count = param_count(&text).max(types.len());
+        if count > 1_000 {
+            return Err(fault("54000", "too many parameters"));
+        }
+        let types = (0..count).map(|i| types.get(i).copied().filter(|t| *t > 0).unwrap_or(TEXT)).collect();
+        self.drop_one(true, &name);
+        self.room(self.statements.len(), text.len())?;
+        self.bytes += text.len();
+        self.statements.insert(name, Prepared { text, types, kind });
+        Ok(())
+    }
+
+    /// Guards against a session that prepares without end.
+    fn room(&self, count: usize, bytes: usize) -> Result<(), SqlFault> {
+        let full = count >= HELD_MOST || self.bytes + bytes > HELD_BYTES;
+        if full {
+            Err(fault("54000", "too many statements or portals are open"))
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Makes a portal; `inlines` says that engines take no parameters but in the text.
+    pub fn bind(&mut self, bind: Bind, inlines: bool) -> Result<(), SqlFault> {
+        let statement = self.statement(&bind.statement)?.clone();
+        if !bind.portal.is_empty() && self.portals.contains_key(&bind.portal) {
+            return Err(fault("42P03", format!("portal \"{}\" already exists", bind.portal)));
+        }
+        let (given, wanted) = (bind.params.len(), statement.types.len());
+        if given != wanted || bind.formats.len() > 1 && bind.formats.len() != given {
+            return Err(fault("08P01", format!("bind gives {given} parameters, the statement has {wanted}")));
+        }
+        let format = |i: usize| bind.formats.get(i).or(bind.formats.first()).copied().unwrap_or(false);
+        let mut params = Vec::new();
+        for (i, (value, type_id)) in bind.params.into_iter().zip(&statement.types).enumerate() {
+            // Texts are the same bytes in both forms.
+            let binary = format(i) && !matches!(type_id, 18 | 19 | 25 | 705 | 1042 | 1043);
+            if binary && inlines {
+                return Err(fault("0A000", "binary parameters are supported for text types only"));
+            }
+            params.push(Param { type_id: *type_id, binary, value });
+        }
+        let bytes = statement.text.len() + params.iter().flat_map(|p| &p.value).map(Vec::len).sum::<usize>();
+        self.drop_one(false, &bind.portal);
+        self.room(self.portals.len(), bytes)?;
+        self.bytes += bytes;
+        let statement_of = Statement { text: statement.text, params };
+        let portal =
+            Portal { statement: statement_of, kind: statement.kind, results: bind.results, rows: None };
+        self.portals.insert(bind.portal, portal);
+        Ok(())
+    }
+
+    /// A statement by its name.
+    pub fn statement(&self, name: &str) -> Result<&Prepared, SqlFault> {
+        let missing = || fault("26000", format!("prepared statement \"{name}\" does not exist"));
+        self.statements.get(name).ok_or_else(missing)
+    }
+
+    /// A portal by its name.
+    pub fn portal(&mut self, name: &str) -> Result<&mut Portal, SqlFault> {
+        let missing = || fault("34000", format!("portal \"{name}\" does not exist"));
+        self.portals.get_mut(name).ok_or_else(missing)
+    }
+
+    /// Drops a statement or a portal, where it is there.
+    pub fn drop_one(&mut self, statement: bool, name: &str) {
+        if statement {
+            self.bytes -= self.statements.remove(name).map_or(0, |s| s.text.len());
+        } else {
+            self.bytes -= self.portals.remove(name).map_or(0, |p| portal_bytes(&p));
+        }
+    }
+
+    /// Portals end with the run of messages that made them.
+    pub fn drop_portals(&mut self) {
+        let bytes: usize = std::mem::take(&mut self.portals).values().map(portal_bytes).sum();
+        self.bytes -= bytes;
+    }
+}
+
+fn portal_bytes(portal: &Portal) -> usize {
+    portal.statement.text.len()
+        + portal.statement.params.iter().flat_map(|p| &p.value).map(Vec::len).sum::<usize>()
+}
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -12,18 +12,22 @@
 
 use super::clock::Clock;
 use super::{Net, Owner};
-use crate::config::Config;
+use crate::config::{Config, EngineFile, PostgresFile};
+use crate::discovery::consul::Consul;
 use crate::discovery::stream::Stream;
-use crate::discovery::Change;
+use crate::discovery::{Change, Source};
 use crate::engine::http::HttpEngines;
+use crate::engine::postgres::PostgresEngines;
 use crate::engine::{Backend, Context, Start};
 use crate::front::msgpack::MsgpackFront;
+use crate::front::postgres::{PostgresFront, PostgresSetup};
 use crate::front::Directory;
 use crate::interface::{Effect, Settings};
 use crate::router::ending::Ending;
 use crate::router::{Command, Router};
 
 const MSGPACK: Token = Token(0);
+const POSTGRES: Token = Token(1);
 const SIGNALS: Token = Token(2);
 /// Numbers of connections start behind those of listeners.
 const FIRST_CONN: u64 = 15;
@@ -44,15 +48,16 @@
     router: Router,
     settings: Settings,
     directory: Directory,
-    listener: Option<TcpListener>,
+    listeners: [Option<TcpListener>; 2],
     signals: Signals,
     clients_most: usize,
     /// The listener is to be tried again: it may hold connections that no event tells of.
     accept_at: Option<u64>,
     stopping: Option<u64>,
     msgpack: MsgpackFront,
+    postgres: Option<PostgresFront>,
     engines: Box<dyn Backend>,
-    discovery: Option<Stream>,
+    discovery: Option<Source>,
     /// Connections with input that no event tells of.
     unread: Vec<u64>,
     ticked_ns: u64,
@@ -61,21 +66,55 @@
 
 impl Daemon {
     /// Starts listening.
-    pub fn start(config: Config) -> Result<Daemon, String> {
+    pub fn start(config: Config, postgres: Option<PostgresFile>) -> Result<Daemon, String> {
         let io = |what: &str, e: std::io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| io("poll", e))?;
         let registry = poll.registry().try_clone().map_err(|e| io("poll", e))?;
-        let address = config.listen.parse().map_err(|e| format!("listen address {}: {e}", config.listen))?;
-        let mut listener = TcpListener::bind(address).map_err(|e| io("listen", e))?;
-        registry.register(&mut listener, MSGPACK, Interest::READABLE).map_err(|e| io("listen", e))?;
+        let listen = |at: &str, token| {
+            let address = at.parse().map_err(|e| format!("listen address {at}: {e}"))?;
+            let mut listener = TcpListener::bind(address).map_err(|e| io("listen", e))?;
+            registry.register(&mut listener, token, Interest::READABLE).map_err(|e| io("listen", e))?;
+            let local = listener.local_addr().map_err(|e| io("listen", e))?;
+            info!(
+                "{} listens on {local}{}",
+                config.name,
+                if token == POSTGRES { " for PostgreSQL" } else { "" }
+            );
+            Ok::<_, String>(listener)
+        };
+        let first = listen(&config.listen, MSGPACK)?;
+        let second =
+            postgres.as_ref().and_then(|p| p.listen.as_ref()).map(|at| listen(at, POSTGRES)).transpose()?;
         let mut signals = Signals::new([SIGTERM, SIGUSR1]).map_err(|e| io("signals", e))?;
         registry.register(&mut signals, SIGNALS, Interest::READABLE).map_err(|e| io("signals", e))?;
         let directory = Directory::new(config.names.clone(), &config.settings);
-        let discovery = match &config.coordinator {
+        let address = |at: &str| at.parse().map_err(|e| format!("address {at}: {e}"));
+        let names = config.names.clone();
+        let discovery = match (postgres.as_ref().and_then(|p| p.consul.as_ref()), &config.coordinator) {
+            (Some(consul), _) => {
+                let consul = Consul::new(address(&consul.address)?, consul.service.clone(), names);
+                Some(Source::Consul(Box::new(consul)))
+            }
+            (None, Some(at)) => {
+                Some(Source::Stream(Box::new(Stream::new(address(at)?, names, config.known_index))))
+            }
+            (None, None) => None,
+        };
+        let http = || HttpEngines::new(config.engine_idle_ns, config.connect_timeout_ns);
+        let (engines, inlines): (Box<dyn Backend>, bool) = match postgres.as_ref().map(|p| p.engines.clone())
+        {
+            Some(EngineFile::Postgres { user, database }) => {
+                (Box::new(PostgresEngines::new(user, database, config.connect_timeout_ns)), false)
+            }
+            _ => (Box::new(http()), true),
+        };
+        let front = match postgres {
             None => None,
-            Some(at) => {
-                let address = at.parse().map_err(|e| format!("coordinator address {at}: {e}"))?;
-                Some(Stream::new(address, config.names.clone(), config.known_index))
+            Some(file) => {
+                let class = directory.class(&file.class).ok_or(format!("unknown class {:?}", file.class))?;
+                let setup =
+                    PostgresSetup { class, columns: file.columns, inlines, sessions_most: file.sessions };
+                Some(PostgresFront::new(directory.clone(), setup, !config.seed))
             }
         };
         // Clients hold at most a third of the descriptors; the rest, less a few, is for engines.
@@ -86,14 +125,15 @@
             net: Net::new(registry, FIRST_CONN, sockets / 2),
             router: Router::new(config.settings.clone(), config.seed),
             msgpack: MsgpackFront::new(directory.clone()),
+            postgres: front,
             settings: config.settings,
             directory,
-            listener: Some(listener),
+            listeners: [Some(first), second],
             signals,
             clients_most: sockets * 2 / 5,
             accept_at: None,
             stopping: None,
-            engines: Box::new(HttpEngines::new(config.engine_idle_ns, config.connect_timeout_ns)),
+            engines,
             discovery,
             unread: Vec::new(),
             ticked_ns: 0,
@@ -102,15 +142,9 @@
         for update in config.known {
             daemon.change(update.change);
         }
-        info!("{} listens on {}", config.name, config.listen);
         Ok(daemon)
     }
 
-    /// The address that clients connect to.
-    pub fn local_address(&self) -> Option<std::net::SocketAddr> {
-        self.listener.as_ref().and_then(|l| l.local_addr().ok())
-    }
-
     fn change(&mut self, change: Change) {
         self.engines.change(&change);
         let entries = change.targets.iter().map(|t| t.entry).collect();
@@ -131,7 +165,7 @@
             tokens.extend(std::mem::take(&mut self.unread).into_iter().map(|conn| conn as usize));
             for token in tokens {
                 match Token(token) {
-                    MSGPACK => self.accept(now),
+                    MSGPACK | POSTGRES => self.accept(now),
                     SIGNALS => self.signal(now),
                     Token(conn) => self.ready(now, conn as u64),
                 }
@@ -162,30 +196,35 @@
 
     fn accept(&mut self, now: u64) {
         self.accept_at = None;
-        while let Some(listener) = &self.listener {
-            if self.net.count(Owner::Msgpack) >= self.clients_most {
-                // Guards against running out of descriptors: who has nothing open makes room, else all wait.
-                let Some(idle) = self.msgpack.idle() else {
-                    self.accept_at = Some(now + ACCEPT_AGAIN_NS);
-                    return;
-                };
-                self.msgpack.close(&mut self.net, &mut self.router, idle, Ending::Idle);
-            }
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    if let Ok(conn) = self.net.adopt(stream, Owner::Msgpack) {
+        for (owner, at) in [(Owner::Msgpack, 0), (Owner::Postgres, 1)] {
+            while let Some(listener) = &self.listeners[at] {
+                let clients = self.net.count(Owner::Msgpack) + self.net.count(Owner::Postgres);
+                if clients >= self.clients_most {
+                    // Guards against running out of descriptors: who has nothing open makes room, else all wait.
+                    let Some(idle) = self.msgpack.idle() else {
+                        self.accept_at = Some(now + ACCEPT_AGAIN_NS);
+                        return;
+                    };
+                    self.msgpack.close(&mut self.net, &mut self.router, idle, Ending::Idle);
+                }
+                match listener.accept().map(|(stream, _)| self.net.adopt(stream, owner)) {
+                    Ok(Ok(conn)) => {
                         self.router.counters.accepted += 1;
-                        self.msgpack.accept(conn);
+                        match (owner, &mut self.postgres) {
+                            (Owner::Postgres, Some(front)) => front.accept(conn),
+                            _ => self.msgpack.accept(conn),
+                        }
+                    }
+                    Ok(Err(_)) => {}
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                    Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                    Err(e) => {
+                        // Guards against spinning on a listener that has no descriptor to give.
+                        warn!("accept: {e}");
+                        self.router.counters.short_of_descriptors += 1;
+                        self.accept_at = Some(now + ACCEPT_AGAIN_NS);
+                        return;
                     }
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == ErrorKind::Interrupted || e.kind() == ErrorKind::ConnectionAborted => {}
-                Err(e) => {
-                    // Guards against spinning on a listener that has no descriptor to give.
-                    warn!("accept: {e}");
-                    self.router.counters.short_of_descriptors += 1;
-                    self.accept_at = Some(now + ACCEPT_AGAIN_NS);
-                    return;
                 }
             }
         }
@@ -206,7 +245,11 @@
         match self.net.owner(conn) {
             None => {}
             Some(Owner::Msgpack) => self.msgpack.ready(now, &mut self.net, &mut self.router, conn),
-            Some(Owner::Postgres) => {}
+            Some(Owner::Postgres) => {
+                if let Some(front) = &mut self.postgres {
+                    front.ready(now, &mut self.net, &mut self.router, conn);
+                }
+            }
             Some(Owner::Engine) => {
                 let mut cx = Context { now, net: &mut self.net, router: &mut self.router };
                 self.engines.ready(&mut cx, conn);
@@ -257,11 +300,15 @@
             }
             Command::GiveUp(attempt) => self.engines.give_up(&mut cx, attempt),
             Command::Rank(attempt, priority) => self.engines.rank(&mut cx, attempt, priority),
-            Command::Answer(client, answer) => {
-                if self.net.owner(client.conn) == Some(Owner::Msgpack) {
+            Command::Answer(client, answer) => match (self.net.owner(client.conn), &mut self.postgres) {
+                (Some(Owner::Msgpack), _) => {
                     self.msgpack.answer(&mut self.net, &mut self.router, client, answer);
                 }
-            }
+                (Some(Owner::Postgres), Some(front)) => {
+                    front.answer(now, &mut self.net, &mut self.router, client, answer);
+                }
+                _ => {}
+            },
         }
     }
 
@@ -269,7 +316,7 @@
     fn finished(&mut self, now: u64) -> bool {
         let Some(since) = self.stopping else { return false };
         if now >= since + ACCEPT_ON_NS {
-            self.listener = None;
+            self.listeners = [None, None];
         }
         now >= since + STAY_NS && self.router.owed() == 0 && self.net.all_written()
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -215,7 +215,8 @@
 
     /// Whether a connection was left with something to read: no further event tells of it.
     pub fn has_more(&self, id: u64) -> bool {
-        self.conns.get(&id).is_some_and(|c| c.more)
+        // Where its owner leaves the input full, it waits for something else and looks again by itself.
+        self.conns.get(&id).is_some_and(|c| c.more && c.input.len() < INPUT_MOST)
     }
 
     /// What has come in and was not taken yet.
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -51,13 +51,16 @@
     pub statement: Statement,
 }
 
+/// A row, value by value; absent for NULL.
+pub type Row = Vec<Option<Vec<u8>>>;
+
 /// Rows of a result.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Rows {
     /// As text: a tab between columns, a line feed after each row.
     Text(Vec<u8>),
-    /// Value by value; absent for NULL.
-    Cells(Vec<Vec<Option<Vec<u8>>>>),
+    /// Value by value.
+    Cells(Vec<Row>),
 }
 
 impl Rows {
@@ -80,7 +83,7 @@
     }
 
     /// Value by value.
-    pub fn into_cells(self) -> Vec<Vec<Option<Vec<u8>>>> {
+    pub fn into_cells(self) -> Vec<Row> {
         match self {
             Rows::Cells(rows) => rows,
             Rows::Text(text) => text
@@ -103,9 +106,20 @@
         backoff_ms: u64,
         /// How the last attempt ended, where there was one.
         after: Option<Ending>,
+        /// The engine's own words, where it gave any.
+        fault: Option<Fault>,
     },
-    /// Failed; the last attempt's ending, where there was one.
-    Failed(Option<Ending>),
+    /// Failed; the last attempt's ending, where there was one, and the engine's own words.
+    Failed(Option<Ending>, Option<Fault>),
+}
+
+/// An engine's words on why a statement failed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fault {
+    /// SQLSTATE.
+    pub state: String,
+    /// What went wrong.
+    pub message: String,
 }
 
 /// An attempt of a request.
@@ -155,6 +169,7 @@
     attempts: u32,
     out: Option<Out>,
     last: Option<Ending>,
+    fault: Option<Fault>,
     priority: u8,
     expires_ns: u64,
 }
@@ -162,6 +177,7 @@
 enum Inbound {
     Arrival(RequestId),
     Left(RequestId, Ending),
+    Cancelled(RequestId),
     Note(Attempt, Note),
     Ended(Attempt, Ending, Option<Rows>, Option<LoadReport>),
     Membership(MembershipKind, Vec<EngineEntry>),
@@ -212,6 +228,7 @@
             attempts: 0,
             out: None,
             last: None,
+            fault: None,
             priority: 1,
             expires_ns,
         };
@@ -227,6 +244,19 @@
         self.batch.push(Inbound::Left(id, ending));
     }
 
+    /// The client waits for the answer, but asks that the request be ended.
+    pub fn cancel(&mut self, id: RequestId) {
+        self.batch.push(Inbound::Cancelled(id));
+    }
+
+    /// An engine's words on why an attempt fails; its ending follows.
+    pub fn fault(&mut self, at: Attempt, fault: Fault) {
+        let open = self.open.get_mut(&at.request);
+        if let Some(open) = open.filter(|o| o.out.as_ref().is_some_and(|c| c.number == at.number)) {
+            open.fault = Some(fault);
+        }
+    }
+
     /// News of a running attempt.
     pub fn note(&mut self, attempt: Attempt, note: Note) {
         self.batch.push(Inbound::Note(attempt, note));
@@ -311,6 +341,14 @@
                     self.tidy(id);
                 }
             }
+            Inbound::Cancelled(id) => {
+                if self.open.get(&id).is_some_and(|o| !o.concluded) {
+                    self.counters.ended(Ending::Forgotten);
+                    self.conclude(id, Answer::Failed(Some(Ending::Forgotten), None), out);
+                    self.decide(now, Event::Left(id), out);
+                    self.tidy(id);
+                }
+            }
             Inbound::Note(at, note) => {
                 let current = self.open.get(&at.request).and_then(|o| o.out.as_ref());
                 if current.is_some_and(|c| c.number == at.number) {
@@ -377,8 +415,8 @@
         let Some(open) = self.open.get(&id).filter(|o| !o.concluded) else { return };
         warn!("request {} had no answer at its end", id.0);
         let answer = match open.attempts {
-            0 => Answer::Refused { backoff_ms: 100, after: None },
-            _ => Answer::Failed(open.last),
+            0 => Answer::Refused { backoff_ms: 100, after: None, fault: None },
+            _ => Answer::Failed(open.last, open.fault.clone()),
         };
         self.conclude(id, answer, out);
         self.decide(now, Event::Left(id), out);
@@ -430,14 +468,16 @@
                 out.push(Command::GiveUp(Attempt { request, number: attempt }))
             }
             Action::Refuse { request, retry_after_ns } => {
-                let after = self.open.get(&request).and_then(|o| o.last);
+                let Some(open) = self.open.get(&request) else { return };
+                let (after, fault) = (open.last, open.fault.clone());
                 let backoff_ms = retry_after_ns.unwrap_or(100_000_000).div_ceil(1_000_000).max(1);
-                self.conclude(request, Answer::Refused { backoff_ms, after }, out);
+                self.conclude(request, Answer::Refused { backoff_ms, after, fault }, out);
                 self.tidy(request);
             }
             Action::Fail(request) => {
-                let after = self.open.get(&request).and_then(|o| o.last);
-                self.conclude(request, Answer::Failed(after), out);
+                let Some(open) = self.open.get(&request) else { return };
+                let answer = Answer::Failed(open.last, open.fault.clone());
+                self.conclude(request, answer, out);
                 self.tidy(request);
             }
             Action::SetTerms { request, priority, .. } => {
--- /dev/null
+++ b/tests/common/stand_in.rs
@@ -0,0 +1,304 @@
+//! Plays recorded exchanges against the program: its clients, engines, coordinator and Consul are stand-ins
+//! that send and expect the bytes of a text file. The format is told in `docs/architecture.md`.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+const SETTINGS: &str = include_str!("../exchanges/settings.json");
+/// How long a byte that must come is waited for: a failure shows by it, a pass never waits so long.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+enum Part {
+    Bytes(Vec<u8>),
+    /// So many bytes, or any number of them, kept under a name.
+    Any(Option<usize>, String),
+    Kept(String),
+}
+
+/// Reads `\xHH`-style escapes, `[T|...]` for a PostgreSQL message with its length, `{*}`, `{8=name}`, `{name}`.
+fn parts(text: &str) -> Vec<Part> {
+    let (mut all, mut bytes, mut chars) = (Vec::new(), Vec::new(), text.chars().peekable());
+    let mut frames: Vec<usize> = Vec::new();
+    while let Some(c) = chars.next() {
+        match c {
+            '\\' => match chars.next().expect("an escape") {
+                'r' => bytes.push(b'\r'),
+                'n' => bytes.push(b'\n'),
+                't' => bytes.push(b'\t'),
+                '0' => bytes.push(0),
+                'x' => {
+                    let hex: String = chars.by_ref().take(2).collect();
+                    bytes.push(u8::from_str_radix(&hex, 16).expect("two hex digits"));
+                }
+                other => bytes.extend(other.to_string().bytes()),
+            },
+            '[' => {
+                let tag: String = chars.by_ref().take_while(|c| *c != '|').collect();
+                bytes.extend(tag.bytes());
+                frames.push(bytes.len());
+                bytes.extend([0; 4]);
+            }
+            ']' => {
+                let at = frames.pop().expect("an open message");
+                let length = (bytes.len() - at) as u32;
+                bytes[at..at + 4].copy_from_slice(&length.to_be_bytes());
+            }
+            '{' => {
+                let inner: String = chars.by_ref().take_while(|c| *c != '}').collect();
+                all.push(Part::Bytes(std::mem::take(&mut bytes)));
+                let (count, name) = inner.split_once('=').unwrap_or((&inner, ""));
+                all.push(match (count, count.parse()) {
+                    ("*", _) => Part::Any(None, name.into()),
+                    (_, Ok(n)) => Part::Any(Some(n), name.into()),
+                    _ => Part::Kept(inner),
+                });
+            }
+            other => bytes.extend(other.to_string().bytes()),
+        }
+    }
+    all.push(Part::Bytes(bytes));
+    all
+}
+
+/// The length of the shortest match at the front of `input`.
+fn matches(parts: &[Part], input: &[u8], kept: &mut HashMap<String, Vec<u8>>) -> Option<usize> {
+    let Some((first, rest)) = parts.split_first() else { return Some(0) };
+    match first {
+        Part::Bytes(bytes) => {
+            input.strip_prefix(&bytes[..]).and_then(|i| Some(bytes.len() + matches(rest, i, kept)?))
+        }
+        Part::Kept(name) => {
+            let bytes = kept[name].clone();
+            input.strip_prefix(&bytes[..]).and_then(|i| Some(bytes.len() + matches(rest, i, kept)?))
+        }
+        Part::Any(count, name) => {
+            let range = count.map_or(0..=input.len(), |n| n..=n);
+            for n in range.filter(|n| *n <= input.len()) {
+                if let Some(size) = matches(rest, &input[n..], kept) {
+                    kept.insert(name.clone(), input[..n].to_vec());
+                    return Some(n + size);
+                }
+            }
+            None
+        }
+    }
+}
+
+struct Peer {
+    stream: TcpStream,
+    input: Vec<u8>,
+    all: Vec<u8>,
+}
+
+impl Peer {
+    fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Peer { stream, input: Vec::new(), all: Vec::new() }
+    }
+    /// Reads once; false where the connection is over.
+    fn read(&mut self) -> bool {
+        let mut buffer = [0; 16 << 10];
+        match self.stream.read(&mut buffer) {
+            Ok(0) => false,
+            Ok(n) => {
+                self.input.extend(&buffer[..n]);
+                self.all.extend(&buffer[..n]);
+                true
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => false,
+            Err(e) => panic!("nothing came: {e}; so far {:?}", String::from_utf8_lossy(&self.input)),
+        }
+    }
+    fn to_end(&mut self) {
+        while self.read() {}
+    }
+}
+
+/// Accepts the next connection; a failure shows by a connection that does not come.
+fn accept(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let since = Instant::now();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).unwrap();
+                return stream;
+            }
+            Err(_) => assert!(since.elapsed() < PATIENCE, "no connection came"),
+        }
+        std::thread::yield_now();
+    }
+}
+
+/// The program and its stand-ins.
+pub struct Stage {
+    child: Child,
+    log: BufReader<std::process::ChildStderr>,
+    dir: std::path::PathBuf,
+    fronts: Vec<String>,
+    listeners: BTreeMap<String, TcpListener>,
+    peers: BTreeMap<String, Peer>,
+    kept: HashMap<String, Vec<u8>>,
+}
+
+impl Stage {
+    /// Starts the program as the `with` lines of a script say.
+    pub fn start(name: &str, script: &str) -> Stage {
+        let with = |word: &str| script.lines().any(|l| l.trim() == format!("with {word}"));
+        let mut listeners = BTreeMap::new();
+        let mut listen = |name: &str| {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let at = listener.local_addr().unwrap().to_string();
+            listeners.insert(name.to_owned(), listener);
+            at
+        };
+        let engine = |uid: &str, at: &str| {
+            json!({"uid": uid, "endpoint": at, "az": "bldg-a", "model": "std-12", "state": "in_service",
+                   "capacity_hint": 1, "boot_ms": 0})
+        };
+        let targets = ["e1", "e2"].map(|e| engine(e, &listen(e)));
+        let count = if with("two engines") { 2 } else { usize::from(!with("consul")) };
+        let (coordinator, consul) = (listen("coordinator"), listen("consul"));
+        let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"all": true, "targets": targets[..count]}}]},
+            "settings": serde_json::from_str::<serde_json::Value>(SETTINGS).unwrap()});
+        if with("coordinator") {
+            config["coordinator"] = json!(coordinator);
+        }
+        let mut file = json!({"class": "lookup", "columns": ["c1", "c2", "c3"], "sessions": 8});
+        if with("postgres front") {
+            file["listen"] = json!("127.0.0.1:0");
+        }
+        if with("postgres engines") {
+            file["engines"] = json!({"postgres": {"user": "u", "database": "d"}});
+        }
+        if with("consul") {
+            file["consul"] = json!({"address": consul, "service": "engine"});
+        }
+        let id = format!("marljunction-{}-{}", std::process::id(), name);
+        let dir = std::env::temp_dir().join(id);
+        std::fs::create_dir_all(&dir).unwrap();
+        std::fs::write(dir.join("config.json"), config.to_string()).unwrap();
+        std::fs::write(dir.join("postgres.json"), file.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_marljunction"))
+            .env("ROUTER_CONFIG", dir.join("config.json"))
+            .env("MARLJUNCTION_POSTGRES", dir.join("postgres.json"))
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut fronts = Vec::new();
+        while fronts.len() < 1 + usize::from(with("postgres front")) {
+            let mut line = String::new();
+            assert!(log.read_line(&mut line).unwrap() > 0, "the program ended at its start");
+            let at = line.split("listens on ").nth(1).and_then(|l| l.split_whitespace().next());
+            fronts.extend(at.map(str::to_owned));
+        }
+        let port = |l: &TcpListener| l.local_addr().unwrap().port().to_string().into_bytes();
+        let kept = listeners.iter().map(|(name, l)| (format!("address of {name}"), port(l))).collect();
+        Stage { child, log, dir, fronts, listeners, peers: BTreeMap::new(), kept }
+    }
+
+    /// Plays one line.
+    pub fn step(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words[..] {
+            [] | ["with", ..] => {}
+            [word, ..] if word.starts_with('#') => {}
+            ["open", name, front] => {
+                let at = &self.fronts[usize::from(front == "postgres")];
+                self.add(name, TcpStream::connect(at).unwrap());
+            }
+            ["accept", name, listener] => {
+                let stream = accept(&self.listeners[listener]);
+                self.add(name, stream);
+            }
+            ["close", name] => drop(self.peers.remove(name)),
+            ["gone", listener] => drop(self.listeners.remove(listener)),
+            ["closed", name] => {
+                let peer = &mut self.peers.get_mut(name).unwrap();
+                peer.to_end();
+                assert!(peer.input.is_empty(), "{name} got {:?}", String::from_utf8_lossy(&peer.input));
+            }
+            [name, ">", ..] => {
+                let parts = parts(line.split_once("> ").unwrap().1);
+                let bytes = parts.iter().flat_map(|p| match p {
+                    Part::Bytes(bytes) => bytes.clone(),
+                    Part::Kept(name) => self.kept[name].clone(),
+                    Part::Any(..) => panic!("cannot send any bytes"),
+                });
+                let bytes: Vec<u8> = bytes.collect();
+                self.peers.get_mut(name).unwrap().stream.write_all(&bytes).unwrap();
+            }
+            [name, "<", ..] => {
+                let parts = parts(line.split_once("< ").unwrap().1);
+                let peer = &mut self.peers.get_mut(name).unwrap_or_else(|| panic!("no {name}"));
+                loop {
+                    if let Some(size) = matches(&parts, &peer.input, &mut self.kept) {
+                        peer.input.drain(..size);
+                        return;
+                    }
+                    let over = !peer.read();
+                    assert!(!over, "{line}: the end came after {:?}", String::from_utf8_lossy(&peer.input));
+                }
+            }
+            _ => panic!("cannot read {line:?}"),
+        }
+    }
+
+    fn add(&mut self, name: &str, stream: TcpStream) {
+        self.peers.insert(name.to_owned(), Peer::new(stream));
+    }
+
+    /// How much a connection has got so far.
+    pub fn got_so_far(&self, name: &str) -> usize {
+        self.peers[name].all.len()
+    }
+
+    /// All that a connection ever got, up to its end or to `until`.
+    pub fn got(&mut self, name: &str, until: &[u8]) -> Vec<u8> {
+        let peer = &mut self.peers.get_mut(name).unwrap();
+        while !peer.input.ends_with(until) && peer.read() {}
+        peer.all.clone()
+    }
+
+    /// Ends the program as a planned restart does; gives its counters and all that reached any engine.
+    pub fn stop(mut self) -> (BTreeMap<String, u64>, Vec<u8>) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        let mut log = String::new();
+        self.log.read_to_string(&mut log).unwrap();
+        assert!(self.child.wait().unwrap().success(), "{log}");
+        let _ = std::fs::remove_dir_all(&self.dir);
+        let line = log.lines().find(|l| l.contains("ends; ")).unwrap_or_else(|| panic!("no counters: {log}"));
+        let pairs = line.split_whitespace().filter_map(|w| w.split_once('='));
+        let counters = pairs.map(|(k, v)| (k.to_owned(), v.parse().unwrap())).collect();
+        let mut engines = Vec::new();
+        for (name, listener) in &self.listeners {
+            listener.set_nonblocking(true).unwrap();
+            while let Some((stream, _)) = listener.accept().ok().filter(|_| name.starts_with('e')) {
+                stream.set_nonblocking(false).unwrap();
+                let mut peer = Peer::new(stream);
+                peer.to_end();
+                engines.extend(peer.all);
+            }
+        }
+        for (_, peer) in self.peers.iter_mut().filter(|(name, _)| name.starts_with('e')) {
+            peer.to_end();
+            engines.extend(&peer.all);
+        }
+        (counters, engines)
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+    }
+}
