--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -114,7 +114,7 @@
             Err(e) => panic!("nothing came: {e}; so far {:?}", String::from_utf8_lossy(&self.input)),
         }
     }
-    fn to_end(&mut self) {
+    fn drain(&mut self) {
         while self.read() {}
     }
 }
@@ -223,7 +223,7 @@
             ["gone", listener] => drop(self.listeners.remove(listener)),
             ["closed", name] => {
                 let peer = &mut self.peers.get_mut(name).unwrap();
-                peer.to_end();
+                peer.drain();
                 assert!(peer.input.is_empty(), "{name} got {:?}", String::from_utf8_lossy(&peer.input));
             }
             [name, ">", ..] => {
@@ -285,12 +285,12 @@
             while let Some((stream, _)) = listener.accept().ok().filter(|_| name.starts_with('e')) {
                 stream.set_nonblocking(false).unwrap();
                 let mut peer = Peer::new(stream);
-                peer.to_end();
+                peer.drain();
                 engines.extend(peer.all);
             }
         }
         for (_, peer) in self.peers.iter_mut().filter(|(name, _)| name.starts_with('e')) {
-            peer.to_end();
+            peer.drain();
             engines.extend(&peer.all);
         }
         (counters, engines)
