Leave idle connections alone when a fresh one is wanted; linger at the end

Seen by reading: HttpEngines::line and PostgresEngines::session popped an idle connection off its list before they looked whether a fresh one was wanted, so each load took one out of use until it went stale. Checked that nothing was closed or written wrongly by it: the line stayed idle in the table. Now the list is not touched. At a planned stop the program waits 100 ms behind its last answer, as a close with unread input resets what the client has not read.

--- a/src/engine/http/mod.rs
+++ b/src/engine/http/mod.rs
@@ -115,7 +115,7 @@
     /// A connection for one call: an idle one that was of use just now, else a new one.
     fn line(&mut self, cx: &mut Context, engine: EngineId, role: Role, fresh: bool) -> Result<u64, Ending> {
         let known = self.targets.get(engine).ok_or(Ending::NoDescriptor)?;
-        while let Some(conn) = known.own.pop().filter(|_| !fresh) {
+        while let Some(conn) = if fresh { None } else { known.own.pop() } {
             match self.lines.get_mut(&conn) {
                 Some(line) if line.since_ns + REUSE_NS >= cx.now => {
                     (line.role, line.since_ns) = (role, cx.now);
--- a/src/engine/postgres.rs
+++ b/src/engine/postgres.rs
@@ -135,7 +135,7 @@
         once: bool,
     ) -> Result<u64, Ending> {
         // Guards against a load that is written to a session which is closing: nobody could tell what came of it.
-        while let Some(conn) = self.targets.get(engine).and_then(|k| k.own.pop()).filter(|_| !once) {
+        while let Some(conn) = if once { None } else { self.targets.get(engine).and_then(|k| k.own.pop()) } {
             match self.lines.get_mut(&conn) {
                 Some(line) if line.since_ns + REUSE_NS >= cx.now => {
                     line.role = Role::Runs(at);
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -35,6 +35,8 @@
 const ACCEPT_ON_NS: u64 = 600_000_000;
 /// Time after SIGTERM before which the program does not end (ns): requests come for 600 ms.
 const STAY_NS: u64 = 800_000_000;
+/// Time between the last answer and the end (ns).
+const LINGER_NS: u64 = 100_000_000;
 /// Wait after which a listener is tried again when no descriptor was to be had (ns).
 const ACCEPT_AGAIN_NS: u64 = 20_000_000;
 /// How often engines and discovery are looked after (ns).
@@ -54,6 +56,8 @@
     /// The listener is to be tried again: it may hold connections that no event tells of.
     accept_at: Option<u64>,
     stopping: Option<u64>,
+    /// Since when all that was taken is answered and written, while stopping.
+    quiet_since: Option<u64>,
     msgpack: MsgpackFront,
     postgres: Option<PostgresFront>,
     engines: Box<dyn Backend>,
@@ -133,6 +137,7 @@
             clients_most: sockets * 2 / 5,
             accept_at: None,
             stopping: None,
+            quiet_since: None,
             engines,
             discovery,
             unread: Vec::new(),
@@ -318,6 +323,13 @@
         if now >= since + ACCEPT_ON_NS {
             self.listeners = [None, None];
         }
-        now >= since + STAY_NS && self.router.owed() == 0 && self.net.all_written()
+        if self.router.owed() > 0 || !self.net.all_written() {
+            self.quiet_since = None;
+        }
+        // Guards against an answer that is reset away: an exit with unread input resets its connection, so the
+        // client gets time to read what was just written.
+        let quiet = *self.quiet_since.get_or_insert(now);
+        let answered = self.router.owed() == 0 && self.net.all_written();
+        now >= since + STAY_NS && answered && now >= quiet + LINGER_NS
     }
 }
