Pass PostgreSQL engines' own columns and parameter types through; bound what is held

Seen by reading against the specification: a result of a PostgreSQL engine with other than three columns ended with 42804, and a parameter whose type the client left open reached the engine as text, so that a comparison with a number would have failed. Now the engine is asked to describe the portal in the same run, its columns reach the client where an Execute follows the Describe, and open types stay open. A client that was told the usual columns before anything ran still gets 42804 rather than values it would misread.

Bounds: statements of open requests count against 32 MB, messages of clients are 64 KB at most, a PostgreSQL session must start within 10 s.

--- a/src/engine/postgres.rs
+++ b/src/engine/postgres.rs
@@ -7,7 +7,9 @@
 use bytes::BytesMut;
 use fallible_iterator::FallibleIterator;
 use log::debug;
-use postgres_protocol::message::backend::{DataRowBody, ErrorResponseBody, Header, Message};
+use postgres_protocol::message::backend::{
+    DataRowBody, ErrorResponseBody, Field, Header, Message, RowDescriptionBody,
+};
 use postgres_protocol::message::frontend;
 use postgres_protocol::IsNull;
 
@@ -16,7 +18,7 @@
 use crate::interface::EngineId;
 use crate::net::Owner;
 use crate::router::ending::Ending;
-use crate::router::{Ask, Attempt, Fault, Row, Rows};
+use crate::router::{Ask, Attempt, Column, Fault, Row, Rows};
 
 /// A session is used again so soon after its last query (ns).
 const REUSE_NS: u64 = 5_000_000_000;
@@ -55,6 +57,7 @@
     /// The query was handed to the connection, and wholly written to it.
     sent: bool,
     whole: bool,
+    columns: Vec<Column>,
     rows: Vec<Row>,
     bytes: usize,
     complete: bool,
@@ -92,6 +95,14 @@
     ranges.into_iter().map(|r| r.map_or(Some(None), |r| buffer.get(r).map(|b| Some(b.to_vec())))).collect()
 }
 
+fn columns(body: &RowDescriptionBody) -> Option<Vec<Column>> {
+    let column = |f: Field| {
+        let (type_id, size, modifier) = (f.type_oid(), f.type_size(), f.type_modifier());
+        Ok(Column { name: f.name().to_owned(), type_id, size, modifier, binary: f.format() == 1 })
+    };
+    body.fields().map(column).collect().ok()
+}
+
 /// The extended query of a request; absent where its text can't be sent.
 fn query(ask: &Ask) -> Option<BytesMut> {
     let (statement, mut bytes) = (&ask.statement, BytesMut::new());
@@ -103,7 +114,9 @@
         Ok(if value.is_some() { IsNull::No } else { IsNull::Yes })
     };
     let values = statement.params.iter().map(|p| &p.value);
-    frontend::bind("", "", formats, values, value, [0_i16], &mut bytes).ok()?;
+    let results = statement.results.iter().map(|b| i16::from(*b));
+    frontend::bind("", "", formats, values, value, results, &mut bytes).ok()?;
+    frontend::describe(b'P', "", &mut bytes).ok()?;
     frontend::execute("", 0, &mut bytes).ok()?;
     frontend::sync(&mut bytes);
     Some(bytes)
@@ -168,7 +181,7 @@
         if let Some(fault) = run.failed {
             cx.router.fault(at, fault);
         }
-        let rows = (ending == Ending::Served).then_some(Rows::Cells(run.rows));
+        let rows = (ending == Ending::Served).then_some(Rows::Cells(run.columns, run.rows));
         cx.router.ended(at, ending, rows, None);
     }
 
@@ -259,7 +272,10 @@
             }
             (Message::CommandComplete(_) | Message::EmptyQueryResponse, _, Some(run)) => run.complete = true,
             (Message::ParseComplete | Message::BindComplete, _, Some(_)) => {}
-            (Message::RowDescription(_) | Message::NoData, _, Some(_)) => {}
+            (Message::NoData, _, Some(_)) => {}
+            (Message::RowDescription(body), _, Some(run)) => {
+                run.columns = columns(&body).ok_or(Ending::Garbled)?;
+            }
             // A password, a copy, or what nobody asked for.
             _ => return Err(Ending::Garbled),
         }
@@ -305,7 +321,7 @@
         };
         #[rustfmt::skip]
         let run = Run {
-            engine: start.engine, ask: start.ask, conn, sent: false, whole: false, rows: Vec::new(), bytes: 0,
+            engine: start.engine, ask: start.ask, conn, sent: false, whole: false, columns: Vec::new(), rows: Vec::new(), bytes: 0,
             complete: false, failed: None, leaving_ns: None,
         };
         self.runs.insert(at, run);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -9,10 +9,8 @@
 
 /// Time that an answer may take from here to the client (ns): what is left of a request's time is shorter by it.
 pub const ANSWER_MARGIN_NS: u64 = 20_000_000;
-/// Requests that may be open in all: more are refused, as each may hold a statement and a result.
-pub const OPEN_MOST: usize = 1_200;
 /// Longest message of a client (bytes).
-pub const MESSAGE_MOST: usize = 128 << 10;
+pub const MESSAGE_MOST: usize = 64 << 10;
 
 /// What the fronts know of classes and tenants.
 #[derive(Clone, Debug, Default)]
--- a/src/front/msgpack.rs
+++ b/src/front/msgpack.rs
@@ -8,7 +8,7 @@
 use rmpv::encode::write_value;
 use rmpv::Value;
 
-use super::{Directory, ANSWER_MARGIN_NS, MESSAGE_MOST, OPEN_MOST};
+use super::{Directory, ANSWER_MARGIN_NS, MESSAGE_MOST};
 use crate::interface::RequestId;
 use crate::net::Net;
 use crate::router::ending::Ending;
@@ -171,7 +171,7 @@
                     router.counters.rejected += 1;
                     error(id.into(), "Malformed", &[("why", fault)])
                 }
-                Ok(_) if caller.open.len() >= OPEN_ON_CONN || router.open_requests() >= OPEN_MOST => {
+                Ok(_) if caller.open.len() >= OPEN_ON_CONN || !router.has_room() => {
                     router.counters.rejected += 1;
                     error(id.into(), "Backoff", &[("backoff", "200".into())])
                 }
--- a/src/front/postgres/codec.rs
+++ b/src/front/postgres/codec.rs
@@ -8,6 +8,7 @@
 use postgres_protocol::message::backend::Header;
 
 use crate::front::MESSAGE_MOST;
+use crate::router::Column;
 
 /// What a client can send.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -242,17 +243,29 @@
     }
 
     /// Columns of text, each in binary form or not; the two forms of a text are the same bytes.
-    pub fn columns(&mut self, names: &[String], binary: &[bool]) {
-        let mut body = (names.len() as u16).to_be_bytes().to_vec();
-        for (i, name) in names.iter().enumerate() {
-            let format = u16::from(binary.get(i).or(binary.first()).copied().unwrap_or(false));
-            body.extend_from_slice(name.as_bytes());
-            body.push(0);
-            body.extend_from_slice(&[0; 6]);
-            body.extend_from_slice(&TEXT.to_be_bytes());
-            body.extend_from_slice(&(-1_i16).to_be_bytes());
-            body.extend_from_slice(&(-1_i32).to_be_bytes());
-            body.extend_from_slice(&format.to_be_bytes());
+    pub fn text_columns(&mut self, names: &[String], binary: &[bool]) {
+        let form = |i: usize| binary.get(i).or(binary.first()).copied().unwrap_or(false);
+        let column = |(i, name): (usize, &String)| Column {
+            name: name.clone(),
+            type_id: TEXT,
+            size: -1,
+            modifier: -1,
+            binary: form(i),
+        };
+        self.columns(&names.iter().enumerate().map(column).collect::<Vec<_>>());
+    }
+
+    /// Columns.
+    pub fn columns(&mut self, columns: &[Column]) {
+        let mut body = (columns.len() as u16).to_be_bytes().to_vec();
+        for column in columns {
+            body.extend_from_slice(column.name.as_bytes());
+            // Table and number of the column there are not told.
+            body.extend_from_slice(&[0; 7]);
+            body.extend_from_slice(&column.type_id.to_be_bytes());
+            body.extend_from_slice(&column.size.to_be_bytes());
+            body.extend_from_slice(&column.modifier.to_be_bytes());
+            body.extend_from_slice(&u16::from(column.binary).to_be_bytes());
         }
         self.message(b'T', &body);
     }
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -4,21 +4,23 @@
 pub mod codec;
 pub mod session;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
 use log::debug;
 
-use self::codec::{fault, read_message, read_startup, Bind, ClientMessage, Reply, SqlFault};
-use self::session::{Held, Kind, Settings};
-use super::{Directory, ANSWER_MARGIN_NS, OPEN_MOST};
+use self::codec::{fault, read_message, read_startup, Bind, ClientMessage, Reply, SqlFault, TEXT};
+use self::session::{is_text, Held, Kind, Settings};
+use super::{Directory, ANSWER_MARGIN_NS};
 use crate::interface::{ClassId, RequestId};
 use crate::net::Net;
 use crate::router::ending::Ending;
 use crate::router::statement::Statement;
-use crate::router::{Answer, Ask, Client, Router};
+use crate::router::{Answer, Ask, Client, Column, Router, Row};
 
 /// The version that clients are told: what the protocol's present drivers expect.
 pub const SERVER_VERSION: &str = "15.0";
+/// Time in which a client must have started its session (ns).
+const START_NS: u64 = 10_000_000_000;
 /// Portals of a session that may hold rows at one time (count).
 const SUSPENDED_MOST: usize = 4;
 
@@ -42,11 +44,15 @@
     /// The portal with its row limit; absent for a simple query.
     portal: Option<(String, u32)>,
     kind: Kind,
+    /// The client is still to be told the columns.
+    describes: bool,
 }
 
 #[derive(Default)]
 struct Session {
     started: bool,
+    /// When its client connected.
+    since_ns: u64,
     key: i32,
     settings: Settings,
     start: Settings,
@@ -55,6 +61,8 @@
     /// After an error: everything up to `Sync` is discarded.
     skipping: bool,
     suspended: usize,
+    /// A portal whose columns the engine is to tell, if its `Execute` comes next.
+    describing: Option<String>,
     calls: u64,
 }
 
@@ -108,8 +116,8 @@
     }
 
     /// A client has connected.
-    pub fn accept(&mut self, conn: u64) {
-        self.sessions.insert(conn, Session::default());
+    pub fn accept(&mut self, now: u64, conn: u64) {
+        self.sessions.insert(conn, Session { since_ns: now, ..Session::default() });
     }
 
     /// Sessions that are open.
@@ -136,6 +144,14 @@
         net.close(conn);
     }
 
+    /// Guards against connections that never start a session: each holds a descriptor.
+    pub fn tick(&mut self, now: u64, net: &mut Net, router: &mut Router) {
+        let late = |s: &Session| !s.started && now > s.since_ns + START_NS;
+        let mut over: Vec<u64> = self.sessions.iter().filter(|(_, s)| late(s)).map(|(c, _)| *c).collect();
+        over.sort_unstable();
+        over.into_iter().for_each(|conn| self.close(net, router, conn, Ending::Idle));
+    }
+
     /// Takes what a client has sent.
     pub fn ready(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
         // Guards against running what a client sent that has gone since: nobody waits for it.
@@ -187,6 +203,7 @@
         message: ClientMessage,
         reply: &mut Reply,
     ) -> Option<Ending> {
+        self.settle_describe(conn, &message, reply);
         match message {
             ClientMessage::Encrypt => reply.no_encryption(),
             ClientMessage::Cancel(number, key) => {
@@ -230,6 +247,19 @@
         None
     }
 
+    /// Only an engine knows the columns, and only a run asks one: where no `Execute` follows a `Describe`, the
+    /// service's usual columns are told.
+    fn settle_describe(&mut self, conn: u64, next: &ClientMessage, reply: &mut Reply) {
+        let Some(session) = self.sessions.get_mut(&conn) else { return };
+        if matches!(next, ClientMessage::Execute(name, _) if session.describing.as_ref() == Some(name)) {
+            return;
+        }
+        if let Some(portal) = session.describing.take().and_then(|name| session.held.portal(&name).ok()) {
+            describe(&portal.kind, &self.setup.columns, &portal.results, reply);
+            portal.told = true;
+        }
+    }
+
     fn startup(
         &mut self,
         router: &mut Router,
@@ -318,11 +348,21 @@
             }
             ClientMessage::Describe(true, name) => {
                 let statement = session.held.statement(&name)?;
-                reply.parameters(&statement.types);
+                let described = |t: &u32| if *t == 0 { TEXT } else { *t };
+                reply.parameters(&statement.types.iter().map(described).collect::<Vec<_>>());
                 describe(&statement.kind, &columns, &[], reply);
+                statement.told = true;
             }
             ClientMessage::Describe(false, name) => {
                 let portal = session.held.portal(&name)?;
+                if !inlines && matches!(portal.kind, Kind::Routed(true, _)) {
+                    if portal.rows.is_some() {
+                        reply.columns(&portal.columns);
+                    } else {
+                        session.describing = Some(name);
+                    }
+                    return Ok(());
+                }
                 describe(&portal.kind, &columns, &portal.results, reply);
             }
             ClientMessage::Close(statement, name) => {
@@ -386,7 +426,7 @@
             Kind::Show(name) => {
                 let value = session.settings.show(&self.directory, name)?;
                 if describes {
-                    reply.columns(std::slice::from_ref(name), &[]);
+                    reply.text_columns(std::slice::from_ref(name), &[]);
                 }
                 reply.row(&[Some(value.into_bytes())]);
                 reply.complete("SHOW");
@@ -405,7 +445,7 @@
         kind: Kind,
         portal: Option<(String, u32)>,
     ) -> Result<(), SqlFault> {
-        if router.open_requests() >= OPEN_MOST {
+        if !router.has_room() {
             router.counters.rejected += 1;
             return Err(SqlFault {
                 hint: "retry after 200 ms".into(),
@@ -432,7 +472,8 @@
             statement,
         };
         let request = router.take(now, Client { conn, call }, ask);
-        session.running = Some(Running { request, call, portal, kind });
+        let describes = portal.is_none() || session.describing.take().is_some();
+        session.running = Some(Running { request, call, portal, kind, describes });
         Ok(())
     }
 
@@ -443,35 +484,33 @@
         let mut reply = Reply::default();
         match (answer, running.portal) {
             (Answer::Served(rows), portal) => {
-                let rows: VecDeque<_> = rows.into_cells().into();
-                let width = self.setup.columns.len();
+                let (columns, rows) = rows.into_cells();
                 let gives = matches!(running.kind, Kind::Routed(true, _));
-                match portal {
-                    _ if gives && rows.iter().any(|row| row.len() != width) => {
-                        // Guards against rows that don't fit what the client was told of them.
-                        reply.error(
-                            &fault("42804", "the result has other columns than this service gives"),
-                            false,
-                        );
-                        session.skipping = portal.is_some();
-                        if portal.is_none() {
-                            reply.ready();
-                        }
-                    }
-                    None => {
-                        if gives {
-                            reply.columns(&self.setup.columns, &[]);
-                            rows.iter().for_each(|row| reply.row(row));
-                        }
-                        reply.complete(&tag(&running.kind, rows.len()));
-                        reply.ready();
-                    }
-                    Some((name, limit)) => {
-                        if let Ok(portal) = session.held.portal(&name) {
-                            portal.rows = Some((rows, 0));
-                        }
-                        give_rows(session, &name, limit, &mut reply);
+                if gives && running.describes && !self.setup.inlines {
+                    reply.columns(&columns);
+                } else if gives && running.describes {
+                    reply.text_columns(&self.setup.columns, &[]);
+                }
+                let name = portal.as_ref().map_or("", |p| &p.0);
+                let told = self.setup.inlines || session.held.portal(name).is_ok_and(|p| p.told);
+                let odd = |row: &Row| row.len() != self.setup.columns.len();
+                let coded = |c: &Column| c.binary && !is_text(c.type_id);
+                if gives && told && (rows.iter().any(odd) || columns.iter().any(coded)) {
+                    // Guards against rows that don't fit what the client was told of them.
+                    let wrong = fault("42804", "the result has other columns than the client was told");
+                    reply.error(&wrong, false);
+                    session.skipping = portal.is_some();
+                } else if let Some((name, limit)) = &portal {
+                    if let Ok(portal) = session.held.portal(name) {
+                        (portal.rows, portal.columns) = (Some((rows.into(), 0)), columns);
                     }
+                    give_rows(session, name, *limit, &mut reply);
+                } else {
+                    rows.iter().filter(|_| gives).for_each(|row| reply.row(row));
+                    reply.complete(&tag(&running.kind, rows.len()));
+                }
+                if portal.is_none() {
+                    reply.ready();
                 }
             }
             (answer, portal) => {
@@ -499,8 +538,8 @@
 
 fn describe(kind: &Kind, columns: &[String], binary: &[bool], reply: &mut Reply) {
     match kind {
-        Kind::Routed(true, _) => reply.columns(columns, binary),
-        Kind::Show(name) => reply.columns(std::slice::from_ref(name), binary),
+        Kind::Routed(true, _) => reply.text_columns(columns, binary),
+        Kind::Show(name) => reply.text_columns(std::slice::from_ref(name), binary),
         _ => reply.step(b'n'),
     }
 }
--- a/src/front/postgres/session.rs
+++ b/src/front/postgres/session.rs
@@ -2,16 +2,21 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use super::codec::{fault, Bind, SqlFault, TEXT};
+use super::codec::{fault, Bind, SqlFault};
 use crate::front::Directory;
 use crate::interface::{ClassId, TenantId};
 use crate::router::statement::{param_count, split, Param, Statement};
-use crate::router::Row;
+use crate::router::{Column, Row};
 
 /// Statements and portals that a session may hold, of each (count), and their bytes in all.
 const HELD_MOST: usize = 64;
 const HELD_BYTES: usize = 512 << 10;
 
+/// Whether a type is a text: its values are the same bytes in both forms.
+pub fn is_text(type_id: u32) -> bool {
+    matches!(type_id, 18 | 19 | 25 | 705 | 1042 | 1043)
+}
+
 /// What a statement is to the router.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -30,10 +35,12 @@
 pub struct Prepared {
     /// Its text.
     pub text: Vec<u8>,
-    /// Types of its parameters.
+    /// Types of its parameters; 0 where the client left them to the engine.
     pub types: Vec<u32>,
     /// What it is.
     pub kind: Kind,
+    /// The client was told of the usual columns.
+    pub told: bool,
 }
 
 /// A portal.
@@ -45,6 +52,10 @@
     pub kind: Kind,
     /// Columns wanted in binary form.
     pub results: Vec<bool>,
+    /// The client was told of the usual columns: others would be misread.
+    pub told: bool,
+    /// Columns of its result, where the engine told them.
+    pub columns: Vec<Column>,
     /// What is left of its result once it has run, and how many rows were given.
     pub rows: Option<(VecDeque<Row>, usize)>,
 }
@@ -207,11 +218,11 @@
         if count > 1_000 {
             return Err(fault("54000", "too many parameters"));
         }
-        let types = (0..count).map(|i| types.get(i).copied().filter(|t| *t > 0).unwrap_or(TEXT)).collect();
+        let types = (0..count).map(|i| types.get(i).copied().unwrap_or(0)).collect();
         self.drop_one(true, &name);
         self.room(self.statements.len(), text.len())?;
         self.bytes += text.len();
-        self.statements.insert(name, Prepared { text, types, kind });
+        self.statements.insert(name, Prepared { text, types, kind, told: false });
         Ok(())
     }
 
@@ -238,8 +249,7 @@
         let format = |i: usize| bind.formats.get(i).or(bind.formats.first()).copied().unwrap_or(false);
         let mut params = Vec::new();
         for (i, (value, type_id)) in bind.params.into_iter().zip(&statement.types).enumerate() {
-            // Texts are the same bytes in both forms.
-            let binary = format(i) && !matches!(type_id, 18 | 19 | 25 | 705 | 1042 | 1043);
+            let binary = format(i) && !is_text(*type_id);
             if binary && inlines {
                 return Err(fault("0A000", "binary parameters are supported for text types only"));
             }
@@ -249,17 +259,23 @@
         self.drop_one(false, &bind.portal);
         self.room(self.portals.len(), bytes)?;
         self.bytes += bytes;
-        let statement_of = Statement { text: statement.text, params };
-        let portal =
-            Portal { statement: statement_of, kind: statement.kind, results: bind.results, rows: None };
+        let statement_of = Statement { text: statement.text, params, results: bind.results.clone() };
+        let portal = Portal {
+            statement: statement_of,
+            kind: statement.kind,
+            results: bind.results,
+            told: statement.told,
+            columns: Vec::new(),
+            rows: None,
+        };
         self.portals.insert(bind.portal, portal);
         Ok(())
     }
 
     /// A statement by its name.
-    pub fn statement(&self, name: &str) -> Result<&Prepared, SqlFault> {
+    pub fn statement(&mut self, name: &str) -> Result<&mut Prepared, SqlFault> {
         let missing = || fault("26000", format!("prepared statement \"{name}\" does not exist"));
-        self.statements.get(name).ok_or_else(missing)
+        self.statements.get_mut(name).ok_or_else(missing)
     }
 
     /// A portal by its name.
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -216,7 +216,7 @@
                     Ok(Ok(conn)) => {
                         self.router.counters.accepted += 1;
                         match (owner, &mut self.postgres) {
-                            (Owner::Postgres, Some(front)) => front.accept(conn),
+                            (Owner::Postgres, Some(front)) => front.accept(now, conn),
                             _ => self.msgpack.accept(conn),
                         }
                     }
@@ -272,6 +272,9 @@
     fn tick(&mut self, now: u64) {
         let mut cx = Context { now, net: &mut self.net, router: &mut self.router };
         self.engines.tick(&mut cx);
+        if let Some(front) = &mut self.postgres {
+            front.tick(now, &mut self.net, &mut self.router);
+        }
         if let Some(discovery) = &mut self.discovery {
             discovery.tick(now, &mut self.net);
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,10 +14,10 @@
 
 /// Output that one connection may have waiting (bytes): 32 results of the largest size and some room.
 const OUTPUT_MOST: usize = 2 << 20;
-/// Output that all connections together may have waiting (bytes): a quarter of the memory limit.
-const OUTPUT_ALL: usize = 48 << 20;
+/// Output that all connections together may have waiting (bytes): a sixth of the memory limit.
+const OUTPUT_ALL: usize = 32 << 20;
 /// Input that is read from one connection before its owner has taken some of it (bytes).
-const INPUT_MOST: usize = 256 << 10;
+const INPUT_MOST: usize = 128 << 10;
 
 /// Who a connection belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -23,6 +23,10 @@
 /// Time past a request's own within which its answer must have been given, or the core gives it (ns).
 const FINAL_GRACE_NS: u64 = 5_000_000;
 
+/// Requests that may be open in all (count), and the bytes of their statements.
+const OPEN_MOST: usize = 1_000;
+const HELD_MOST: usize = 32 << 20;
+
 /// Where the answer to a request goes: a connection's number, never used twice, and a number of its own there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Client {
@@ -54,13 +58,28 @@
 /// A row, value by value; absent for NULL.
 pub type Row = Vec<Option<Vec<u8>>>;
 
+/// What an engine says of a column of its result.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Column {
+    /// Its name.
+    pub name: String,
+    /// Its type by object id.
+    pub type_id: u32,
+    /// Size of the type; negative where it varies.
+    pub size: i16,
+    /// Modifier of the type.
+    pub modifier: i32,
+    /// Its values are in the type's binary form.
+    pub binary: bool,
+}
+
 /// Rows of a result.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Rows {
     /// As text: a tab between columns, a line feed after each row.
     Text(Vec<u8>),
-    /// Value by value.
-    Cells(Vec<Row>),
+    /// Value by value, under the engine's columns.
+    Cells(Vec<Column>, Vec<Row>),
 }
 
 impl Rows {
@@ -68,7 +87,7 @@
     pub fn into_text(self) -> Vec<u8> {
         match self {
             Rows::Text(text) => text,
-            Rows::Cells(rows) => {
+            Rows::Cells(_, rows) => {
                 let mut text = Vec::new();
                 for row in rows {
                     for (i, cell) in row.iter().enumerate() {
@@ -82,19 +101,20 @@
         }
     }
 
-    /// Value by value.
-    pub fn into_cells(self) -> Vec<Row> {
+    /// Value by value, with the engine's columns where it told them.
+    pub fn into_cells(self) -> (Vec<Column>, Vec<Row>) {
         match self {
-            Rows::Cells(rows) => rows,
-            Rows::Text(text) => text
-                .split_inclusive(|b| *b == b'\n')
-                .map(|row| row.strip_suffix(b"\n").unwrap_or(row))
-                .map(|row| row.split(|b| *b == b'\t').map(|cell| Some(cell.to_vec())).collect())
-                .collect(),
+            Rows::Cells(columns, rows) => (columns, rows),
+            Rows::Text(text) => (Vec::new(), text_rows(&text)),
         }
     }
 }
 
+fn text_rows(text: &[u8]) -> Vec<Row> {
+    let rows = text.split_inclusive(|b| *b == b'\n').map(|row| row.strip_suffix(b"\n").unwrap_or(row));
+    rows.map(|row| row.split(|b| *b == b'\t').map(|cell| Some(cell.to_vec())).collect()).collect()
+}
+
 /// The final answer to a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -198,6 +218,8 @@
     batch: Vec<Inbound>,
     actions: Vec<Action>,
     serial: u64,
+    /// Bytes of the open requests' statements.
+    held: usize,
     /// The counters.
     pub counters: Counters,
 }
@@ -212,6 +234,7 @@
             batch: Vec::new(),
             actions: Vec::new(),
             serial: 0,
+            held: 0,
             counters: Counters::default(),
         }
     }
@@ -221,6 +244,7 @@
         self.serial += 1;
         let id = RequestId(self.serial);
         let expires_ns = now_ns.saturating_add(ask.time_left_ns);
+        self.held += ask.statement.text.len();
         let open = Open {
             ask: Rc::new(ask),
             client,
@@ -272,9 +296,9 @@
         self.batch.push(Inbound::Membership(kind, entries));
     }
 
-    /// Requests that are owed an answer or have an attempt out.
-    pub fn open_requests(&self) -> usize {
-        self.open.len()
+    /// Whether one more request may be taken: each may hold a statement and a result.
+    pub fn has_room(&self) -> bool {
+        self.open.len() < OPEN_MOST && self.held < HELD_MOST
     }
 
     /// Requests that are owed an answer.
@@ -436,7 +460,8 @@
 
     fn tidy(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(|o| o.concluded && o.out.is_none()) {
-            self.open.remove(&id);
+            let text = self.open.remove(&id).map_or(0, |o| o.ask.statement.text.len());
+            self.held -= text;
         }
     }
 
--- a/src/router/statement.rs
+++ b/src/router/statement.rs
@@ -7,6 +7,8 @@
     pub text: Vec<u8>,
     /// Parameters of an extended query, in order.
     pub params: Vec<Param>,
+    /// Whether columns are wanted in binary form, by engines that have one: none, one for all, or one each.
+    pub results: Vec<bool>,
 }
 
 /// One bound parameter.
@@ -160,7 +162,7 @@
 impl Statement {
     /// A statement without parameters.
     pub fn plain(text: Vec<u8>) -> Self {
-        Statement { text, params: Vec::new() }
+        Statement { text, ..Statement::default() }
     }
 
     /// The text with each parameter written in as a literal, for engines that take no parameters; absent
