Close a cancelled PostgreSQL session; cut loads with a second engine to hand

Seen by reading: after a CancelRequest the engine's session went back to the pool with its ReadyForQuery, though the CancelRequest runs on a connection of its own and may arrive later, where it would end the next query. An engine whose address changed kept idle connections to the old one; they are let go.

The cut loads had one engine only, so a wrong resend had nowhere to go. Past the query they now have two.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -87,6 +87,10 @@
             let listed = target.entry.state != EngineState::Gone;
             let new = || Known { address: target.address, listed, own: T::default() };
             let known = self.all.entry(target.entry.engine).or_insert_with(new);
+            if known.address != target.address {
+                // Guards against a call that goes to whoever has the engine's old address now.
+                known.own = T::default();
+            }
             (known.address, known.listed) = (target.address, listed);
         }
         // Guards against a table that grows with every engine that ever was.
--- a/src/engine/postgres.rs
+++ b/src/engine/postgres.rs
@@ -227,9 +227,11 @@
                     (_, Some(_), None) => Ending::EngineError,
                     (false, None, None) => Ending::Garbled,
                 };
+                let cancelled = run.leaving_ns.is_some();
                 self.end(cx, at, ending);
-                // Guards against a session that is still in a transaction: the next query would be part of it.
-                if status == b'I' {
+                // Guards against a session that is still in a transaction, which the next query would be part of,
+                // and against a late CancelRequest, which would end the next query.
+                if status == b'I' && !cancelled {
                     self.rest(cx, conn);
                 } else {
                     self.close(cx, conn);
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -59,20 +59,26 @@
     let script = std::fs::read_to_string(path).unwrap();
     let (before, after) = script.split_once("# cuts\n").unwrap();
     let lines: Vec<&str> = after.lines().collect();
-    let mut stage = play(&format!("{name}-{cut}-{step}"), before, usize::MAX);
     let execute = lines.iter().position(|l| l.starts_with("accept e")).unwrap();
-    // The engine's connection can be cut once it is there.
+    // The engine's connection can be cut once it is there. Past the query there is a second engine, to which a
+    // load that may have run must not go; before, a second one would rightly get it.
+    let label = format!("{name}-{cut}-{step}");
     let step = if cut == "client" { step } else { step.max(execute + 1) };
+    let query = lines.iter().position(|l| l.starts_with("e < P") || l.starts_with("e < [P")).unwrap();
+    let (with, engine) = if step > query { ("with two engines\n", "e2") } else { ("", "e1") };
+    let mut stage = play(&label, &format!("{with}{before}"), usize::MAX);
+    let lines: Vec<String> =
+        lines.iter().map(|l| l.replace("accept e e1", &format!("accept e {engine}"))).collect();
     lines[..step.min(lines.len())].iter().for_each(|line| stage.step(line));
     let welcomed = stage.got_so_far("c");
     match cut {
         "client" => stage.step("close c"),
         "engine" => stage.step("close e"),
-        _ => ["gone e1", "close e"].iter().for_each(|line| stage.step(line)),
+        _ => [format!("gone {engine}"), "close e".into()].iter().for_each(|line| stage.step(line)),
     }
     if cut == "engine" && name == "load_http" && step < lines.len() {
         // The query belongs to no connection: the engine is asked, and does not know it.
-        stage.step("accept e2 e1");
+        stage.step(&format!("accept e2 {engine}"));
         stage.step("e2 < GET /o/{16}/{1} HTTP/1.1\\r\\nHost: {*}\\r\\n\\r\\n");
         stage.step("e2 > HTTP/1.1 500 No\\r\\nContent-Length: 0\\r\\n\\r\\n");
     }
