Let both engine backends open their connections in one place

Seen with the duplicates list: the HTTP and PostgreSQL backends each looked up an address, connected and counted.

--- a/src/engine/http/mod.rs
+++ b/src/engine/http/mod.rs
@@ -11,7 +11,6 @@
 use super::{Backend, Context, Start, Targets};
 use crate::discovery::Change;
 use crate::interface::{EngineId, LoadReport};
-use crate::net::Owner;
 use crate::router::ending::Ending;
 use crate::router::{Ask, Attempt, Rows};
 
@@ -127,10 +126,7 @@
                 }
             }
         }
-        let conn = cx.net.connect(known.address, Owner::Engine).inspect_err(|e| {
-            cx.router.counters.short_of_descriptors += u64::from(*e == Ending::NoDescriptor);
-        })?;
-        cx.router.counters.opened += 1;
+        let conn = self.targets.connect(cx, engine)?;
         self.lines.insert(conn, Line { engine, role, up: false, fresh: true, since_ns: cx.now });
         Ok(conn)
     }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -8,7 +8,8 @@
 
 use crate::discovery::Change;
 use crate::interface::EngineId;
-use crate::net::Net;
+use crate::net::{Net, Owner};
+use crate::router::ending::Ending;
 use crate::router::{Ask, Attempt, Router};
 
 /// An attempt to be started.
@@ -97,13 +98,18 @@
         self.all.retain(|id, known| known.listed || busy(*id));
     }
 
+    /// Starts a connection to one of them, and counts it.
+    pub fn connect(&mut self, cx: &mut Context, engine: EngineId) -> Result<u64, Ending> {
+        let to = self.get(engine).ok_or(Ending::NoDescriptor)?.address;
+        let conn = cx.net.connect(to, Owner::Engine).inspect_err(|e| {
+            cx.router.counters.short_of_descriptors += u64::from(*e == Ending::NoDescriptor);
+        })?;
+        cx.router.counters.opened += 1;
+        Ok(conn)
+    }
+
     /// One of them.
     pub fn get(&mut self, engine: EngineId) -> Option<&mut Known<T>> {
         self.all.get_mut(&engine)
     }
-
-    /// All of them.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&EngineId, &mut Known<T>)> {
-        self.all.iter_mut()
-    }
 }
--- a/src/engine/postgres.rs
+++ b/src/engine/postgres.rs
@@ -16,7 +16,6 @@
 use super::{Backend, Context, Start, Targets};
 use crate::discovery::Change;
 use crate::interface::EngineId;
-use crate::net::Owner;
 use crate::router::ending::Ending;
 use crate::router::{Ask, Attempt, Column, Fault, Row, Rows};
 
@@ -130,11 +129,7 @@
     }
 
     fn connect(&mut self, cx: &mut Context, engine: EngineId, role: Role) -> Result<u64, Ending> {
-        let address = self.targets.get(engine).ok_or(Ending::NoDescriptor)?.address;
-        let conn = cx.net.connect(address, Owner::Engine).inspect_err(|e| {
-            cx.router.counters.short_of_descriptors += u64::from(*e == Ending::NoDescriptor);
-        })?;
-        cx.router.counters.opened += 1;
+        let conn = self.targets.connect(cx, engine)?;
         self.lines.insert(conn, Line { engine, role, up: false, key: None, since_ns: cx.now });
         Ok(conn)
     }
