End a query on a cut-off engine 2 s after it could last be asked for

Ruled out: a query that this program forgot, as all lines of lost connections name that engine. At fault was HttpEngines::tick (src/engine/http/mod.rs), which asked until the deadline though an engine ends by itself what nobody asks for in 2 s. Now a query that the engine had answered for, and that could not be asked for in that time, ends as cut: it may have run, so a load fails at once and other classes may go elsewhere.

New exchange: http_cut_off_engine.txt, where a full listener stands for the cut-off engine.

--- a/src/engine/http/mod.rs
+++ b/src/engine/http/mod.rs
@@ -519,6 +519,11 @@
         late.sort_unstable();
         stale.into_iter().for_each(|conn| self.close(cx, conn));
         late.into_iter().for_each(|(conn, ending)| self.lost(cx, conn, ending));
+        // Guards against waiting for a query on an engine that is cut off: it answered before, and since it could
+        // last have been asked it has ended the query by itself.
+        let over = |r: &Run| r.known && r.leaving.is_none() && cx.now > r.asked_ns + FORGOTTEN_NS;
+        let forgotten: Vec<Attempt> = self.runs.iter().filter(|(_, r)| over(r)).map(|(at, _)| *at).collect();
+        forgotten.into_iter().for_each(|at| self.end(cx, at, Ending::Cut));
         let due: Vec<(Attempt, bool)> = self
             .runs
             .iter()
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -144,6 +144,7 @@
     listeners: BTreeMap<String, TcpListener>,
     peers: BTreeMap<String, Peer>,
     kept: HashMap<String, Vec<u8>>,
+    filling: Vec<TcpStream>,
 }
 
 impl Stage {
@@ -202,7 +203,7 @@
         }
         let port = |l: &TcpListener| l.local_addr().unwrap().port().to_string().into_bytes();
         let kept = listeners.iter().map(|(name, l)| (format!("address of {name}"), port(l))).collect();
-        Stage { child, log, dir, fronts, listeners, peers: BTreeMap::new(), kept }
+        Stage { child, log, dir, fronts, listeners, peers: BTreeMap::new(), kept, filling: Vec::new() }
     }
 
     /// Plays one line.
@@ -220,6 +221,13 @@
                 self.add(name, stream);
             }
             ["close", name] => drop(self.peers.remove(name)),
+            // Connections that are never accepted fill the listener, so that no further one comes up.
+            ["fill", listener] => {
+                let at = self.listeners[listener].local_addr().unwrap();
+                let short = Duration::from_millis(100);
+                self.filling
+                    .extend(std::iter::from_fn(|| TcpStream::connect_timeout(&at, short).ok()).take(5_000));
+            }
             ["gone", listener] => drop(self.listeners.remove(listener)),
             ["closed", name] => {
                 let peer = &mut self.peers.get_mut(name).unwrap();
@@ -272,6 +280,7 @@
     pub fn stop(mut self) -> (BTreeMap<String, u64>, Vec<u8>) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        self.filling.clear();
         let mut log = String::new();
         self.log.read_to_string(&mut log).unwrap();
         assert!(self.child.wait().unwrap().success(), "{log}");
