--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -228,6 +228,7 @@
                 self.filling
                     .extend(std::iter::from_fn(|| TcpStream::connect_timeout(&at, short).ok()).take(5_000));
             }
+            ["term"] => self.terminate(),
             ["gone", listener] => drop(self.listeners.remove(listener)),
             ["closed", name] => {
                 let peer = &mut self.peers.get_mut(name).unwrap();
@@ -276,10 +277,14 @@
         peer.all.clone()
     }
 
-    /// Ends the program as a planned restart does; gives its counters and all that reached any engine.
-    pub fn stop(mut self) -> (BTreeMap<String, u64>, Vec<u8>) {
+    fn terminate(&self) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    /// Ends the program as a planned restart does; gives its counters and all that reached any engine.
+    pub fn stop(mut self) -> (BTreeMap<String, u64>, Vec<u8>) {
+        self.terminate();
         self.filling.clear();
         let mut log = String::new();
         self.log.read_to_string(&mut log).unwrap();
