Read the configuration again on SIGHUP instead of ending by it

At fault: Daemon::start registered SIGTERM and SIGUSR1 only (src/net/daemon.rs), so SIGHUP kept its default action. Ruled out: the stream itself, as it takes up again behind the last event after a break.

Now both files are read again; the stream drops the old coordinator and asks the new one behind the last event, Consul's watches start anew, events of known that are news are taken, and other keys are logged as needing a restart. A file that cannot be read leaves all as it was.

--- a/src/config.rs
+++ b/src/config.rs
@@ -8,7 +8,7 @@
 use crate::wire::{read_settings, Names};
 
 /// Limits of the machine.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct Limits {
     /// Memory, in megabytes.
     pub memory_mb: f64,
@@ -100,6 +100,30 @@
     connect_timeout_ns: Option<u64>,
 }
 
+/// The files that one process is set up by; a reload reads them again.
+#[derive(Clone, Debug)]
+pub struct Files {
+    /// The configuration.
+    pub config: String,
+    /// The PostgreSQL side, where it is on.
+    pub postgres: Option<String>,
+}
+
+impl Files {
+    /// As the environment names them.
+    pub fn from_env() -> Result<Files, String> {
+        let config = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file".to_owned())?;
+        Ok(Files { config, postgres: std::env::var("MARLJUNCTION_POSTGRES").ok() })
+    }
+
+    /// Reads both.
+    pub fn read(&self) -> Result<(Config, Option<PostgresFile>), String> {
+        let text = |path: &str| std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"));
+        let postgres = self.postgres.as_ref().map(|path| PostgresFile::read(&text(path)?)).transpose()?;
+        Ok((Config::read(&text(&self.config)?)?, postgres))
+    }
+}
+
 /// All that one process is told at its start.
 #[derive(Debug)]
 pub struct Config {
@@ -119,6 +143,8 @@
     pub known: Vec<Update>,
     /// Settings of the decision module.
     pub settings: Settings,
+    /// The settings as they were written.
+    pub settings_text: String,
     /// The names behind its numbers.
     pub names: Names,
     /// Engines close a connection that is idle for so long.
@@ -144,6 +170,7 @@
             known_index: raw.known.index,
             known: known.collect::<Result<_, _>>()?,
             settings,
+            settings_text: raw.settings.get().to_owned(),
             engine_idle_ns: timing.limits.conn_idle_ns.unwrap_or(30_000_000_000),
             connect_timeout_ns: timing.limits.connect_timeout_ns.unwrap_or(250_000_000),
             names,
--- a/src/discovery/consul.rs
+++ b/src/discovery/consul.rs
@@ -171,6 +171,23 @@
         }
     }
 
+    /// Asks at another address. Its indexes are its own: both watches start anew there.
+    pub fn reload(&mut self, now: u64, net: &mut Net, address: SocketAddr) {
+        if address == self.address {
+            return;
+        }
+        info!("consul is asked at {address} now");
+        self.address = address;
+        (self.catalog, self.health) = (None, None);
+        for watch in &mut self.watches {
+            if let Some(conn) = watch.conn.take() {
+                net.close(conn);
+            }
+            (watch.index, watch.heard_ns) = (0, now);
+        }
+        self.tick(now, net);
+    }
+
     /// Takes what has come in; gives the whole list where it has changed.
     pub fn ready(&mut self, now: u64, net: &mut Net, conn: u64) -> Option<Change> {
         let at = self.watches.iter().position(|w| w.conn == Some(conn))?;
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -28,6 +28,24 @@
         }
     }
 
+    /// Asks at another address from here on; gives what of `known` is news. The old connection is dropped at
+    /// once: guards against an old source that still talks behind a new one.
+    pub fn reload(
+        &mut self,
+        now: u64,
+        net: &mut Net,
+        address: SocketAddr,
+        known: Vec<stream::Update>,
+    ) -> Vec<Change> {
+        match self {
+            Source::Stream(stream) => stream.reload(now, net, address, known),
+            Source::Consul(consul) => {
+                consul.reload(now, net, address);
+                Vec::new()
+            }
+        }
+    }
+
     /// Takes what has come in on one of them; gives the changes in order.
     pub fn ready(&mut self, now: u64, net: &mut Net, conn: u64) -> Vec<Change> {
         match self {
--- a/src/discovery/stream.rs
+++ b/src/discovery/stream.rs
@@ -177,6 +177,26 @@
         }
     }
 
+    /// Goes on at another address behind the last event, and takes what of `known` is new.
+    pub fn reload(
+        &mut self,
+        now: u64,
+        net: &mut Net,
+        address: SocketAddr,
+        known: Vec<Update>,
+    ) -> Vec<Change> {
+        let news = known.into_iter().filter(|u| u.index > self.last).collect::<Vec<_>>();
+        self.last = news.iter().map(|u| u.index).max().unwrap_or(self.last);
+        if address != self.address {
+            info!("membership news come from {address} now, behind event {}", self.last);
+            self.address = address;
+            self.drop_conn(now, net);
+            self.heard_ns = now;
+            self.tick(now, net);
+        }
+        news.into_iter().map(|u| u.change).collect()
+    }
+
     fn drop_conn(&mut self, now: u64, net: &mut Net) {
         if let Some(conn) = self.conn.take() {
             net.close(conn);
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,19 +4,12 @@
 
 use std::process::ExitCode;
 
-use marljunction::config::{Config, PostgresFile};
+use marljunction::config::Files;
 use marljunction::logger;
 use marljunction::net::daemon::Daemon;
 
 fn run() -> Result<(), String> {
-    let read = |path: &str| std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"));
-    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file".to_owned())?;
-    let config = Config::read(&read(&path)?)?;
-    let postgres = match std::env::var("MARLJUNCTION_POSTGRES") {
-        Ok(path) => Some(PostgresFile::read(&read(&path)?)?),
-        Err(_) => None,
-    };
-    Daemon::start(config, postgres)?.run()
+    Daemon::start(Files::from_env()?)?.run()
 }
 
 fn main() -> ExitCode {
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -7,12 +7,12 @@
 use log::{info, warn};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
-use signal_hook::consts::{SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
 
 use super::clock::Clock;
 use super::{Net, Owner};
-use crate::config::{Config, EngineFile, PostgresFile};
+use crate::config::{EngineFile, Files, Limits};
 use crate::discovery::consul::Consul;
 use crate::discovery::stream::Stream;
 use crate::discovery::{Change, Source};
@@ -42,12 +42,22 @@
 /// How often engines and discovery are looked after (ns).
 const TICK_NS: u64 = 20_000_000;
 
+/// What the configuration said of keys that only a restart applies.
+#[derive(PartialEq)]
+struct Told {
+    listen: String,
+    limits: Limits,
+    settings: String,
+}
+
 /// A running router.
 pub struct Daemon {
     poll: Poll,
     clock: Clock,
     net: Net,
     router: Router,
+    files: Files,
+    told: Told,
     settings: Settings,
     directory: Directory,
     listeners: [Option<TcpListener>; 2],
@@ -70,7 +80,8 @@
 
 impl Daemon {
     /// Starts listening.
-    pub fn start(config: Config, postgres: Option<PostgresFile>) -> Result<Daemon, String> {
+    pub fn start(files: Files) -> Result<Daemon, String> {
+        let (config, postgres) = files.read()?;
         let io = |what: &str, e: std::io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| io("poll", e))?;
         let registry = poll.registry().try_clone().map_err(|e| io("poll", e))?;
@@ -89,7 +100,7 @@
         let first = listen(&config.listen, MSGPACK)?;
         let second =
             postgres.as_ref().and_then(|p| p.listen.as_ref()).map(|at| listen(at, POSTGRES)).transpose()?;
-        let mut signals = Signals::new([SIGTERM, SIGUSR1]).map_err(|e| io("signals", e))?;
+        let mut signals = Signals::new([SIGTERM, SIGUSR1, SIGHUP]).map_err(|e| io("signals", e))?;
         registry.register(&mut signals, SIGNALS, Interest::READABLE).map_err(|e| io("signals", e))?;
         let directory = Directory::new(config.names.clone(), &config.settings);
         let address = |at: &str| at.parse().map_err(|e| format!("address {at}: {e}"));
@@ -130,6 +141,8 @@
             router: Router::new(config.settings.clone(), config.seed),
             msgpack: MsgpackFront::new(directory.clone()),
             postgres: front,
+            files,
+            told: Told { listen: config.listen, limits: config.limits, settings: config.settings_text },
             settings: config.settings,
             directory,
             listeners: [Some(first), second],
@@ -237,12 +250,55 @@
 
     fn signal(&mut self, now: u64) {
         for signal in self.signals.pending().collect::<Vec<_>>() {
-            if signal == SIGTERM {
-                info!("told to stop");
-                self.stopping.get_or_insert(now);
-            } else {
-                info!("{}", self.router.counters.line());
+            match signal {
+                SIGTERM => {
+                    info!("told to stop");
+                    self.stopping.get_or_insert(now);
+                }
+                SIGHUP => self.reload(now),
+                _ => info!("{}", self.router.counters.line()),
+            }
+        }
+    }
+
+    /// Reads the configuration again. What can change while requests are open is applied: where news of the
+    /// engines comes from, and news that the file holds. Guards against a file that is replaced badly: one that
+    /// can't be read leaves all as it is.
+    fn reload(&mut self, now: u64) {
+        let (config, postgres) = match self.files.read() {
+            Ok(read) => read,
+            Err(fault) => {
+                self.router.counters.reloads_failed += 1;
+                return warn!("the configuration stays as it was: {fault}");
             }
+        };
+        let consul = postgres.and_then(|p| p.consul);
+        let address = match (&self.discovery, &consul, &config.coordinator) {
+            (Some(Source::Consul(_)), Some(consul), _) => Some(&consul.address),
+            (Some(Source::Stream(_)), _, Some(coordinator)) => Some(coordinator),
+            _ => None,
+        };
+        let address = address.map(|at| at.parse().map_err(|e| format!("address {at}: {e}"))).transpose();
+        let address = match address {
+            Ok(address) => address,
+            Err(fault) => {
+                self.router.counters.reloads_failed += 1;
+                return warn!("the configuration stays as it was: {fault}");
+            }
+        };
+        self.router.counters.reloads += 1;
+        let changes = match (&mut self.discovery, address) {
+            (Some(discovery), Some(address)) => discovery.reload(now, &mut self.net, address, config.known),
+            _ => Vec::new(),
+        };
+        info!("the configuration was read again; {} membership events were new", changes.len());
+        changes.into_iter().for_each(|change| self.change(change));
+        if self.discovery.is_some() && address.is_none() {
+            warn!("another source of membership news needs a restart");
+        }
+        let told = Told { listen: config.listen, limits: config.limits, settings: config.settings_text };
+        if told != self.told {
+            warn!("changes of listen, limits or settings need a restart");
         }
     }
 
--- a/src/router/counters.rs
+++ b/src/router/counters.rs
@@ -29,6 +29,10 @@
     pub short_of_descriptors: u64,
     /// Membership events taken.
     pub membership: u64,
+    /// Times that the configuration was read again.
+    pub reloads: u64,
+    /// Times that a new configuration could not be read.
+    pub reloads_failed: u64,
     endings: BTreeMap<Ending, u64>,
 }
 
@@ -47,7 +51,7 @@
     pub fn line(&self) -> String {
         let mut line = format!(
             "taken={} sent={} served={} refused={} failed={} left={} rejected={} accepted={} opened={} \
-             short_of_descriptors={} membership={}",
+             short_of_descriptors={} membership={} reloads={} reloads_failed={}",
             self.taken,
             self.sent,
             self.served,
@@ -58,7 +62,9 @@
             self.accepted,
             self.opened,
             self.short_of_descriptors,
-            self.membership
+            self.membership,
+            self.reloads,
+            self.reloads_failed
         );
         for (ending, name) in ENDINGS {
             line.push_str(&format!(" ended_{name}={}", self.endings(ending)));
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -142,6 +142,8 @@
     child: Child,
     log: BufReader<std::process::ChildStderr>,
     dir: std::path::PathBuf,
+    config: serde_json::Value,
+    postgres: serde_json::Value,
     fronts: Vec<String>,
     listeners: BTreeMap<String, TcpListener>,
     peers: BTreeMap<String, Peer>,
@@ -167,6 +169,8 @@
         let targets = ["e1", "e2"].map(|e| engine(e, &listen(e)));
         let count = if with("two engines") { 2 } else { usize::from(!with("consul")) };
         let (coordinator, consul) = (listen("coordinator"), listen("consul"));
+        listen("coordinator2");
+        listen("consul2");
         let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"all": true, "targets": targets[..count]}}]},
@@ -205,7 +209,8 @@
         }
         let port = |l: &TcpListener| l.local_addr().unwrap().port().to_string().into_bytes();
         let kept = listeners.iter().map(|(name, l)| (format!("address of {name}"), port(l))).collect();
-        Stage { child, log, dir, fronts, listeners, peers: BTreeMap::new(), kept, filling: Vec::new() }
+        let (peers, filling) = (BTreeMap::new(), Vec::new());
+        Stage { child, log, dir, config, postgres: file, fronts, listeners, peers, kept, filling }
     }
 
     /// Plays one line.
@@ -230,7 +235,15 @@
                 self.filling
                     .extend(std::iter::from_fn(|| TcpStream::connect_timeout(&at, short).ok()).take(5_000));
             }
-            ["term"] => self.terminate(),
+            ["term"] => self.signal("-TERM"),
+            ["reload", key, listener] => self.reload(key, listener),
+            ["logged", ..] => {
+                let (text, mut line) = (line.split_once(' ').unwrap().1, String::new());
+                while !line.contains(text) {
+                    line.clear();
+                    assert!(self.log.read_line(&mut line).unwrap() > 0, "the program ended without {text:?}");
+                }
+            }
             ["gone", listener] => drop(self.listeners.remove(listener)),
             ["closed", name] => {
                 let peer = &mut self.peers.get_mut(name).unwrap();
@@ -279,14 +292,27 @@
         peer.all.clone()
     }
 
-    fn terminate(&self) {
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    /// Replaces the configuration by one with another address, or by one that can't be read, and says so.
+    fn reload(&mut self, key: &str, listener: &str) {
+        let at = self.listeners.get(listener).map(|l| l.local_addr().unwrap().to_string());
+        match key {
+            "coordinator" => self.config["coordinator"] = json!(at),
+            _ => self.postgres["consul"]["address"] = json!(at),
+        }
+        let config = if at.is_some() { self.config.to_string() } else { "{\"name\":".into() };
+        std::fs::write(self.dir.join("config.json"), config).unwrap();
+        std::fs::write(self.dir.join("postgres.json"), self.postgres.to_string()).unwrap();
+        self.signal("-HUP");
     }
 
     /// Ends the program as a planned restart does; gives its counters and all that reached any engine.
     pub fn stop(mut self) -> (BTreeMap<String, u64>, Vec<u8>) {
-        self.terminate();
+        self.signal("-TERM");
         self.filling.clear();
         let mut log = String::new();
         self.log.read_to_string(&mut log).unwrap();
