Fetch spoilt answers again on a new connection; never read on behind an answer

Read in the code: HttpEngines::answer took any 200 as page 0 and any page without a number as the one asked for, and rest() put a connection back whatever was behind the answer, so a late copy became the next call's answer; a stray 500 then ended an attempt that still ran. read_answer called 1xx heads errors, and one spoilt answer failed the attempt though the engine still had it. A reset while connecting ended as Unreachable, which the module reads as a dead process, suspended, then cold. Ruled out: a second POST by the backend, as it only posts again what was not whole.

Now pages must be numbered and whole rows, what is spoilt is fetched again up to five times, a connection with bytes behind an answer carries nothing more, others rest 15 ms, resets while connecting mean Skipped and are tried again. PostgreSQL engines: a session that breaks as it opens is opened again.

--- a/src/engine/http/head.rs
+++ b/src/engine/http/head.rs
@@ -4,8 +4,10 @@
 
 /// Largest head that is read (bytes).
 const HEAD_MOST: usize = 8 << 10;
-/// Largest body that is read (bytes): a page has 6,000.
-const BODY_MOST: usize = 64 << 10;
+/// Largest body that is read (bytes): the most that a page holds.
+const BODY_MOST: usize = 6_000;
+/// Interim answers ahead of one (count).
+const INTERIM_MOST: usize = 8;
 
 /// What the head of an answer says.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -75,7 +77,14 @@
         let Ok(value) = std::str::from_utf8(header.value) else { continue };
         let value = value.trim();
         match header.name.to_ascii_lowercase().as_str() {
-            "content-length" => head.length = Some(value.parse().map_err(|_| "bad length")?),
+            "content-length" => {
+                // Guards against two lengths, or one with a sign: where the answer ends would be a guess.
+                let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+                let length = value.parse().ok().filter(|_| digits).ok_or("bad length")?;
+                if head.length.replace(length).is_some_and(|before| before != length) {
+                    return Err("two lengths".into());
+                }
+            }
             "transfer-encoding" => head.chunked = value.eq_ignore_ascii_case("chunked"),
             "connection" => head.closes = value.eq_ignore_ascii_case("close"),
             "chunks" => head.pages = value.parse().ok(),
@@ -92,16 +101,31 @@
     Ok(Some((head, size)))
 }
 
-/// Reads a whole answer of known length: its head, and where its body starts and ends in `input`.
+/// Reads a whole answer of known length: its head, and where its body starts and ends in `input`. Interim
+/// answers (1xx) ahead of it are passed over.
 pub fn read_answer(input: &[u8]) -> Result<Option<(Head, usize, usize)>, String> {
-    let Some((head, size)) = read_head(input)? else { return Ok(None) };
-    let length = match head.length {
-        Some(length) => length,
-        None if head.status == 204 || head.status == 304 => 0,
-        None => return Err("the body's length is not told".into()),
-    };
-    if length > BODY_MOST {
-        return Err("the body is too long".into());
+    let mut from = 0;
+    for _ in 0..=INTERIM_MOST {
+        let Some((head, size)) = read_head(&input[from..])? else { return Ok(None) };
+        from += size;
+        let length = match head.length {
+            _ if head.status < 200 => continue,
+            _ if head.status == 204 || head.status == 304 => 0,
+            Some(_) if head.chunked => return Err("both a length and chunks".into()),
+            Some(length) => length,
+            None => return Err("the body's length is not told".into()),
+        };
+        if length > BODY_MOST {
+            return Err("the body is too long".into());
+        }
+        return Ok((input.len() >= from + length).then_some((head, from, from + length)));
     }
-    Ok((input.len() >= size + length).then_some((head, size, size + length)))
+    Err("interim answers without end".into())
+}
+
+/// Whether a body is whole rows of three columns, as every page is. Guards against a page whose length was
+/// told too short, or that has noise in it.
+pub fn whole_rows(body: &[u8]) -> bool {
+    let columns = |row: &[u8]| row.iter().filter(|b| **b == b'\t').count() == 2;
+    body.is_empty() || body.ends_with(b"\n") && body.split(|b| *b == b'\n').rev().skip(1).all(columns)
 }
--- a/src/engine/http/mod.rs
+++ b/src/engine/http/mod.rs
@@ -7,7 +7,7 @@
 
 use log::debug;
 
-use self::head::{read_answer, Head};
+use self::head::{read_answer, whole_rows, Head};
 use super::{Backend, Context, Start, Targets};
 use crate::discovery::Change;
 use crate::interface::{EngineId, LoadReport};
@@ -16,10 +16,13 @@
 
 /// An idle connection is used again only so soon after its last answer (ns): a silent machine never resets.
 const REUSE_NS: u64 = 500_000_000;
+/// A connection is used for another query only so long after its last answer (ns): what an engine sends behind
+/// that answer, more than belongs to it, would be read as the next one's.
+const QUIET_NS: u64 = 15_000_000;
 /// Idle connections kept for an engine (count).
 const IDLE_MOST: usize = 12;
-/// Time without an answer after which a connection is given up (ns): engines answer within 250 ms.
-const SILENT_NS: u64 = 900_000_000;
+/// Time without a whole answer after which a connection is given up (ns): engines answer within 250 ms.
+const SILENT_NS: u64 = 500_000_000;
 /// Wait before a query is asked after again where no connection came up (ns).
 const ASK_AGAIN_NS: u64 = 200_000_000;
 /// An engine ends a query that nobody asks for in this time (ns), with the allowance for sockets.
@@ -27,7 +30,11 @@
 /// Time after which a call that gives a query up counts as come, once it was wholly written (ns).
 const TOLD_NS: u64 = 250_000_000;
 /// Largest result (bytes).
-const RESULT_MOST: usize = 64 << 10;
+const RESULT_MOST: usize = 48_000;
+/// Times that a query's start is written to a new connection because the one before came to nothing (count).
+const STARTS_MOST: u32 = 3;
+/// Times that a query's answer or one page of it is asked for again because it was spoilt (count).
+const SPOILT_MOST: u32 = 5;
 
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,8 +56,6 @@
     engine: EngineId,
     role: Role,
     up: bool,
-    /// It has answered nothing yet.
-    fresh: bool,
     /// When its present call was made, or its last answer came.
     since_ns: u64,
 }
@@ -79,6 +84,8 @@
     /// When to ask for it again, while no connection does.
     again_ns: u64,
     breaks: u32,
+    starts: u32,
+    spoilt: u32,
     pages: u32,
     next_page: u32,
     rows: Vec<u8>,
@@ -114,20 +121,17 @@
     /// A connection for one call: an idle one that was of use just now, else a new one.
     fn line(&mut self, cx: &mut Context, engine: EngineId, role: Role, fresh: bool) -> Result<u64, Ending> {
         let known = self.targets.get(engine).ok_or(Ending::NoDescriptor)?;
-        while let Some(conn) = if fresh { None } else { known.own.pop() } {
-            match self.lines.get_mut(&conn) {
-                Some(line) if line.since_ns + REUSE_NS >= cx.now => {
-                    (line.role, line.since_ns) = (role, cx.now);
-                    return Ok(conn);
-                }
-                _ => {
-                    self.lines.remove(&conn);
-                    cx.net.close(conn);
-                }
+        let age = |conn: &u64| self.lines.get(conn).map(|l| cx.now.saturating_sub(l.since_ns));
+        let fit = |conn: &u64| age(conn).is_some_and(|age| (QUIET_NS..=REUSE_NS).contains(&age));
+        if let Some(at) = known.own.iter().rposition(fit).filter(|_| !fresh) {
+            let conn = known.own.remove(at);
+            if let Some(line) = self.lines.get_mut(&conn) {
+                (line.role, line.since_ns) = (role, cx.now);
             }
+            return Ok(conn);
         }
         let conn = self.targets.connect(cx, engine)?;
-        self.lines.insert(conn, Line { engine, role, up: false, fresh: true, since_ns: cx.now });
+        self.lines.insert(conn, Line { engine, role, up: false, since_ns: cx.now });
         Ok(conn)
     }
 
@@ -145,9 +149,9 @@
     }
 
     /// A connection is free again.
-    fn rest(&mut self, cx: &mut Context, conn: u64) {
-        let Some(line) = self.lines.get_mut(&conn) else { return };
-        (line.role, line.fresh, line.since_ns) = (Role::Idle, false, cx.now);
+    fn rest(&mut self, cx: &mut Context, conn: Option<u64>) {
+        let Some((conn, line)) = conn.and_then(|c| Some((c, self.lines.get_mut(&c)?))) else { return };
+        (line.role, line.since_ns) = (Role::Idle, cx.now);
         match self.targets.get(line.engine).filter(|k| k.listed && k.own.len() < IDLE_MOST) {
             Some(known) => known.own.push(conn),
             None => self.close(cx, conn),
@@ -185,7 +189,7 @@
             Err(ending) => return self.end(cx, at, ending),
         };
         let Some(run) = self.runs.get_mut(&at) else { return };
-        (run.conn, run.asked_ns) = (Some(conn), cx.now);
+        (run.conn, run.asked_ns, run.starts) = (Some(conn), cx.now, run.starts + 1);
         let fields = format!(
             "Request-Id: {}\r\nKind: {}\r\nTimeout-Ms: {}\r\nPool-Rank: {}\r\n",
             run.ask.name,
@@ -223,11 +227,8 @@
     fn ask(&mut self, cx: &mut Context, at: Attempt, on: Option<u64>) {
         let Some(run) = self.runs.get(&at) else { return };
         if run.leaving.is_some() {
-            if let Some(conn) = on {
-                self.runs.entry(at).and_modify(|r| r.conn = None);
-                self.rest(cx, conn);
-            }
-            return;
+            self.runs.entry(at).and_modify(|r| r.conn = None);
+            return self.rest(cx, on);
         }
         let role = if run.pages > 0 { Role::Page(at, run.next_page) } else { Role::Ask(at) };
         let (engine, path) = (run.engine, format!("/o/{}/{}", run.ask.name, run.next_page));
@@ -280,10 +281,16 @@
         }
     }
 
-    fn answer(&mut self, cx: &mut Context, conn: u64, role: Role, head: Head, body: Vec<u8>) {
+    /// Takes a whole answer; its connection is absent where it can carry nothing more.
+    fn answer(&mut self, cx: &mut Context, conn: Option<u64>, role: Role, head: Head, body: Vec<u8>) {
         match role {
-            Role::Idle => self.close(cx, conn),
+            Role::Idle => {}
             Role::Discard => self.rest(cx, conn),
+            // Guards against an answer to an earlier call that is taken for this one's: the attempt would count
+            // as given up while it runs.
+            Role::GiveUp(_) | Role::Rank(_) if !matches!(head.status, 204 | 500) => {
+                self.spoilt(cx, conn, role, "no answer to this call");
+            }
             Role::GiveUp(at) => {
                 self.rest(cx, conn);
                 self.end(cx, at, Ending::GivenUp);
@@ -295,6 +302,11 @@
             }
             Role::Post(at) | Role::Ask(at) => {
                 let Some(run) = self.runs.get_mut(&at) else { return self.rest(cx, conn) };
+                // Page 0 tells how many there are; a page that does not is another call's.
+                let rows = head.status == 200;
+                if rows && (head.pages.is_none_or(|n| n == 0) || head.page.is_some() || !whole_rows(&body)) {
+                    return self.spoilt(cx, conn, role, "no first page");
+                }
                 (run.whole, run.known, run.breaks) = (true, true, 0);
                 run.report = head.report.or(run.report);
                 match (head.status, head.never_ran) {
@@ -302,7 +314,7 @@
                         if let Some(note) = head.note {
                             cx.router.note(at, note);
                         }
-                        self.ask(cx, at, Some(conn));
+                        self.ask(cx, at, conn);
                         self.tell_rank(cx, at);
                     }
                     (200, _) => {
@@ -311,44 +323,68 @@
                     }
                     (503, true) => self.over(cx, at, conn, Ending::Full),
                     (504, true) => self.over(cx, at, conn, Ending::Over),
-                    _ => self.over(cx, at, conn, Ending::EngineError),
+                    (500, _) => self.over(cx, at, conn, Ending::EngineError),
+                    _ => self.spoilt(cx, conn, role, "no answer that the protocol knows"),
                 }
             }
             Role::Page(at, number) => {
                 let Some(run) = self.runs.get_mut(&at) else { return self.rest(cx, conn) };
-                run.report = head.report.or(run.report);
-                if head.status != 200 {
+                if head.status == 500 {
                     return self.over(cx, at, conn, Ending::EngineError);
                 }
-                if head.page.is_some_and(|n| n != number) || run.rows.len() + body.len() > RESULT_MOST {
-                    return self.over(cx, at, conn, Ending::Garbled);
+                let fits = head.status == 200 && head.page == Some(number) && whole_rows(&body);
+                if !fits || run.rows.len() + body.len() > RESULT_MOST {
+                    return self.spoilt(cx, conn, role, "another page");
                 }
+                run.report = head.report.or(run.report);
                 run.rows.extend_from_slice(&body);
-                run.next_page += 1;
+                (run.next_page, run.breaks, run.spoilt) = (run.next_page + 1, 0, 0);
                 self.page_or_end(cx, at, conn);
             }
         }
     }
 
-    fn page_or_end(&mut self, cx: &mut Context, at: Attempt, conn: u64) {
+    fn page_or_end(&mut self, cx: &mut Context, at: Attempt, conn: Option<u64>) {
         let Some(run) = self.runs.get(&at) else { return };
         if run.next_page >= run.pages {
             self.over(cx, at, conn, Ending::Served);
         } else {
-            self.ask(cx, at, Some(conn));
+            self.ask(cx, at, conn);
         }
     }
 
-    fn over(&mut self, cx: &mut Context, at: Attempt, conn: u64, ending: Ending) {
+    fn over(&mut self, cx: &mut Context, at: Attempt, conn: Option<u64>, ending: Ending) {
         self.rest(cx, conn);
         self.end(cx, at, ending);
     }
 
-    /// A connection is over: what that means depends on what it was used for.
+    /// An answer can't be read, or can't be this call's: its connection is of no use any more. The engine still
+    /// knows the query, so the answer is fetched again on a new one before it is called failed.
+    fn spoilt(&mut self, cx: &mut Context, conn: Option<u64>, role: Role, fault: &str) {
+        debug!("an engine's answer to {role:?}: {fault}");
+        cx.router.counters.spoilt += 1;
+        conn.into_iter().for_each(|conn| self.close(cx, conn));
+        if let Role::Post(at) | Role::Ask(at) | Role::Page(at, _) = role {
+            let Some(run) = self.runs.get_mut(&at) else { return };
+            // It has answered, so it has the query.
+            (run.spoilt, run.whole) = (run.spoilt + 1, true);
+            if run.spoilt > SPOILT_MOST {
+                return self.end(cx, at, Ending::Garbled);
+            }
+        }
+        self.broken(cx, role, true, Ending::Garbled);
+    }
+
+    /// A connection is over.
     fn lost(&mut self, cx: &mut Context, conn: u64, ending: Ending) {
         let Some(line) = self.lines.get(&conn) else { return };
-        let (role, up, fresh) = (line.role, line.up, line.fresh);
+        let (role, up) = (line.role, line.up);
         self.close(cx, conn);
+        self.broken(cx, role, up, ending);
+    }
+
+    /// What the end of a connection means depends on what it was used for.
+    fn broken(&mut self, cx: &mut Context, role: Role, up: bool, ending: Ending) {
         match role {
             Role::Idle | Role::Discard => {}
             Role::Rank(at) => {
@@ -363,6 +399,8 @@
                     return self.end(cx, at, Ending::GivenUp);
                 }
                 if let Some(leaving) = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut()) {
+                    // Guards against a call that counts as come though it was reset away unread.
+                    leaving.written_ns = None;
                     (leaving.conn, leaving.again_ns) =
                         (None, if up { cx.now } else { cx.now + ASK_AGAIN_NS / 2 });
                 }
@@ -373,15 +411,18 @@
                 if run.leaving.is_some() {
                     return;
                 }
-                if !up {
-                    self.end(cx, at, ending);
-                } else if !run.whole && !fresh {
-                    // Guards against an idle connection that closed as the call was written: it never ran.
-                    self.post(cx, at, true);
-                } else if !run.whole {
-                    self.end(cx, at, Ending::Unsent);
-                } else {
-                    self.again(cx, at);
+                let again = run.starts < STARTS_MOST;
+                match ending {
+                    Ending::Reset if !up && !again => self.end(cx, at, Ending::Refused),
+                    Ending::Reset if !up => self.post(cx, at, true),
+                    _ if !up => self.end(cx, at, ending),
+                    // Guards against a connection that closed as the call was written to it: it never ran.
+                    _ if !run.whole && again => self.post(cx, at, true),
+                    _ if !run.whole => self.end(cx, at, Ending::Unsent),
+                    _ => {
+                        run.asked_ns = cx.now;
+                        self.again(cx, at);
+                    }
                 }
             }
             Role::Ask(at) | Role::Page(at, _) => {
@@ -393,7 +434,7 @@
                 if !up && ending == Ending::Refused {
                     // The process is gone, and the query with it: it may have run.
                     self.end(cx, at, Ending::Cut);
-                } else if !up {
+                } else if !up && ending != Ending::Reset {
                     run.again_ns = cx.now + ASK_AGAIN_NS;
                 } else {
                     self.again(cx, at);
@@ -435,6 +476,8 @@
             asked_ns: cx.now,
             again_ns: 0,
             breaks: 0,
+            starts: 0,
+            spoilt: 0,
             pages: 0,
             next_page: 0,
             rows: Vec::new(),
@@ -474,28 +517,30 @@
             line.up |= look.up;
         }
         self.written(cx, conn);
+        if !cx.net.input(conn).is_empty() && self.lines.get(&conn).is_some_and(|l| l.role == Role::Idle) {
+            // Guards against bytes that nobody asked for: they would stand before the next call's answer.
+            return self.close(cx, conn);
+        }
         while let Some(role) = self.lines.get(&conn).map(|l| l.role) {
             match read_answer(cx.net.input(conn)) {
                 Ok(None) => break,
                 Ok(Some((head, from, to))) => {
-                    let body = cx.net.input(conn)[from..to].to_vec();
-                    cx.net.consume(conn, to);
-                    let closes = head.closes;
-                    self.answer(cx, conn, role, head, body);
-                    if closes {
-                        self.lost(cx, conn, Ending::Cut);
+                    let (body, behind) = (&cx.net.input(conn)[from..to], &cx.net.input(conn)[to..]);
+                    // Guards against a length told too short: what is behind a whole answer may be the rest of
+                    // it, unless it starts like an answer of its own.
+                    if !behind.is_empty() && !behind.starts_with(b"HTTP/1.1 ") && !body.is_empty() {
+                        return self.spoilt(cx, Some(conn), role, "bytes behind an answer");
                     }
-                }
-                Err(fault) => {
-                    debug!("an engine's answer: {fault}");
-                    match role {
-                        Role::Post(at) | Role::Ask(at) | Role::Page(at, _) => {
-                            self.end(cx, at, Ending::Garbled)
-                        }
-                        _ => {}
+                    let (body, last) = (body.to_vec(), head.closes || !behind.is_empty());
+                    cx.net.consume(conn, to);
+                    if last {
+                        // Guards against bytes behind an answer that are read as the next one's: it has no next.
+                        self.close(cx, conn);
+                        return self.answer(cx, None, role, head, body);
                     }
-                    return self.lost(cx, conn, Ending::Garbled);
+                    self.answer(cx, Some(conn), role, head, body);
                 }
+                Err(fault) => return self.spoilt(cx, Some(conn), role, &fault),
             }
         }
         if let Some(ending) = look.ended {
@@ -508,7 +553,7 @@
         for (conn, line) in &self.lines {
             let age = cx.now.saturating_sub(line.since_ns);
             match line.role {
-                Role::Idle if age > self.idle_ns.min(4 * REUSE_NS) => stale.push(*conn),
+                Role::Idle if age > self.idle_ns.min(REUSE_NS) => stale.push(*conn),
                 Role::Idle => {}
                 _ if !line.up && age > self.connect_ns => late.push((*conn, Ending::Unreachable)),
                 _ if line.up && age > SILENT_NS => late.push((*conn, Ending::Cut)),
@@ -519,9 +564,9 @@
         late.sort_unstable();
         stale.into_iter().for_each(|conn| self.close(cx, conn));
         late.into_iter().for_each(|(conn, ending)| self.lost(cx, conn, ending));
-        // Guards against waiting for a query on an engine that is cut off: it answered before, and since it could
-        // last have been asked it has ended the query by itself.
-        let over = |r: &Run| r.known && r.leaving.is_none() && cx.now > r.asked_ns + FORGOTTEN_NS;
+        // Guards against waiting for a query on an engine that is cut off: since it could last have been asked it
+        // has ended the query by itself, if it ever took it up.
+        let over = |r: &Run| r.whole && r.leaving.is_none() && cx.now > r.asked_ns + FORGOTTEN_NS;
         let forgotten: Vec<Attempt> = self.runs.iter().filter(|(_, r)| over(r)).map(|(at, _)| *at).collect();
         forgotten.into_iter().for_each(|at| self.end(cx, at, Ending::Cut));
         let due: Vec<(Attempt, bool)> = self
--- a/src/engine/postgres.rs
+++ b/src/engine/postgres.rs
@@ -27,6 +27,8 @@
 const OPEN_NS: u64 = 1_000_000_000;
 /// Time that a cancelled query may take to say so, before its session is closed (ns).
 const CANCEL_NS: u64 = 500_000_000;
+/// Sessions opened for an attempt because the one before broke as it opened (count).
+const STARTS_MOST: u32 = 3;
 /// Largest result, and longest message (bytes).
 const RESULT_MOST: usize = 64 << 10;
 
@@ -56,6 +58,8 @@
     /// The query was handed to the connection, and wholly written to it.
     sent: bool,
     whole: bool,
+    /// Sessions that were opened for it.
+    starts: u32,
     columns: Vec<Column>,
     rows: Vec<Row>,
     bytes: usize,
@@ -279,12 +283,29 @@
         Ok(())
     }
 
+    /// Whether one more session may be opened for an attempt.
+    fn starts(&self, at: Attempt) -> bool {
+        self.runs.get(&at).is_some_and(|r| r.starts < STARTS_MOST)
+    }
+
     fn lost(&mut self, cx: &mut Context, conn: u64, ending: Ending) {
         let Some(line) = self.lines.get(&conn) else { return };
         let (role, up) = (line.role, line.up);
         self.close(cx, conn);
         match role {
+            // Guards against a bad link that is taken for a dead engine: a session that broke as it opened is
+            // opened again, as nothing ran.
+            Role::Opens(Some(at)) if matches!(ending, Ending::Cut | Ending::Reset) && self.starts(at) => {
+                let Some(engine) = self.runs.get(&at).map(|r| r.engine) else { return };
+                match self.session(cx, at, engine, true) {
+                    Ok(conn) => {
+                        self.runs.entry(at).and_modify(|r| (r.conn, r.starts) = (conn, r.starts + 1));
+                    }
+                    Err(ending) => self.end(cx, at, ending),
+                }
+            }
             // A session that was refused, or that never opened: nothing ran.
+            Role::Opens(Some(at)) if ending == Ending::Reset => self.end(cx, at, Ending::Refused),
             Role::Opens(Some(at)) if up && ending != Ending::Unreachable => self.end(cx, at, Ending::Refused),
             Role::Opens(Some(at)) => self.end(cx, at, ending),
             Role::Runs(at) => {
@@ -318,7 +339,7 @@
         };
         #[rustfmt::skip]
         let run = Run {
-            engine: start.engine, ask: start.ask, conn, sent: false, whole: false, columns: Vec::new(), rows: Vec::new(), bytes: 0,
+            engine: start.engine, ask: start.ask, conn, sent: false, whole: false, starts: 1, columns: Vec::new(), rows: Vec::new(), bytes: 0,
             complete: false, failed: None, leaving_ns: None,
         };
         self.runs.insert(at, run);
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -97,7 +97,7 @@
         (Some(Ending::GivenUp), _) => ("57014".into(), "the statement took too long and was given up".into()),
         (Some(Ending::EngineError), None) => ("58000".into(), "the engine reported an error".into()),
         (Some(Ending::Garbled), _) => ("08P01".into(), "the engine's answer cannot be read".into()),
-        (Some(Ending::Refused | Ending::Unreachable | Ending::Unsent), _) => {
+        (Some(Ending::Refused | Ending::Unreachable | Ending::Reset | Ending::Unsent), _) => {
             ("57P03".into(), "no engine could be reached: the statement never ran".into())
         }
         (Some(Ending::Full | Ending::Over | Ending::NoDescriptor), _) | (None, _) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -189,8 +189,11 @@
                     Err(_) => return Look { up: false, drained: false, ended: None },
                 },
                 Ok(Some(e)) | Err(e) => {
-                    let refused = e.kind() == ErrorKind::ConnectionRefused;
-                    conn.ended = Some(if refused { Ending::Refused } else { Ending::Unreachable });
+                    conn.ended = Some(match e.kind() {
+                        ErrorKind::ConnectionRefused => Ending::Refused,
+                        ErrorKind::ConnectionReset | ErrorKind::BrokenPipe => Ending::Reset,
+                        _ => Ending::Unreachable,
+                    });
                 }
             }
         }
--- a/src/router/counters.rs
+++ b/src/router/counters.rs
@@ -29,6 +29,8 @@
     pub short_of_descriptors: u64,
     /// Membership events taken.
     pub membership: u64,
+    /// Answers of engines that were spoilt.
+    pub spoilt: u64,
     /// Times that the configuration was read again.
     pub reloads: u64,
     /// Times that a new configuration could not be read.
@@ -51,7 +53,7 @@
     pub fn line(&self) -> String {
         let mut line = format!(
             "taken={} sent={} served={} refused={} failed={} left={} rejected={} accepted={} opened={} \
-             short_of_descriptors={} membership={} reloads={} reloads_failed={}",
+             short_of_descriptors={} membership={} spoilt={} reloads={} reloads_failed={}",
             self.taken,
             self.sent,
             self.served,
@@ -63,6 +65,7 @@
             self.opened,
             self.short_of_descriptors,
             self.membership,
+            self.spoilt,
             self.reloads,
             self.reloads_failed
         );
--- a/src/router/ending.rs
+++ b/src/router/ending.rs
@@ -17,6 +17,8 @@
     Refused,
     /// No connection came up in time: nothing ran.
     Unreachable,
+    /// The connection was reset as it came up: nothing ran, and the engine may be well.
+    Reset,
     /// The connection broke before the call was wholly written: it never ran.
     Unsent,
     /// No descriptor, or no known address, for the call: it was never sent.
@@ -51,13 +53,14 @@
 }
 
 /// All endings, for counters.
-pub const ENDINGS: [(Ending, &str); 16] = [
+pub const ENDINGS: [(Ending, &str); 17] = [
     (Ending::Served, "served"),
     (Ending::EngineError, "engine_error"),
     (Ending::Full, "full"),
     (Ending::Over, "over"),
     (Ending::Refused, "refused"),
     (Ending::Unreachable, "unreachable"),
+    (Ending::Reset, "reset"),
     (Ending::Unsent, "unsent"),
     (Ending::NoDescriptor, "no_descriptor"),
     (Ending::Cut, "cut"),
@@ -78,7 +81,11 @@
             Ending::EngineError | Ending::Garbled => Meaning::Outcome(Status::Error),
             Ending::Full => Meaning::Outcome(Status::Busy),
             Ending::Refused | Ending::Unreachable => Meaning::Outcome(Status::Refused),
-            Ending::Over | Ending::Unsent | Ending::NoDescriptor => Meaning::Outcome(Status::Skipped),
+            // Guards against a bad link that is taken for a dead process: the module would leave the engine out
+            // and take it for cold afterwards.
+            Ending::Over | Ending::Reset | Ending::Unsent | Ending::NoDescriptor => {
+                Meaning::Outcome(Status::Skipped)
+            }
             Ending::Cut => Meaning::Outcome(Status::Reset),
             Ending::TimedOut => Meaning::Outcome(Status::TimedOut),
             Ending::GivenUp => Meaning::Outcome(Status::Cancelled),
