Believe reported idle cores; a count held is a jam only past three threads a core

Temporary lines with each refusal and each report show engines at 0.35 to 0.5 of their cores with some 15 queries each on 24 cores, while the module believed 24 threads of others on each, as 15 queries x 2.3 threads passed one thread a core, and so refused at factors of 1.0 to 1.2. At fault: Controller::hear (src/control.rs), where stuck rose from one thread held a core on, though half of a query's work is reading. Ruled out: late queries (0.3%), estimates (served near what was expected for reports), a sick engine, which is suspended rightly as nine in ten there fail.

--- a/src/control.rs
+++ b/src/control.rs
@@ -43,6 +43,9 @@
 const LONGER_MAX: f64 = 2.5;
 /// Busy share from which what an engine holds is weighed in as threads, fully so at 1 (share).
 const FULL_FROM: f64 = 0.5;
+/// Threads a core that an engine holds from which they count though its cores are idle, fully so at one
+/// more (ratio): fewer may just be reading, as queries do for half of their time.
+const JAM_FROM: f64 = 3.0;
 /// Age of a figure at which its engine may be probed (ns): about one refresh of a report.
 const PROBE_EVERY_NS: u64 = 500_000_000;
 /// Memory over the estimate where the engine grants it, and over the corrected one where this gateway does
@@ -63,7 +66,7 @@
 const WARM_NEED: f64 = 0.7;
 /// Threads a core beyond which an engine gets nothing more (ratio), as past it engines do less work in all;
 /// more where queries wait in an engine's line for memory, as part of the threads it holds then do not run.
-const KNEE: [f64; 2] = [1.7, 2.5];
+const KNEE: [f64; 2] = [2.0, 2.5];
 /// Share of an engine's memory that may be granted (share); less where grants are trimmed when it is short,
 /// as queries then spill well before all of it is granted.
 const MEMORY: [f64; 2] = [0.9, 0.8];
@@ -730,7 +733,7 @@
         let full = ((used - FULL_FROM) / (1.0 - FULL_FROM)).clamp(0.0, 1.0);
         // A count is no guess: disks may be full where they are not told, and cores idle meanwhile.
         let held = report.in_flight.map_or(0.0, |n| n * mean);
-        let stuck = full.max((held / e.cores - 1.0).clamp(0.0, 1.0));
+        let stuck = full.max((held / e.cores - JAM_FROM).clamp(0.0, 1.0));
         let used = used * e.cores;
         let others = match (report.busy_share, report.in_flight, longer) {
             (Some(_), ..) => used + ((held - used) * stuck).max((by_memory - used) * full).max(0.0),
