Bound what clients may do: silence, halves, lengths, numbers, ids and rounds

Read in the code: MsgpackFront had no time limit on a silent connection or half a message, answered nothing to a second call under an open number, took any budget, and idle() closed whoever connected first. Decoding started anew with each piece and read up to 64 KB before it turned 60 MB away. net::Net counted all connections per accept and bounded output at 32 MB where the machine has 32 MB in all. Ruled out: the table of open requests, never over 120.

Now a first call, and each message, has 2 s; lengths alone turn a message away before it has come; a reason is written and the connection ends behind it, not by a reset; an open request's id, a second call under its number, times past the class's deadline and estimates of nothing are turned away; rounds, accepts, output and statements are bounded, the last two from the memory limit. PostgreSQL sessions the same.

--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -19,8 +19,12 @@
 
 /// The version that clients are told: what the protocol's present drivers expect.
 pub const SERVER_VERSION: &str = "15.0";
-/// Time in which a client must have started its session (ns).
-const START_NS: u64 = 10_000_000_000;
+/// Time in which a client must have started its session, and in which a message must have come whole (ns).
+const START_NS: u64 = 2_000_000_000;
+/// What a session may hold at most: its statements, its suspended portals and its buffers (megabytes).
+const SESSION_MB: f64 = 1.6;
+/// Part of the machine's memory that all sessions may hold (share).
+const SESSIONS_PART: f64 = 0.5;
 /// Portals of a session that may hold rows at one time (count).
 const SUSPENDED_MOST: usize = 4;
 
@@ -58,6 +62,8 @@
     start: Settings,
     held: Held,
     running: Option<Running>,
+    /// Since when a message has been coming.
+    partial_ns: Option<u64>,
     /// After an error: everything up to `Sync` is discarded.
     skipping: bool,
     suspended: usize,
@@ -109,6 +115,17 @@
     SqlFault { hint, ..fault(&state, message) }
 }
 
+impl PostgresSetup {
+    /// Fewer sessions where the machine's memory could not hold all that they may.
+    pub fn within(self, memory_mb: f64) -> Self {
+        let most = ((memory_mb * SESSIONS_PART / SESSION_MB) as usize).max(1);
+        if self.sessions_most > most {
+            log::warn!("{most} PostgreSQL sessions at most, for the limit on memory");
+        }
+        PostgresSetup { sessions_most: self.sessions_most.min(most), ..self }
+    }
+}
+
 impl PostgresFront {
     /// No sessions yet.
     pub fn new(directory: Directory, setup: PostgresSetup, seed: u64) -> Self {
@@ -135,21 +152,31 @@
 
     /// A session is over; what runs for it is given up.
     pub fn close(&mut self, net: &mut Net, router: &mut Router, conn: u64, ending: Ending) {
+        self.forget(router, conn, ending);
+        net.close(conn);
+    }
+
+    fn forget(&mut self, router: &mut Router, conn: u64, ending: Ending) {
         if let Some(session) = self.sessions.remove(&conn) {
             if let Some(running) = session.running {
                 router.leave(running.request, Ending::ClientGone);
             }
             router.counters.ended(ending);
         }
-        net.close(conn);
     }
 
-    /// Guards against connections that never start a session: each holds a descriptor.
+    /// Guards against connections that never start a session, or send half a message: each holds a descriptor.
     pub fn tick(&mut self, now: u64, net: &mut Net, router: &mut Router) {
-        let late = |s: &Session| !s.started && now > s.since_ns + START_NS;
+        let past = |since: u64| now > since + START_NS;
+        let late = |s: &Session| {
+            !s.started && past(s.since_ns) || s.running.is_none() && s.partial_ns.is_some_and(past)
+        };
         let mut over: Vec<u64> = self.sessions.iter().filter(|(_, s)| late(s)).map(|(c, _)| *c).collect();
         over.sort_unstable();
-        over.into_iter().for_each(|conn| self.close(net, router, conn, Ending::Idle));
+        for conn in over {
+            router.counters.rejected += 1;
+            self.close(net, router, conn, Ending::Silent);
+        }
     }
 
     /// Takes what a client has sent.
@@ -169,9 +196,16 @@
             let read =
                 if session.started { read_message(net.input(conn)) } else { read_startup(net.input(conn)) };
             match read {
-                Ok(None) => break,
+                Ok(None) => {
+                    let partial = !net.input(conn).is_empty();
+                    self.sessions.entry(conn).and_modify(|s| {
+                        s.partial_ns = partial.then(|| s.partial_ns.unwrap_or(now));
+                    });
+                    break;
+                }
                 Ok(Some((message, size))) => {
                     net.consume(conn, size);
+                    self.sessions.entry(conn).and_modify(|s| s.partial_ns = None);
                     over = self.message(now, router, conn, message, &mut reply);
                 }
                 Err(why) => {
@@ -185,11 +219,23 @@
                 break;
             }
         }
-        self.write(net, router, conn, reply, over);
+        self.write(now, net, router, conn, reply, over);
     }
 
-    fn write(&mut self, net: &mut Net, router: &mut Router, conn: u64, reply: Reply, over: Option<Ending>) {
+    fn write(
+        &mut self,
+        now: u64,
+        net: &mut Net,
+        router: &mut Router,
+        conn: u64,
+        reply: Reply,
+        over: Option<Ending>,
+    ) {
         let sent = reply.bytes.is_empty() || net.send(conn, &reply.bytes);
+        if let Some(ending) = over.filter(|_| sent && !reply.bytes.is_empty()) {
+            self.forget(router, conn, ending);
+            return net.finish(now, conn);
+        }
         if let Some(ending) = over.or((!sent).then_some(Ending::Garbled)) {
             self.close(net, router, conn, ending);
         }
@@ -521,7 +567,7 @@
                 }
             }
         }
-        self.write(net, router, client.conn, reply, None);
+        self.write(now, net, router, client.conn, reply, None);
         // What came in meanwhile waits in the connection; reading goes on where it stopped for lack of room.
         if self.sessions.contains_key(&client.conn) {
             self.ready(now, net, router, client.conn);
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -11,7 +11,7 @@
 use signal_hook_mio::v1_0::Signals;
 
 use super::clock::Clock;
-use super::{Net, Owner};
+use super::{Net, Owner, Room};
 use crate::config::{EngineFile, Files, Limits};
 use crate::discovery::consul::Consul;
 use crate::discovery::stream::Stream;
@@ -39,6 +39,8 @@
 const LINGER_NS: u64 = 100_000_000;
 /// Wait after which a listener is tried again when no descriptor was to be had (ns).
 const ACCEPT_AGAIN_NS: u64 = 20_000_000;
+/// Connections that are accepted in one round (count): hundreds may come at once, and others wait meanwhile.
+const ACCEPT_MOST: usize = 64;
 /// How often engines and discovery are looked after (ns).
 const TICK_NS: u64 = 20_000_000;
 
@@ -129,6 +131,7 @@
                 let class = directory.class(&file.class).ok_or(format!("unknown class {:?}", file.class))?;
                 let setup =
                     PostgresSetup { class, columns: file.columns, inlines, sessions_most: file.sessions };
+                let setup = setup.within(config.limits.memory_mb);
                 Some(PostgresFront::new(directory.clone(), setup, !config.seed))
             }
         };
@@ -137,8 +140,8 @@
         let mut daemon = Daemon {
             poll,
             clock: Clock::start(),
-            net: Net::new(registry, FIRST_CONN, sockets / 2),
-            router: Router::new(config.settings.clone(), config.seed),
+            net: Net::new(registry, FIRST_CONN, Room::of(sockets, config.limits.memory_mb)),
+            router: Router::new(config.settings.clone(), config.seed, config.limits.memory_mb),
             msgpack: MsgpackFront::new(directory.clone()),
             postgres: front,
             files,
@@ -209,15 +212,22 @@
         }
         let now = self.clock.now_ns();
         let due = self.router.next_due_ns().unwrap_or(u64::MAX).min(self.ticked_ns + TICK_NS);
+        let due = due.min(self.accept_at.unwrap_or(u64::MAX));
         Duration::from_nanos(due.saturating_sub(now))
     }
 
     fn accept(&mut self, now: u64) {
         self.accept_at = None;
         for (owner, at) in [(Owner::Msgpack, 0), (Owner::Postgres, 1)] {
+            let mut accepted = 0;
             while let Some(listener) = &self.listeners[at] {
-                let clients = self.net.count(Owner::Msgpack) + self.net.count(Owner::Postgres);
-                if clients >= self.clients_most {
+                // Guards against hundreds that connect at once: who is connected already has its turn first.
+                accepted += 1;
+                if accepted > ACCEPT_MOST {
+                    self.accept_at = Some(now);
+                    break;
+                }
+                if self.net.clients() >= self.clients_most && !self.net.drop_leaver() {
                     // Guards against running out of descriptors: who has nothing open makes room, else all wait.
                     let Some(idle) = self.msgpack.idle() else {
                         self.accept_at = Some(now + ACCEPT_AGAIN_NS);
@@ -230,7 +240,7 @@
                         self.router.counters.accepted += 1;
                         match (owner, &mut self.postgres) {
                             (Owner::Postgres, Some(front)) => front.accept(now, conn),
-                            _ => self.msgpack.accept(conn),
+                            _ => self.msgpack.accept(now, conn),
                         }
                     }
                     Ok(Err(_)) => {}
@@ -305,6 +315,7 @@
     fn ready(&mut self, now: u64, conn: u64) {
         match self.net.owner(conn) {
             None => {}
+            Some(Owner::Leaver) => self.net.discard(conn),
             Some(Owner::Msgpack) => self.msgpack.ready(now, &mut self.net, &mut self.router, conn),
             Some(Owner::Postgres) => {
                 if let Some(front) = &mut self.postgres {
@@ -320,7 +331,7 @@
                 found.into_iter().flatten().for_each(|change| self.change(change));
             }
         }
-        if self.net.has_more(conn) {
+        if self.net.has_more(conn) || self.msgpack.has_more(conn) {
             self.unread.push(conn);
         }
     }
@@ -328,6 +339,8 @@
     fn tick(&mut self, now: u64) {
         let mut cx = Context { now, net: &mut self.net, router: &mut self.router };
         self.engines.tick(&mut cx);
+        self.net.tick(now);
+        self.msgpack.tick(now, &mut self.net, &mut self.router);
         if let Some(front) = &mut self.postgres {
             front.tick(now, &mut self.net, &mut self.router);
         }
@@ -366,7 +379,7 @@
             Command::Rank(attempt, priority) => self.engines.rank(&mut cx, attempt, priority),
             Command::Answer(client, answer) => match (self.net.owner(client.conn), &mut self.postgres) {
                 (Some(Owner::Msgpack), _) => {
-                    self.msgpack.answer(&mut self.net, &mut self.router, client, answer);
+                    self.msgpack.answer(now, &mut self.net, &mut self.router, client, answer);
                 }
                 (Some(Owner::Postgres), Some(front)) => {
                     front.answer(now, &mut self.net, &mut self.router, client, answer);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,12 +12,35 @@
 
 use crate::router::ending::Ending;
 
-/// Output that one connection may have waiting (bytes): 32 results of the largest size and some room.
+/// Output that one connection may have waiting (bytes): 32 results of the largest size and some room; and the
+/// part of what all may have.
 const OUTPUT_MOST: usize = 2 << 20;
-/// Output that all connections together may have waiting (bytes): a sixth of the memory limit.
-const OUTPUT_ALL: usize = 32 << 20;
-/// Input that is read from one connection before its owner has taken some of it (bytes).
-const INPUT_MOST: usize = 128 << 10;
+const OUTPUT_PART: usize = 4;
+/// Output that all connections together may have waiting (share of the memory limit).
+const OUTPUT_ALL: f64 = 0.15;
+/// Input that is read from one connection before its owner has taken some of it (bytes): one message and more.
+const INPUT_MOST: usize = 72 << 10;
+/// Space that a buffer with nothing in it keeps (bytes).
+const KEPT_MOST: usize = 4 << 10;
+/// What a connection that is being ended may still send, and for how long (bytes, ns).
+const DISCARD_MOST: usize = 512 << 10;
+const DISCARD_NS: u64 = 500_000_000;
+
+/// What the machine allows all connections together.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Connections to engines.
+    pub engines: usize,
+    /// Output that waits (bytes).
+    pub output: usize,
+}
+
+impl Room {
+    /// Of a machine with so many descriptors and so many megabytes.
+    pub fn of(sockets: usize, memory_mb: f64) -> Self {
+        Room { engines: sockets / 2, output: (memory_mb * OUTPUT_ALL * 1e6) as usize }
+    }
+}
 
 /// Who a connection belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +53,14 @@
     Engine,
     /// The source of membership news.
     Discovery,
+    /// A client whose connection is being ended: it may still read what was written to it.
+    Leaver,
+}
+
+impl Owner {
+    fn is_client(self) -> bool {
+        matches!(self, Owner::Msgpack | Owner::Postgres | Owner::Leaver)
+    }
 }
 
 struct Conn {
@@ -42,6 +73,8 @@
     /// It has more to read than was taken so far.
     more: bool,
     ended: Option<Ending>,
+    /// While it is being ended: what it may still send, and until when.
+    discard: (usize, u64),
 }
 
 /// All connections, by numbers that are never used twice.
@@ -51,7 +84,9 @@
     serial: u64,
     waiting: usize,
     engine_conns: usize,
-    engine_most: usize,
+    client_conns: usize,
+    room: Room,
+    leavers: Vec<u64>,
     scratch: Vec<u8>,
 }
 
@@ -67,22 +102,24 @@
 }
 
 impl Net {
-    /// No connections yet; engines may have `engine_most` of them.
-    pub fn new(registry: Registry, first: u64, engine_most: usize) -> Self {
+    /// No connections yet.
+    pub fn new(registry: Registry, first: u64, room: Room) -> Self {
         Net {
             registry,
             conns: HashMap::new(),
             serial: first,
             waiting: 0,
             engine_conns: 0,
-            engine_most,
+            client_conns: 0,
+            room,
+            leavers: Vec::new(),
             scratch: vec![0; 64 << 10],
         }
     }
 
     /// Starts a connection. No descriptor to be had is an ending like others.
     pub fn connect(&mut self, to: SocketAddr, owner: Owner) -> Result<u64, Ending> {
-        if owner == Owner::Engine && self.engine_conns >= self.engine_most {
+        if owner == Owner::Engine && self.engine_conns >= self.room.engines {
             return Err(Ending::NoDescriptor);
         }
         let stream = TcpStream::connect(to).map_err(|e| match e.kind() {
@@ -105,9 +142,11 @@
         // Small messages must not wait for the acknowledgement of the ones before.
         let _ = stream.set_nodelay(true);
         self.engine_conns += usize::from(owner == Owner::Engine);
+        self.client_conns += usize::from(owner.is_client());
         #[rustfmt::skip]
         let conn = Conn {
             stream, owner, connecting, input: Vec::new(), output: Vec::new(), written: 0, more: false, ended: None,
+            discard: (0, 0),
         };
         self.conns.insert(self.serial, conn);
         Ok(self.serial)
@@ -118,9 +157,59 @@
         self.conns.get(&id).map(|c| c.owner)
     }
 
-    /// Connections of one owner.
-    pub fn count(&self, owner: Owner) -> usize {
-        self.conns.values().filter(|c| c.owner == owner).count()
+    /// Connections of clients.
+    pub fn clients(&self) -> usize {
+        self.client_conns
+    }
+
+    /// Ends a client's connection behind what was written to it. Guards against an error that the client never
+    /// sees: a connection closed with unread input is reset, and takes with it what the client had not read.
+    pub fn finish(&mut self, now: u64, id: u64) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        if conn.ended.is_some() {
+            return self.close(id);
+        }
+        (conn.owner, conn.discard) = (Owner::Leaver, (DISCARD_MOST, now + DISCARD_NS));
+        conn.input = Vec::new();
+        self.leavers.push(id);
+        self.discard(id);
+    }
+
+    /// Reads on from a connection that is being ended, up to a bound, and closes it once its client has.
+    pub fn discard(&mut self, id: u64) {
+        self.flush(id);
+        let Some(conn) = self.conns.get_mut(&id).filter(|c| c.owner == Owner::Leaver) else { return };
+        if conn.output.is_empty() {
+            let _ = conn.stream.shutdown(std::net::Shutdown::Write);
+        }
+        while conn.discard.0 > 0 {
+            match conn.stream.read(&mut self.scratch) {
+                Ok(n) if n > 0 => conn.discard.0 = conn.discard.0.saturating_sub(n),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                _ => break,
+            }
+        }
+        self.close(id);
+    }
+
+    /// Closes the oldest connection that is being ended, to make room; false where there is none.
+    pub fn drop_leaver(&mut self) -> bool {
+        let oldest = self.leavers.iter().copied().find(|id| self.conns.contains_key(id));
+        oldest.map(|id| self.close(id)).is_some()
+    }
+
+    /// Closes connections whose time to end is over.
+    pub fn tick(&mut self, now: u64) {
+        let mut leavers = std::mem::take(&mut self.leavers);
+        leavers.retain(|id| match self.conns.get(id) {
+            Some(conn) if now < conn.discard.1 => true,
+            _ => {
+                self.close(*id);
+                false
+            }
+        });
+        self.leavers = leavers;
     }
 
     /// Closes a connection; what it had not written is lost.
@@ -128,6 +217,7 @@
         if let Some(mut conn) = self.conns.remove(&id) {
             self.waiting -= conn.output.len() - conn.written;
             self.engine_conns -= usize::from(conn.owner == Owner::Engine);
+            self.client_conns -= usize::from(conn.owner.is_client());
             let _ = self.registry.deregister(&mut conn.stream);
         }
     }
@@ -138,7 +228,8 @@
         let Some(conn) = self.conns.get_mut(&id) else { return false };
         let pending = conn.output.len() - conn.written + bytes.len();
         // Guards against clients that ask and do not read: what waits for them is memory.
-        if pending > OUTPUT_MOST || self.waiting + bytes.len() > OUTPUT_ALL {
+        let most = OUTPUT_MOST.min(self.room.output / OUTPUT_PART);
+        if pending > most || self.waiting + bytes.len() > self.room.output {
             return false;
         }
         conn.output.extend_from_slice(bytes);
@@ -163,6 +254,8 @@
         }
         if conn.written == conn.output.len() {
             conn.output.clear();
+            // Guards against memory that grows with every connection that once had a large answer.
+            conn.output.shrink_to(KEPT_MOST);
             conn.written = 0;
         }
     }
@@ -231,6 +324,9 @@
     pub fn consume(&mut self, id: u64, bytes: usize) {
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.input.drain(..bytes.min(conn.input.len()));
+            if conn.input.is_empty() {
+                conn.input.shrink_to(KEPT_MOST);
+            }
         }
     }
 }
--- a/src/router/ending.rs
+++ b/src/router/ending.rs
@@ -37,6 +37,8 @@
     Forgotten,
     /// The connection had nothing to do, or was closed to free a descriptor.
     Idle,
+    /// The client never made a call, or sent half of one and no more.
+    Silent,
     /// The program is ending.
     Shutdown,
 }
@@ -53,7 +55,7 @@
 }
 
 /// All endings, for counters.
-pub const ENDINGS: [(Ending, &str); 17] = [
+pub const ENDINGS: [(Ending, &str); 18] = [
     (Ending::Served, "served"),
     (Ending::EngineError, "engine_error"),
     (Ending::Full, "full"),
@@ -70,6 +72,7 @@
     (Ending::ClientGone, "client_gone"),
     (Ending::Forgotten, "forgotten"),
     (Ending::Idle, "idle"),
+    (Ending::Silent, "silent"),
     (Ending::Shutdown, "shutdown"),
 ];
 
@@ -90,7 +93,7 @@
             Ending::TimedOut => Meaning::Outcome(Status::TimedOut),
             Ending::GivenUp => Meaning::Outcome(Status::Cancelled),
             Ending::ClientGone | Ending::Forgotten => Meaning::Left,
-            Ending::Idle | Ending::Shutdown => Meaning::Nothing,
+            Ending::Idle | Ending::Silent | Ending::Shutdown => Meaning::Nothing,
         }
     }
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -9,7 +9,7 @@
 pub mod statement;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::rc::Rc;
 
 use log::{debug, warn};
@@ -23,9 +23,9 @@
 /// Time past a request's own within which its answer must have been given, or the core gives it (ns).
 const FINAL_GRACE_NS: u64 = 5_000_000;
 
-/// Requests that may be open in all (count), and the bytes of their statements.
+/// Requests that may be open in all (count), and the bytes of their statements (share of the memory limit).
 const OPEN_MOST: usize = 1_000;
-const HELD_MOST: usize = 32 << 20;
+const HELD_MOST: f64 = 0.15;
 
 /// Where the answer to a request goes: a connection's number, never used twice, and a number of its own there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -220,13 +220,16 @@
     serial: u64,
     /// Bytes of the open requests' statements.
     held: usize,
+    held_most: usize,
+    /// Ids of the open requests.
+    names: HashSet<String>,
     /// The counters.
     pub counters: Counters,
 }
 
 impl Router {
     /// A core around a fresh decision module.
-    pub fn new(settings: Settings, seed: u64) -> Self {
+    pub fn new(settings: Settings, seed: u64, memory_mb: f64) -> Self {
         Router {
             control: Controller::new(settings, seed),
             open: HashMap::new(),
@@ -235,6 +238,8 @@
             actions: Vec::new(),
             serial: 0,
             held: 0,
+            held_most: (memory_mb * HELD_MOST * 1e6) as usize,
+            names: HashSet::new(),
             counters: Counters::default(),
         }
     }
@@ -245,6 +250,7 @@
         let id = RequestId(self.serial);
         let expires_ns = now_ns.saturating_add(ask.time_left_ns);
         self.held += ask.statement.text.len();
+        self.names.insert(ask.name.clone());
         let open = Open {
             ask: Rc::new(ask),
             client,
@@ -298,7 +304,12 @@
 
     /// Whether one more request may be taken: each may hold a statement and a result.
     pub fn has_room(&self) -> bool {
-        self.open.len() < OPEN_MOST && self.held < HELD_MOST
+        self.open.len() < OPEN_MOST && self.held < self.held_most
+    }
+
+    /// Whether a request with this id is open: engines know queries by it.
+    pub fn knows(&self, name: &str) -> bool {
+        self.names.contains(name)
     }
 
     /// Requests that are owed an answer.
@@ -460,8 +471,9 @@
 
     fn tidy(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(|o| o.concluded && o.out.is_none()) {
-            let text = self.open.remove(&id).map_or(0, |o| o.ask.statement.text.len());
-            self.held -= text;
+            let Some(open) = self.open.remove(&id) else { return };
+            self.held -= open.ask.statement.text.len();
+            self.names.remove(&open.ask.name);
         }
     }
 
