Forget engines that are gone, and answer all before SIGKILL comes

Now engines that are gone are forgotten once no attempt is out on them (what may have run keeps its engine's entry), and 3.4 s after SIGTERM all that is open gets its final answer.

--- a/src/control.rs
+++ b/src/control.rs
@@ -197,8 +197,8 @@
     cancelled: bool,
     concluded: bool,
     failed_at: Option<EngineId>,
-    /// When and where an attempt that may have run was sent.
-    may_have_run: Option<(u64, EngineId)>,
+    /// When and where an attempt that may have run was sent; its engine may be forgotten since.
+    may_have_run: Option<(u64, EngineEntry)>,
 }
 
 /// The decisions of one gateway.
@@ -355,6 +355,13 @@
             }
             (e.entry, e.cores, e.memory_mb) = (entry, cores, memory_mb);
         }
+        self.forget_gone();
+    }
+
+    /// Guards against a table that grows with every engine that ever was, and against picks that draw from
+    /// engines that are gone: those that no attempt is out on any more are forgotten.
+    fn forget_gone(&mut self) {
+        self.engines.retain(|_, e| e.entry.state != EngineState::Gone || !e.running.is_empty());
     }
 
     fn on_arrival(&mut self, now: u64, request: Request, out: &mut Out) {
@@ -759,6 +766,7 @@
         let Some(ran) = ran else { return };
         self.learn(&o, &ran);
         self.judge(now, &o, &ran);
+        let entry = self.engines.get(&o.engine).map_or_else(EngineEntry::default, |e| e.entry);
         let alone = o.work_ns.map_or(ran.need_ns, |w| w as f64).max(1.0) / ran.threads;
         let longer = (o.status == Status::Done).then_some(o.latency_ns as f64 / alone);
         self.hear(now, o.engine, o.report, longer);
@@ -766,12 +774,13 @@
             // Turned away at its session limit: a report of its own, whatever others say.
             (e.others, e.heard_ns) = (e.others.max(LONGER_MAX * e.cores), Some(now));
         }
+        self.forget_gone();
         let Some(p) = self.pending.get_mut(&o.request) else { return };
         p.out = None;
         p.failed_at = (o.status != Status::Done && !p.cancelled).then_some(o.engine);
         let never_ran = matches!(o.status, Status::Busy | Status::Refused | Status::Skipped);
         if !never_ran && p.may_have_run.is_none() {
-            p.may_have_run = Some((ran.sent_ns, o.engine));
+            p.may_have_run = Some((ran.sent_ns, entry));
         }
         let request = p.request;
         if o.concluded || p.concluded {
@@ -922,11 +931,10 @@
             (Effect::AtMostOnce, Some(_)) => return false,
             (Effect::Deduplicated, Some(first)) => first,
         };
-        let first = self.engines.get(&at).map(|e| &e.entry);
-        let group = first.zip(to).is_none_or(|(first, to)| match class.dedup_scope {
+        let group = to.is_none_or(|to| match class.dedup_scope {
             DedupScope::All => true,
-            DedupScope::Zone => first.zone == to.zone,
-            DedupScope::Cell => first.cell == to.cell,
+            DedupScope::Zone => at.zone == to.zone,
+            DedupScope::Cell => at.cell == to.cell,
         });
         group && class.dedup_window_ns.is_some_and(|w| now < sent.saturating_add(w))
     }
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -35,6 +35,10 @@
 const ACCEPT_ON_NS: u64 = 600_000_000;
 /// Time after SIGTERM before which the program does not end (ns): requests come for 600 ms.
 const STAY_NS: u64 = 800_000_000;
+/// Time after SIGTERM behind the longest deadline, or behind this most of it, at which all that is still open
+/// gets its final answer (ns): the program may be killed 0.3 s later.
+const END_NS: u64 = 400_000_000;
+const END_DEADLINE_NS: u64 = 3_000_000_000;
 /// Time between the last answer and the end (ns).
 const LINGER_NS: u64 = 100_000_000;
 /// Wait after which a listener is tried again when no descriptor was to be had (ns).
@@ -199,6 +203,7 @@
                 self.tick(now);
             }
             self.turn();
+            self.end_all(now);
             if self.finished(now) {
                 info!("ends; {}", self.router.counters.line());
                 return Ok(());
@@ -389,6 +394,17 @@
         }
     }
 
+    /// Guards against requests that SIGKILL finds unanswered: they get an answer while there is time.
+    fn end_all(&mut self, now: u64) {
+        let longest = self.settings.classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0);
+        let end_ns = longest.min(END_DEADLINE_NS) + END_NS;
+        if self.stopping.is_some_and(|since| now >= since + end_ns) && self.router.owed() > 0 {
+            let mut commands = Vec::new();
+            self.router.end_all(&mut commands, now);
+            commands.into_iter().for_each(|command| self.carry_out(now, command));
+        }
+    }
+
     /// After SIGTERM: takes nothing new past a while, and ends once all is answered and written.
     fn finished(&mut self, now: u64) -> bool {
         let Some(since) = self.stopping else { return false };
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -312,6 +312,18 @@
         self.names.contains(name)
     }
 
+    /// Ends all that is open, as the program has no more time to wait for it.
+    pub fn end_all(&mut self, out: &mut Vec<Command>, now_ns: u64) {
+        let mut open: Vec<RequestId> = self.open.keys().copied().collect();
+        open.sort_unstable();
+        for id in open {
+            if let Some(open) = self.open.get_mut(&id).filter(|o| !o.concluded) {
+                open.last = Some(Ending::Shutdown);
+                self.overdue(now_ns, id, out);
+            }
+        }
+    }
+
     /// Requests that are owed an answer.
     pub fn owed(&self) -> usize {
         self.open.values().filter(|o| !o.concluded).count()
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -576,6 +576,23 @@
     assert!(refused(&w.arrive(request(2, 0, 300))));
 }
 
+#[test]
+fn engines_that_are_gone_are_not_drawn_from() {
+    // Hundreds of engines came and went; of the two that are left the idle one is picked, not one by chance.
+    let mut w = World::new(reporting(), &[1, 2]);
+    let gone = |id| EngineEntry { state: EngineState::Gone, ..entry(id) };
+    let (came, went) = ((100..500).map(entry).collect(), (100..500).map(gone).collect());
+    w.on(Event::Membership(MembershipKind::Delta, came));
+    w.on(Event::Membership(MembershipKind::Delta, went));
+    let report = |busy| LoadReport { busy_share: Some(busy), ..LoadReport::default() };
+    for id in 1..400 {
+        tell(&mut w, 1, report(0.5));
+        tell(&mut w, 2, report(0.0));
+        assert_eq!(sent(&w.arrive(request(id, 0, 10))), Some(2), "request {id}");
+        w.end(outcome(id, 0, 2, Status::Done, 10));
+    }
+}
+
 #[test]
 fn queries_that_read_leave_their_cores_to_others() {
     // Nearly three threads a core in hand and cores at 0.4: most of them read, and cores are free.
