Let a crowd that connects at once keep its connections until its first calls come

At fault: MsgpackFront::idle, which since the last change closed who never called before who did, so each connection of a crowd pushed out the one accepted before it, its request unread; and Daemon::accept, which closed one connection too many whenever nobody else came.

Now a connection makes no room in its first 250 ms, and one is closed only once another has come. Test: msgpack_crowd.txt, which fails with either change taken out.

--- a/src/front/msgpack.rs
+++ b/src/front/msgpack.rs
@@ -23,6 +23,8 @@
 /// Time in which a client must have made its first call, and in which a message must have come whole (ns): a
 /// connection that says nothing holds a descriptor that others need.
 const SILENT_NS: u64 = 2_000_000_000;
+/// Time in which a new connection makes no room for others (ns): its first call is on its way.
+const FRESH_NS: u64 = 250_000_000;
 /// Messages of one connection that are taken in one round (count).
 const TAKEN_MOST: usize = 64;
 /// Messages in a row that are turned away on one connection before it is closed (count).
@@ -177,11 +179,13 @@
         self.callers.insert(conn, Caller { since_ns: now, ..Caller::default() });
     }
 
-    /// The client with no open request that makes room for another: one that never called, if there is one, or
-    /// was turned away last, else the one that did nothing for longest. Guards against honest clients that lose
-    /// their connections to those that only connect.
-    pub fn idle(&self) -> Option<u64> {
-        let idle = self.callers.iter().filter(|(_, c)| c.open.is_empty());
+    /// The client with no open request that makes room for another: one that has had its time to call and did
+    /// not, if there is one, or was turned away last, else the one that did nothing for longest. Guards against
+    /// clients that lose their connections to those that only connect, and against a crowd that comes at once,
+    /// in which each would push out the one before it with its call under way.
+    pub fn idle(&self, now: u64) -> Option<u64> {
+        let settled = |c: &Caller| c.called || now > c.since_ns + FRESH_NS;
+        let idle = self.callers.iter().filter(|(_, c)| c.open.is_empty() && settled(c));
         idle.min_by_key(|(conn, c)| (c.called && c.rejected == 0, c.since_ns, **conn)).map(|(conn, _)| *conn)
     }
 
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -232,17 +232,20 @@
                     self.accept_at = Some(now);
                     break;
                 }
-                if self.net.clients() >= self.clients_most && !self.net.drop_leaver() {
-                    // Guards against running out of descriptors: who has nothing open makes room, else all wait.
-                    let Some(idle) = self.msgpack.idle() else {
-                        self.accept_at = Some(now + ACCEPT_AGAIN_NS);
-                        return;
-                    };
-                    self.msgpack.close(&mut self.net, &mut self.router, idle, Ending::Idle);
+                let full = self.net.clients() >= self.clients_most && !self.net.drop_leaver();
+                // Guards against running out of descriptors: who has nothing open makes room, else all wait.
+                let idle = if full { self.msgpack.idle(now) } else { None };
+                if full && idle.is_none() {
+                    self.accept_at = Some(now + ACCEPT_AGAIN_NS);
+                    return;
                 }
                 match listener.accept().map(|(stream, _)| self.net.adopt(stream, owner)) {
                     Ok(Ok(conn)) => {
                         self.router.counters.accepted += 1;
+                        // Only now: guards against closing one whenever nobody else comes.
+                        if let Some(idle) = idle {
+                            self.msgpack.close(&mut self.net, &mut self.router, idle, Ending::Idle);
+                        }
                         match (owner, &mut self.postgres) {
                             (Owner::Postgres, Some(front)) => front.accept(now, conn),
                             _ => self.msgpack.accept(now, conn),
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -172,7 +172,7 @@
         listen("coordinator2");
         listen("consul2");
         let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": if with("few sockets") { 64 } else { 1024 }},
             "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"all": true, "targets": targets[..count]}}]},
             "settings": serde_json::from_str::<serde_json::Value>(SETTINGS).unwrap()});
         if with("coordinator") {
@@ -223,6 +223,18 @@
                 let at = &self.fronts[usize::from(front == "postgres")];
                 self.add(name, TcpStream::connect(at).unwrap());
             }
+            // So many clients connect before any of them goes on.
+            ["crowd", name, count] => {
+                let all: Vec<TcpStream> = (0..count.parse().unwrap())
+                    .map(|_| TcpStream::connect(&self.fronts[0]).unwrap())
+                    .collect();
+                all.into_iter().enumerate().for_each(|(i, stream)| self.add(&format!("{name}{i}"), stream));
+            }
+            ["all", name, ..] => {
+                let rest = line.split_once(name).unwrap().1;
+                let each: Vec<String> = self.peers.keys().filter(|n| n.starts_with(name)).cloned().collect();
+                each.iter().for_each(|one| self.step(&format!("{one}{rest}")));
+            }
             ["accept", name, listener] => {
                 let stream = accept(&self.listeners[listener]);
                 self.add(name, stream);
