Send a load where none of its own data set stands before it

A load stands still until the one before it on its data set has ended; Controller::check knew nothing of that, and WARM_NEED even drew loads to the engine that had their data set last. Ruled out: suspended engines (none on most refusals), estimates, cold engines (a second each).

Now what stands before a load on its data set counts against its window on that engine, so that loads spread over engines and the hopeless ones are refused at once. Test: loads_on_one_data_set_do_not_pile_up_on_one_engine.

--- a/src/control.rs
+++ b/src/control.rs
@@ -46,6 +46,9 @@
 /// Threads a core that an engine holds from which they count though its cores are idle, fully so at one
 /// more (ratio): fewer may just be reading, as queries do for half of their time.
 const JAM_FROM: f64 = 3.0;
+/// Loads on a data set that an engine is taken to hold for each of this gateway's own there (ratio): 2 was
+/// no better, as peers spread theirs too.
+const PEERS_HOLD: f64 = 1.0;
 /// Age of a figure at which its engine may be probed (ns): about one refresh of a report.
 const PROBE_EVERY_NS: u64 = 500_000_000;
 /// Memory over the estimate where the engine grants it, and over the corrected one where this gateway does
@@ -593,9 +596,21 @@
             sum += rest;
             worst = worst.max(sum / span);
         }
+        worst += self.held_up(p, e, view) / window.max(1.0);
         (worst <= 1.0).then_some(Pass { factor: worst, due_ns: due, crowd, need_ns: need }).ok_or(worst)
     }
 
+    /// How long a load stands still behind this gateway's own on the same data set of an engine. Guards
+    /// against loads that pile up on one while others hold none: each keeps its threads and memory until its
+    /// turn.
+    fn held_up(&self, p: &Pending, e: &Engine, view: &View) -> f64 {
+        let load = |r: &Request| r.data_set.filter(|_| self.settings.classes[r.class.0].is_load);
+        let Some(set) = load(&p.request) else { return 0.0 };
+        let same = |q: &&Running| self.pending.get(&q.request).and_then(|p| load(&p.request)) == Some(set);
+        let before: f64 = e.running.iter().filter(same).map(|q| q.expected_ns).sum();
+        before * view.stretch.max(1.0) * PEERS_HOLD
+    }
+
     /// The usable engine with the lowest passing factor; else the lowest factor that failed.
     fn pick(&self, now: u64, p: &Pending) -> Result<(EngineId, Pass), f64> {
         let (due_ns, need_ns) = (self.due(now, p), self.need(&p.request));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -593,6 +593,23 @@
     }
 }
 
+#[test]
+fn loads_on_one_data_set_do_not_pile_up_on_one_engine() {
+    // The second load on a set would stand still behind the first, though its engine is idler; the third, which
+    // would stand behind either for longer than it has, is refused, and one on another set is not.
+    let mut s = reporting();
+    s.classes[0].is_load = true;
+    let mut w = World::new(s, &[1, 2]);
+    let load = |id, set| Request { data_set: Some(set), ..request(id, 0, 900) };
+    let report = |busy| LoadReport { busy_share: Some(busy), ..LoadReport::default() };
+    tell(&mut w, 1, report(0.0));
+    tell(&mut w, 2, report(0.3));
+    assert_eq!(sent(&w.arrive(load(1, 7))), Some(1));
+    assert_eq!(sent(&w.arrive(load(2, 7))), Some(2));
+    assert!(refused(&w.arrive(load(3, 7))));
+    assert_eq!(sent(&w.arrive(load(4, 8))), Some(1));
+}
+
 #[test]
 fn queries_that_read_leave_their_cores_to_others() {
     // Nearly three threads a core in hand and cores at 0.4: most of them read, and cores are free.
