Ask once more for a membership event that can't be read

Seen by reading: Stream::read passed over an event that could not be read, and the next event moved the number past it, so half an event that ends like a whole one was lost for good. Ruled out: repeats (the number must grow), a stream that stops (2.2 s) and an old one behind a new (dropped on reload).

--- a/src/discovery/stream.rs
+++ b/src/discovery/stream.rs
@@ -147,12 +147,14 @@
     reader: Option<EventReader>,
     /// When it was last heard, or when it is to be opened.
     heard_ns: u64,
+    /// The last event that could not be read.
+    spoilt: Option<u64>,
 }
 
 impl Stream {
     /// A subscription that starts behind event `last`.
     pub fn new(address: SocketAddr, names: Names, last: u64) -> Self {
-        Stream { address, names, last, conn: None, reader: None, heard_ns: 0 }
+        Stream { address, names, last, conn: None, reader: None, heard_ns: 0, spoilt: None }
     }
 
     /// Opens the stream where it is closed, and closes it where it is silent.
@@ -239,8 +241,19 @@
         let taken = reader.take(net.input(conn), &mut events);
         net.consume(conn, *taken.as_ref().unwrap_or(&0));
         for (number, text) in events {
-            // An event that can't be read costs that event, never the stream.
-            let Ok(update) = Update::read(&text, &self.names).map_err(|e| warn!("{e}")) else { continue };
+            let update = match Update::read(&text, &self.names) {
+                Ok(update) => update,
+                // Guards against an event that is lost for good because half of it came: it is asked for once
+                // more. One that can't be read then costs itself only, never the stream.
+                Err(fault) if number > Some(self.last) && number != self.spoilt => {
+                    self.spoilt = number;
+                    return Err(fault);
+                }
+                Err(fault) => {
+                    warn!("{fault}");
+                    continue;
+                }
+            };
             let index = number.unwrap_or(update.index);
             if index > self.last {
                 self.last = index;
