Divide the program into a Cargo workspace by concern

Each subsystem to come needs a room of its own, and the daemon's loop sat below what it uses: config, discovery, engines and fronts pointed back up at it. The decision module, the settings, the core, the sockets, HTTP, discovery, engine sides, fronts and the adapter are crates now; the root package is the loop. Nothing below imports upward, and no behaviour changes.

--- /dev/null
+++ b/crates/adapter/src/lib.rs
@@ -0,0 +1,5 @@
+//! Hosts the decision module on the simulator's wire.
+
+#![forbid(unsafe_code)]
+
+pub mod wire;
--- a/src/bin/marljunction-adapter.rs
+++ b/crates/adapter/src/main.rs
@@ -5,7 +5,7 @@
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
-use marljunction::wire::Host;
+use marljunction_adapter::wire::Host;
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
     let mut input = io::stdin().lock();
--- a/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The adapter: round trips and malformed input, through the host alone.
 
-use marljunction::wire::Host;
+use marljunction_adapter::wire::Host;
 
 const SETTINGS: &str = r#"{"azs":["a","b"],"balancers":1,"me":0,"zone":"a","kinds":["k"],"novel_key":3,
 "family_info":{"cores_by_kind":[8],"dop":[1],"ram_of_kind_mb":[16384.0],"takes_grants":true,"lanes_count":true},
--- a/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small hand-driven world for the module: settings, requests and outcomes by hand.
 #![allow(dead_code)]
 
-use marljunction::interface::*;
-use marljunction::Controller;
+use marljunction_control::interface::*;
+use marljunction_control::Controller;
 
 pub const MS: u64 = 1_000_000;
 pub const S: u64 = 1_000_000_000;
--- a/tests/demand_check.rs
+++ b/crates/control/tests/demand_check.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use marljunction::interface::*;
+use marljunction_control::interface::*;
 
 /// Class 0 is wanted within 1 s, class 1 within 4 s, both on one thread.
 fn world() -> World {
@@ -110,7 +110,7 @@
 fn wanted_time_rather_than_class_deadline_is_the_window() {
     // 5 s alone would fit the deadline of 20 s, but not the wanted 4 s; with a stretch of 1 it does.
     let mut w = world();
-    w.c = marljunction::Controller::new(
+    w.c = marljunction_control::Controller::new(
         {
             let mut s = settings();
             s.classes[1].threads = 1.0;
--- a/tests/failures.rs
+++ b/crates/control/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use marljunction::interface::*;
+use marljunction_control::interface::*;
 
 fn arrivals(w: &mut World, ids: std::ops::Range<u64>, class: usize, work_ms: u64) -> u64 {
     ids.filter(|id| sent(&w.arrive(request(*id, class, work_ms))).is_some()).count() as u64
@@ -409,7 +409,7 @@
     let ids: Vec<u64> = (1..41).collect();
     let mut picked = std::collections::BTreeMap::new();
     for seed in 0..40 {
-        let mut w = World { c: marljunction::Controller::new(settings(), seed), now: T0 };
+        let mut w = World { c: marljunction_control::Controller::new(settings(), seed), now: T0 };
         w.on(Event::Membership(MembershipKind::Cached, ids.iter().map(|e| entry(*e)).collect()));
         w.serve(request(1, 0, 100), 100, None);
         for engine in &ids {
--- a/tests/rules.rs
+++ b/crates/control/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use marljunction::interface::*;
+use marljunction_control::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 fn keyed(id: u64, key: u64) -> Request {
@@ -133,7 +133,7 @@
             for ms in (10..4_000).step_by(10) {
                 for (index, w) in worlds.iter_mut().enumerate() {
                     if ms == 1_500 && index % 5 == 0 {
-                        w.c = marljunction::Controller::new(
+                        w.c = marljunction_control::Controller::new(
                             Settings { gateways, gateway_index: index as u32, ..cold() },
                             9,
                         );
@@ -277,7 +277,7 @@
 #[test]
 fn membership_is_asked_for_where_it_must_be_and_again_after_a_failure() {
     let mut w = World {
-        c: marljunction::Controller::new(Settings { must_subscribe: true, ..settings() }, 1),
+        c: marljunction_control::Controller::new(Settings { must_subscribe: true, ..settings() }, 1),
         now: T0,
     };
     assert_eq!(w.on(Event::Membership(MembershipKind::Cached, vec![entry(1)])), vec![Action::Subscribe]);
@@ -476,7 +476,7 @@
         .filter(|index| {
             let mut s = Settings { gateways: 100, gateway_index: *index, ..cold() };
             s.classes[0].aim_ns = 400 * MS;
-            let mut w = World { c: marljunction::Controller::new(s, 7), now: T0 - 3 * S };
+            let mut w = World { c: marljunction_control::Controller::new(s, 7), now: T0 - 3 * S };
             w.on(Event::Membership(MembershipKind::Cached, list.clone()));
             w.now = T0;
             sent(&w.arrive(request(1, 0, 50))).is_some()
--- a/src/router/ending.rs
+++ b/crates/core/src/ending.rs
@@ -1,6 +1,6 @@
 //! Every way in which a connection, or what was under way on it, can end, and what each means.
 
-use crate::interface::Status;
+use marljunction_control::interface::Status;
 
 /// How a connection, a call or an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/router/mod.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,8 @@
 //! Fronts put requests in and take answers out; engines take attempts and report what becomes of them. All
 //! that comes in is gathered, and [`Router::turn`] hands it to the decision module in one go.
 
+#![forbid(unsafe_code)]
+
 pub mod counters;
 pub mod ending;
 pub mod statement;
@@ -14,10 +16,10 @@
 
 use log::{debug, warn};
 
-use crate::control::Controller;
-use crate::interface::*;
 use counters::Counters;
 use ending::{Ending, Meaning};
+use marljunction_control::interface::*;
+use marljunction_control::Controller;
 use statement::Statement;
 
 /// Time past a request's own within which its answer must have been given, or the core gives it (ns).
--- a/tests/statement.rs
+++ b/crates/core/tests/statement.rs
@@ -1,6 +1,6 @@
 //! What the router reads off a statement's text.
 
-use marljunction::router::statement::{split, table_group, Param, Statement};
+use marljunction_core::statement::{split, table_group, Param, Statement};
 use rstest::rstest;
 
 #[rstest]
--- a/src/discovery/consul.rs
+++ b/crates/discovery/src/consul.rs
@@ -7,11 +7,12 @@
 use log::{info, warn};
 use serde::Deserialize;
 
-use super::{engine_id, Change, Chunks, Target};
-use crate::engine::http::head::{read_head, Head};
-use crate::interface::*;
-use crate::net::{Net, Owner};
-use crate::wire::{index_of, Names};
+use super::{engine_id, Change, Target};
+use marljunction_control::interface::*;
+use marljunction_http1::chunks::Chunks;
+use marljunction_http1::head::{read_head, Head};
+use marljunction_net::{Net, Owner};
+use marljunction_settings::{index_of, Names};
 
 /// How long a blocking query may wait for a change.
 const WAIT_S: u64 = 10;
--- a/src/engine/http/mod.rs
+++ b/crates/engine/src/http.rs
@@ -1,18 +1,16 @@
 //! Engines that speak HTTP/1.1: one call at a time on a connection, queries that belong to no connection.
 
-pub mod head;
-
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 use log::debug;
 
-use self::head::{read_answer, whole_rows, Head};
 use super::{Backend, Context, Start, Targets};
-use crate::discovery::Change;
-use crate::interface::{EngineId, LoadReport};
-use crate::router::ending::Ending;
-use crate::router::{Ask, Attempt, Rows};
+use marljunction_control::interface::{EngineId, LoadReport};
+use marljunction_core::ending::Ending;
+use marljunction_core::{Ask, Attempt, Rows};
+use marljunction_discovery::Change;
+use marljunction_http1::head::{read_answer, whole_rows, Head};
 
 /// An idle connection is used again only so soon after its last answer (ns): a silent machine never resets.
 const REUSE_NS: u64 = 500_000_000;
--- a/src/engine/mod.rs
+++ b/crates/engine/src/lib.rs
@@ -1,16 +1,18 @@
 //! The way to the engines: attempts go out, their news and endings come back.
 
+#![forbid(unsafe_code)]
+
 pub mod http;
 pub mod postgres;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use crate::discovery::Change;
-use crate::interface::EngineId;
-use crate::net::{Net, Owner};
-use crate::router::ending::Ending;
-use crate::router::{Ask, Attempt, Router};
+use marljunction_control::interface::EngineId;
+use marljunction_core::ending::Ending;
+use marljunction_core::{Ask, Attempt, Router};
+use marljunction_discovery::Change;
+use marljunction_net::{Net, Owner};
 
 /// An attempt to be started.
 pub struct Start {
@@ -80,7 +82,7 @@
 impl<T: Default> Targets<T> {
     /// Takes news of the engines; `busy` says which are still needed though no list names them.
     pub fn change(&mut self, change: &Change, busy: impl Fn(EngineId) -> bool) {
-        use crate::interface::{EngineState, MembershipKind};
+        use marljunction_control::interface::{EngineState, MembershipKind};
         if change.kind != MembershipKind::Delta {
             self.all.values_mut().for_each(|k| k.listed = false);
         }
--- a/src/engine/postgres.rs
+++ b/crates/engine/src/postgres.rs
@@ -14,10 +14,10 @@
 use postgres_protocol::IsNull;
 
 use super::{Backend, Context, Start, Targets};
-use crate::discovery::Change;
-use crate::interface::EngineId;
-use crate::router::ending::Ending;
-use crate::router::{Ask, Attempt, Column, Fault, Row, Rows};
+use marljunction_control::interface::EngineId;
+use marljunction_core::ending::Ending;
+use marljunction_core::{Ask, Attempt, Column, Fault, Row, Rows};
+use marljunction_discovery::Change;
 
 /// A session is used again so soon after its last query (ns).
 const REUSE_NS: u64 = 5_000_000_000;
--- a/src/front/mod.rs
+++ b/crates/front/src/lib.rs
@@ -1,11 +1,13 @@
 //! The fronts: clients' messages become requests, answers become messages. All fronts make the same requests
 //! of the same core.
 
+#![forbid(unsafe_code)]
+
 pub mod msgpack;
 pub mod postgres;
 
-use crate::interface::{ClassId, Settings, TenantId};
-use crate::wire::{index_of, Names};
+use marljunction_control::interface::{ClassId, Settings, TenantId};
+use marljunction_settings::{index_of, Names};
 
 /// Time that an answer may take from here to the client (ns): what is left of a request's time is shorter by it.
 pub const ANSWER_MARGIN_NS: u64 = 20_000_000;
--- a/src/front/msgpack.rs
+++ b/crates/front/src/msgpack.rs
@@ -8,11 +8,11 @@
 use rmpv::Value;
 
 use super::{Directory, ANSWER_MARGIN_NS, MESSAGE_MOST};
-use crate::interface::RequestId;
-use crate::net::Net;
-use crate::router::ending::Ending;
-use crate::router::statement::Statement;
-use crate::router::{Answer, Ask, Client, Router};
+use marljunction_control::interface::RequestId;
+use marljunction_core::ending::Ending;
+use marljunction_core::statement::Statement;
+use marljunction_core::{Answer, Ask, Client, Router};
+use marljunction_net::Net;
 
 /// Requests that a connection may have open.
 const OPEN_ON_CONN: usize = 32;
--- a/src/front/postgres/codec.rs
+++ b/crates/front/src/postgres/codec.rs
@@ -7,8 +7,8 @@
 
 use postgres_protocol::message::backend::Header;
 
-use crate::front::MESSAGE_MOST;
-use crate::router::Column;
+use crate::MESSAGE_MOST;
+use marljunction_core::Column;
 
 /// What a client can send.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/front/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -11,11 +11,11 @@
 use self::codec::{fault, read_message, read_startup, Bind, ClientMessage, Reply, SqlFault, TEXT};
 use self::session::{is_text, Held, Kind, Settings};
 use super::{Directory, ANSWER_MARGIN_NS};
-use crate::interface::{ClassId, RequestId};
-use crate::net::Net;
-use crate::router::ending::Ending;
-use crate::router::statement::Statement;
-use crate::router::{Answer, Ask, Client, Column, Router, Row};
+use marljunction_control::interface::{ClassId, RequestId};
+use marljunction_core::ending::Ending;
+use marljunction_core::statement::Statement;
+use marljunction_core::{Answer, Ask, Client, Column, Router, Row};
+use marljunction_net::Net;
 
 /// The version that clients are told: what the protocol's present drivers expect.
 pub const SERVER_VERSION: &str = "15.0";
--- a/src/front/postgres/session.rs
+++ b/crates/front/src/postgres/session.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use super::codec::{fault, Bind, SqlFault};
-use crate::front::Directory;
-use crate::interface::{ClassId, TenantId};
-use crate::router::statement::{param_count, split, Param, Statement};
-use crate::router::{Column, Row};
+use crate::Directory;
+use marljunction_control::interface::{ClassId, TenantId};
+use marljunction_core::statement::{param_count, split, Param, Statement};
+use marljunction_core::{Column, Row};
 
 /// Statements and portals that a session may hold, of each (count), and their bytes in all.
 const HELD_MOST: usize = 64;
--- a/src/engine/http/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,6 +1,6 @@
 //! Heads and bodies of HTTP answers, as engines and the coordinator send them.
 
-use crate::interface::{LoadReport, Note};
+use marljunction_control::interface::{LoadReport, Note};
 
 /// Largest head that is read (bytes).
 const HEAD_MOST: usize = 8 << 10;
--- a/tests/endings.rs
+++ b/crates/http1/tests/endings.rs
@@ -1,8 +1,8 @@
 //! What endings mean to the module, and what an engine's answer must be like.
 
-use marljunction::engine::http::head::{read_answer, whole_rows};
-use marljunction::interface::Status;
-use marljunction::router::ending::{Ending, Meaning};
+use marljunction_control::interface::Status;
+use marljunction_core::ending::{Ending, Meaning};
+use marljunction_http1::head::{read_answer, whole_rows};
 
 #[test]
 fn a_reset_link_says_nothing_of_the_engine() {
--- a/src/net/mod.rs
+++ b/crates/net/src/lib.rs
@@ -1,7 +1,8 @@
 //! Sockets: connections with bounded buffers, and the budget of descriptors. Nothing here knows a protocol.
 
+#![forbid(unsafe_code)]
+
 pub mod clock;
-pub mod daemon;
 
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
@@ -10,7 +11,7 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 
-use crate::router::ending::Ending;
+use marljunction_core::ending::Ending;
 
 /// Output that one connection may have waiting (bytes): 32 results of the largest size and some room; and the
 /// part of what all may have.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,214 @@
+//! The settings object that the simulator's first message and the configuration both hold, and the names behind
+//! the module's numbers.
+
+#![forbid(unsafe_code)]
+
+use marljunction_control::interface::*;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct RawSettings {
+    #[serde(default)]
+    azs: Vec<String>,
+    balancers: u32,
+    request_classes: Vec<RawClass>,
+    family_info: RawFamily,
+    guarantees: RawGuarantees,
+    #[serde(default)]
+    kinds: Vec<String>,
+    limits: RawLimits,
+    load_report: Option<RawReport>,
+    me: u32,
+    membership_mode: Option<String>,
+    over_share_worth: Option<f64>,
+    #[serde(default)]
+    realms: Vec<RawTenant>,
+    zone: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct RawClass {
+    name: String,
+    aim_ns: u64,
+    aim_stretch: Option<f64>,
+    give_up_ns: u64,
+    effect: String,
+    dedup_scope: Option<String>,
+    dedup_window_ns: Option<u64>,
+    serial_by_key: Option<bool>,
+    late_worth: Option<f64>,
+    worth: f64,
+    runs_in: Option<Vec<String>>,
+    served_on: Option<Vec<String>>,
+}
+
+#[derive(Deserialize)]
+struct RawFamily {
+    #[serde(default)]
+    cores_by_kind: Vec<f64>,
+    cost_in_answers: Option<bool>,
+    #[serde(default)]
+    dop: Vec<f64>,
+    grant_cap: Option<f64>,
+    lanes_count: Option<bool>,
+    out_of_memory: Option<String>,
+    progress_pace_ns: Option<u64>,
+    #[serde(default)]
+    ram_of_kind_mb: Vec<f64>,
+    takes_grants: Option<bool>,
+    #[serde(default)]
+    waits_for_loads: Vec<bool>,
+    #[serde(default)]
+    writes_tables: Vec<bool>,
+}
+
+#[derive(Deserialize)]
+struct RawGuarantees {
+    cold_ns: Option<u64>,
+    drain_grace_ns: Option<u64>,
+    extra_floor: Option<f64>,
+    extra_per_request: Option<f64>,
+    extra_window_ns: Option<u64>,
+    fall_ns: Option<u64>,
+    order_pause_ns: Option<u64>,
+    start_capacity: Option<f64>,
+    tip_multiple: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct RawLimits {
+    cancelling: Option<bool>,
+    may_tell: Option<bool>,
+    max_retry_after_ns: Option<u64>,
+    probes: Option<bool>,
+    retry_after: Option<bool>,
+    second_copies: Option<bool>,
+    send_cap: Option<u32>,
+}
+
+#[derive(Deserialize)]
+struct RawReport {
+    how: String,
+}
+
+#[derive(Deserialize)]
+struct RawTenant {
+    name: String,
+    allowance_per_s: Option<f64>,
+}
+
+/// The names behind the module's numbers, of one instance.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Request classes.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Machine kinds.
+    pub kinds: Vec<String>,
+}
+
+/// The number of a name in its list.
+pub fn index_of(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name)
+}
+
+/// Reads the settings object: the simulator's first message and the configuration hold the same one.
+pub fn read_settings(text: &str) -> Result<(Settings, Names), String> {
+    let raw: RawSettings = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    let names = Names {
+        classes: raw.request_classes.iter().map(|c| c.name.clone()).collect(),
+        tenants: raw.realms.iter().map(|t| t.name.clone()).collect(),
+        zones: raw.azs,
+        kinds: raw.kinds,
+    };
+    let zones_of = |list: &Option<Vec<String>>| {
+        list.as_ref().map(|l| l.iter().filter_map(|n| index_of(&names.zones, n).map(ZoneId)).collect())
+    };
+    let kinds_of = |list: &Option<Vec<String>>| {
+        list.as_ref().map(|l| l.iter().filter_map(|n| index_of(&names.kinds, n).map(KindId)).collect())
+    };
+    let family = &raw.family_info;
+    let mut classes = Vec::new();
+    for (i, c) in raw.request_classes.iter().enumerate() {
+        classes.push(ClassSettings {
+            aim_ns: c.aim_ns,
+            aim_stretch: c.aim_stretch.unwrap_or_default(),
+            deadline_ns: c.give_up_ns,
+            worth: c.worth,
+            late_worth: c.late_worth.unwrap_or_default(),
+            threads: family.dop.get(i).copied().filter(|t| *t > 0.0).unwrap_or(1.0),
+            effect: match c.effect.as_str() {
+                "idempotent" => Effect::Idempotent,
+                "deduplicated" => Effect::Deduplicated,
+                "at_most_once" => Effect::AtMostOnce,
+                other => return Err(format!("settings: unknown effect {other}")),
+            },
+            dedup_scope: match c.dedup_scope.as_deref() {
+                None | Some("all") => DedupScope::All,
+                Some("zone") => DedupScope::Zone,
+                Some("cell") => DedupScope::Cell,
+                Some(other) => return Err(format!("settings: unknown dedup_scope {other}")),
+            },
+            dedup_window_ns: c.dedup_window_ns,
+            serial_by_key: c.serial_by_key == Some(true),
+            only_zones: zones_of(&c.runs_in),
+            only_kinds: kinds_of(&c.served_on),
+            is_load: family.writes_tables.get(i) == Some(&true),
+            waits_for_loads: family.waits_for_loads.get(i) == Some(&true),
+        });
+    }
+    let g = &raw.guarantees;
+    let retry_budget = match (g.extra_per_request, g.extra_window_ns) {
+        (Some(per_request), Some(window_ns)) => {
+            Some(RetryBudget { floor: g.extra_floor.unwrap_or_default(), per_request, window_ns })
+        }
+        _ => None,
+    };
+    let settings = Settings {
+        gateway_index: raw.me,
+        gateways: raw.balancers,
+        zone: raw.zone.and_then(|z| index_of(&names.zones, &z)).map(ZoneId),
+        classes,
+        kinds: (0..names.kinds.len())
+            .map(|i| KindSettings {
+                cores: family.cores_by_kind.get(i).copied(),
+                memory_mb: family.ram_of_kind_mb.get(i).copied(),
+            })
+            .collect(),
+        tenants: raw.realms.iter().map(|t| TenantSettings { allowance_per_s: t.allowance_per_s }).collect(),
+        over_share_worth: raw.over_share_worth,
+        max_attempts: raw.limits.send_cap,
+        may_cancel: raw.limits.cancelling == Some(true),
+        may_probe: raw.limits.probes == Some(true),
+        may_tell: raw.limits.may_tell == Some(true),
+        second_copies: raw.limits.second_copies == Some(true),
+        max_retry_after_ns: raw.limits.max_retry_after_ns.filter(|_| raw.limits.retry_after == Some(true)),
+        report_source: match raw.load_report.as_ref().map(|r| r.how.as_str()) {
+            Some("answers") => ReportSource::Answers,
+            Some("probe") => ReportSource::Probes,
+            _ => ReportSource::None,
+        },
+        grants: family.takes_grants == Some(true),
+        priorities: family.lanes_count == Some(true),
+        max_grant_share: family.grant_cap,
+        when_short: match family.out_of_memory.as_deref() {
+            Some("trim") => WhenShort::Shrink,
+            Some("swap") => WhenShort::Page,
+            _ => WhenShort::Wait,
+        },
+        answers_tell_cost: family.cost_in_answers == Some(true),
+        progress_every_ns: family.progress_pace_ns.filter(|p| *p > 0),
+        drain_grace_ns: g.drain_grace_ns,
+        start_capacity: g.start_capacity,
+        cold_ns: g.cold_ns,
+        tip_multiple: g.tip_multiple,
+        fall_ns: g.fall_ns,
+        order_pause_ns: g.order_pause_ns.filter(|p| *p > 0),
+        retry_budget,
+        must_subscribe: raw.membership_mode.as_deref() == Some("subscribe"),
+    };
+    Ok((settings, names))
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -3,9 +3,9 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use crate::discovery::stream::Update;
-use crate::interface::Settings;
-use crate::wire::{read_settings, Names};
+use marljunction_control::interface::Settings;
+use marljunction_discovery::stream::Update;
+use marljunction_settings::{read_settings, Names};
 
 /// Limits of the machine.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,8 +5,8 @@
 use std::process::ExitCode;
 
 use marljunction::config::Files;
+use marljunction::daemon::Daemon;
 use marljunction::logger;
-use marljunction::net::daemon::Daemon;
 
 fn run() -> Result<(), String> {
     Daemon::start(Files::from_env()?)?.run()
