Add the door: fair queues by cost, and come-back advice that room is set aside for

When one tenant floods, all open requests share one bound and are turned away in the order in which they come, and nobody remembers whom the router told to return.

A crate between fronts and core, pure: start-time fair queueing by tenant and then client, over a bounded set of queues that clients are dealt a hand of; room learned from the module's refusals; a timing wheel for what can't be met any more; a calendar from which refusals take their time to come back. The core shows the module what the door lets through. It is off unless MARLJUNCTION_DOOR names its file. SIGHUP changes weights with what is queued staying where it is.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -338,6 +338,7 @@
     let work: Option<u64> = f.opt()?;
     let flags: u64 = f.opt()?.unwrap_or_default();
     Ok(Event::Arrival(Request {
+        waited_ns: 0,
         id,
         class: ClassId(class),
         tenant,
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -377,7 +377,8 @@
             times.retain(|t| t.saturating_add(window_ns) >= now);
         }
         let expires_ns = now.saturating_add(request.time_left_ns);
-        let pending = Pending { request, taken_ns: now, expires_ns, ..Pending::default() };
+        let taken_ns = now.saturating_sub(request.waited_ns);
+        let pending = Pending { request, taken_ns, expires_ns, ..Pending::default() };
         self.pending.insert(request.id, pending);
         self.probe_one(now, out);
         if let Some(key) = self.order_key(&request) {
--- a/crates/control/src/interface.rs
+++ b/crates/control/src/interface.rs
@@ -268,6 +268,8 @@
     pub tenant: Option<TenantId>,
     /// Time until its client gives up.
     pub time_left_ns: u64,
+    /// How long ago it was taken: it waited for its turn since.
+    pub waited_ns: u64,
     /// Its order key, where it has one.
     pub key: Option<u64>,
     /// The data set that it reads or writes.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 use ending::{Ending, Meaning};
 use marljunction_control::interface::*;
 use marljunction_control::Controller;
+use marljunction_door::{Advice, Arrival, Door, Verdict};
 use statement::Statement;
 
 /// Time past a request's own within which its answer must have been given, or the core gives it (ns).
@@ -29,6 +30,14 @@
 const OPEN_MOST: usize = 1_000;
 const HELD_MOST: f64 = 0.15;
 
+/// Need of a request without an estimate (share of its class's aim x threads).
+const USUAL_NEED: f64 = 0.25;
+
+/// Advice as clients are told it.
+fn milliseconds(advice: Advice) -> u64 {
+    advice.after_ns.div_ceil(1_000_000).max(1)
+}
+
 /// Where the answer to a request goes: a connection's number, never used twice, and a number of its own there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Client {
@@ -47,6 +56,8 @@
     pub class: ClassId,
     /// Its tenant, where there are tenants.
     pub tenant: Option<TenantId>,
+    /// Its client, by the number of whatever names one.
+    pub client: u64,
     /// Time until the answer must be on its way.
     pub time_left_ns: u64,
     /// Estimated work.
@@ -193,6 +204,7 @@
     last: Option<Ending>,
     fault: Option<Fault>,
     priority: u8,
+    taken_ns: u64,
     expires_ns: u64,
 }
 
@@ -215,6 +227,8 @@
 /// The core of one router.
 pub struct Router {
     control: Controller,
+    classes: Vec<ClassSettings>,
+    door: Option<Door>,
     open: HashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<(u64, u64, Timer)>>,
     batch: Vec<Inbound>,
@@ -233,6 +247,8 @@
     /// A core around a fresh decision module.
     pub fn new(settings: Settings, seed: u64, memory_mb: f64) -> Self {
         Router {
+            classes: settings.classes.clone(),
+            door: None,
             control: Controller::new(settings, seed),
             open: HashMap::new(),
             timers: BinaryHeap::new(),
@@ -246,6 +262,17 @@
         }
     }
 
+    /// Puts a door before the module.
+    pub fn with_door(mut self, door: Option<Door>) -> Self {
+        self.door = door;
+        self
+    }
+
+    /// The door, where there is one.
+    pub fn door(&mut self) -> Option<&mut Door> {
+        self.door.as_mut()
+    }
+
     /// Takes a request; it is owed one final answer from here on.
     pub fn take(&mut self, now_ns: u64, client: Client, ask: Ask) -> RequestId {
         self.serial += 1;
@@ -262,6 +289,7 @@
             last: None,
             fault: None,
             priority: 1,
+            taken_ns: now_ns,
             expires_ns,
         };
         self.open.insert(id, open);
@@ -306,7 +334,15 @@
 
     /// Whether one more request may be taken: each may hold a statement and a result.
     pub fn has_room(&self) -> bool {
-        self.open.len() < OPEN_MOST && self.held < self.held_most
+        // What waits at the door has a bound of its own, past which the door itself makes room.
+        let (queued, bytes, bytes_most) =
+            self.door.as_ref().map_or((0, 0, 0), |d| (d.queued(), d.held_bytes(), d.bytes_most()));
+        self.open.len() - queued < OPEN_MOST && self.held - bytes < self.held_most - bytes_most
+    }
+
+    /// Bytes of statements that may wait at a door: half of what all may hold.
+    pub fn door_bytes(memory_mb: f64) -> usize {
+        (memory_mb * HELD_MOST * 1e6 / 2.0) as usize
     }
 
     /// Whether a request with this id is open: engines know queries by it.
@@ -333,7 +369,9 @@
 
     /// When the next timer is due.
     pub fn next_due_ns(&self) -> Option<u64> {
-        self.timers.peek().map(|Reverse((due, ..))| *due)
+        let timer = self.timers.peek().map(|Reverse((due, ..))| *due);
+        let door = self.door.as_ref().and_then(Door::next_due_ns);
+        timer.into_iter().chain(door).min()
     }
 
     /// Whether something waits for the module.
@@ -353,7 +391,7 @@
             self.inbound(now_ns, inbound, out);
         }
         self.batch = batch;
-        while self.next_due_ns().is_some_and(|due| due <= now_ns) {
+        while self.timers.peek().is_some_and(|Reverse((due, ..))| *due <= now_ns) {
             let Some(Reverse((_, _, timer))) = self.timers.pop() else { break };
             match timer {
                 Timer::Module(token) => self.decide(now_ns, Event::Timer(token), out),
@@ -361,24 +399,79 @@
                 Timer::Final(id) => self.overdue(now_ns, id, out),
             }
         }
+        self.open_door(now_ns, out);
+    }
+
+    /// Shows the module what the door lets through, and answers what the door refuses. The module's own refusals teach
+    /// the door meanwhile, so that it is asked again after each.
+    fn open_door(&mut self, now: u64, out: &mut Vec<Command>) {
+        while let Some(verdict) = self.door.as_mut().and_then(|d| d.open(now)) {
+            match verdict {
+                Verdict::Show(id) => {
+                    self.show(now, RequestId(id), out);
+                    if let Some(door) = &mut self.door {
+                        door.accepted(now, id);
+                    }
+                }
+                Verdict::Refuse(id, advice) => {
+                    let backoff_ms = milliseconds(advice);
+                    let answer = Answer::Refused { backoff_ms, after: None, fault: None };
+                    self.conclude(now, RequestId(id), answer, out);
+                    self.tidy(RequestId(id));
+                }
+            }
+        }
+    }
+
+    /// What the door is told of a request.
+    fn at_door(&self, id: RequestId, open: &Open) -> Arrival {
+        let (ask, class) = (&open.ask, &self.classes[open.ask.class.0]);
+        let threads = class.threads.max(1.0);
+        let usual_ns = class.aim_ns as f64 * threads * USUAL_NEED;
+        let need_ns = ask.work_estimate_ns.map_or(usual_ns, |w| w as f64);
+        let stretch_ns = (class.aim_stretch * need_ns / threads) as u64;
+        Arrival {
+            id: id.0,
+            tenant: ask.tenant.map_or(usize::MAX, |t| t.0),
+            client: ask.client,
+            class: ask.class.0,
+            threads,
+            need_ns,
+            wanted_ns: open.taken_ns.saturating_add(class.aim_ns).saturating_add(stretch_ns),
+            expires_ns: open.expires_ns,
+            bytes: ask.statement.text.len(),
+        }
+    }
+
+    /// Hands a request to the module.
+    fn show(&mut self, now: u64, id: RequestId, out: &mut Vec<Command>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let ask = &open.ask;
+        let request = Request {
+            id,
+            class: ask.class,
+            tenant: ask.tenant,
+            time_left_ns: open.expires_ns.saturating_sub(now),
+            waited_ns: now.saturating_sub(open.taken_ns),
+            data_set: statement::table_group(&ask.statement.text),
+            work_estimate_ns: ask.work_estimate_ns,
+            memory_estimate_mb: ask.memory_estimate_mb,
+            ..Request::default()
+        };
+        self.decide(now, Event::Arrival(request), out);
     }
 
     fn inbound(&mut self, now: u64, inbound: Inbound, out: &mut Vec<Command>) {
         match inbound {
             Inbound::Arrival(id) => {
                 let Some(open) = self.open.get(&id) else { return };
-                let ask = &open.ask;
-                let request = Request {
-                    id,
-                    class: ask.class,
-                    tenant: ask.tenant,
-                    time_left_ns: open.expires_ns.saturating_sub(now),
-                    data_set: statement::table_group(&ask.statement.text),
-                    work_estimate_ns: ask.work_estimate_ns,
-                    memory_estimate_mb: ask.memory_estimate_mb,
-                    ..Request::default()
-                };
-                self.decide(now, Event::Arrival(request), out);
+                if self.door.is_none() {
+                    return self.show(now, id, out);
+                }
+                let arrival = self.at_door(id, open);
+                if let Some(door) = &mut self.door {
+                    door.arrive(now, arrival);
+                }
             }
             Inbound::Left(id, ending) => {
                 let Some(open) = self.open.get_mut(&id) else { return };
@@ -386,15 +479,18 @@
                     self.counters.left += 1;
                     self.counters.ended(ending);
                     debug_assert_eq!(ending.meaning(), Meaning::Left);
-                    self.decide(now, Event::Left(id), out);
-                    self.tidy(id);
+                    self.left(now, id, out);
                 }
             }
             Inbound::Cancelled(id) => {
                 if self.open.get(&id).is_some_and(|o| !o.concluded) {
                     self.counters.ended(Ending::Forgotten);
-                    self.conclude(id, Answer::Failed(Some(Ending::Forgotten), None), out);
-                    self.decide(now, Event::Left(id), out);
+                    let waits = self.door.as_ref().is_some_and(|d| d.waits(id.0));
+                    let answer = Answer::Failed(Some(Ending::Forgotten), None);
+                    self.conclude(now, id, answer, out);
+                    if !waits {
+                        self.decide(now, Event::Left(id), out);
+                    }
                     self.tidy(id);
                 }
             }
@@ -412,6 +508,14 @@
         }
     }
 
+    /// Nobody waits for a request any more: the module hears of it where it was shown it.
+    fn left(&mut self, now: u64, id: RequestId, out: &mut Vec<Command>) {
+        if !self.door.as_mut().is_some_and(|d| d.leave(now, id.0)) {
+            self.decide(now, Event::Left(id), out);
+        }
+        self.tidy(id);
+    }
+
     fn end_attempt(
         &mut self,
         now: u64,
@@ -431,6 +535,9 @@
             open.concluded = true;
             self.counters.served += 1;
             out.push(Command::Answer(open.client, Answer::Served(rows)));
+            if let Some(door) = &mut self.door {
+                door.over(now, at.request.0, Some(true));
+            }
         }
         let outcome = Outcome {
             request: at.request,
@@ -467,13 +574,16 @@
             0 => Answer::Refused { backoff_ms: 100, after: None, fault: None },
             _ => Answer::Failed(open.last, open.fault.clone()),
         };
-        self.conclude(id, answer, out);
-        self.decide(now, Event::Left(id), out);
+        let waits = self.door.as_ref().is_some_and(|d| d.waits(id.0));
+        self.conclude(now, id, answer, out);
+        if !waits {
+            self.decide(now, Event::Left(id), out);
+        }
         self.tidy(id);
     }
 
     /// The one place where a request that was not served gets its final answer.
-    fn conclude(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Command>) {
+    fn conclude(&mut self, now: u64, id: RequestId, answer: Answer, out: &mut Vec<Command>) {
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.concluded) else { return };
         open.concluded = true;
         match answer {
@@ -481,6 +591,13 @@
             _ => self.counters.failed += 1,
         }
         out.push(Command::Answer(open.client, answer));
+        if let Some(door) = &mut self.door {
+            if door.waits(id.0) {
+                door.leave(now, id.0);
+            } else {
+                door.over(now, id.0, Some(false));
+            }
+        }
     }
 
     fn tidy(&mut self, id: RequestId) {
@@ -521,14 +638,17 @@
             Action::Refuse { request, retry_after_ns } => {
                 let Some(open) = self.open.get(&request) else { return };
                 let (after, fault) = (open.last, open.fault.clone());
-                let backoff_ms = retry_after_ns.unwrap_or(100_000_000).div_ceil(1_000_000).max(1);
-                self.conclude(request, Answer::Refused { backoff_ms, after, fault }, out);
+                let sent = open.attempts > 0;
+                let advice = self.door.as_mut().and_then(|d| d.refused(now, request.0, sent));
+                let module_ms = retry_after_ns.unwrap_or(100_000_000).div_ceil(1_000_000).max(1);
+                let backoff_ms = advice.filter(|_| retry_after_ns.is_some()).map_or(module_ms, milliseconds);
+                self.conclude(now, request, Answer::Refused { backoff_ms, after, fault }, out);
                 self.tidy(request);
             }
             Action::Fail(request) => {
                 let Some(open) = self.open.get(&request) else { return };
                 let answer = Answer::Failed(open.last, open.fault.clone());
-                self.conclude(request, answer, out);
+                self.conclude(now, request, answer, out);
                 self.tidy(request);
             }
             Action::SetTerms { request, priority, .. } => {
--- /dev/null
+++ b/crates/door/benches/structures.rs
@@ -0,0 +1,154 @@
+//! The door's own structures against the plain ones, and one request's way through the door.
+
+#![allow(missing_docs)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
+
+use criterion::{black_box, criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
+use marljunction_door::settings::DoorSettings;
+use marljunction_door::sketch::Heavy;
+use marljunction_door::wheel::Wheel;
+use marljunction_door::{Arrival, Door, Site, Verdict};
+
+/// Numbers without a pattern (SplitMix64).
+fn random(state: &mut u64) -> u64 {
+    *state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let x = (*state ^ (*state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Half of the timers are taken out before they are due, as most queued requests are shown in time. The heap
+/// can't take one out: it keeps the dead until they come up.
+fn timers(c: &mut Criterion) {
+    let mut group = c.benchmark_group("timer: insert, half removed, half due");
+    for held in [1_000_u64, 100_000] {
+        group.bench_function(BenchmarkId::new("wheel", held), |b| {
+            let (mut now, mut seed, mut wheel) = (0, 1, Wheel::new(0));
+            let mut keys = std::collections::VecDeque::new();
+            b.iter(|| {
+                now += 2_000_000_000 / held;
+                keys.push_back(wheel.insert(now + random(&mut seed) % 4_000_000_000, keys.len()));
+                if keys.len() as u64 > held {
+                    let key = keys.pop_front().unwrap();
+                    if key % 2 == 0 {
+                        black_box(wheel.remove(key));
+                    }
+                }
+                while let Some(value) = wheel.expire(now) {
+                    black_box(value);
+                }
+            });
+        });
+        group.bench_function(BenchmarkId::new("binary heap", held), |b| {
+            let (mut now, mut seed, mut serial) = (0_u64, 1, 0_u64);
+            let (mut heap, mut dead) = (BinaryHeap::new(), std::collections::HashSet::new());
+            b.iter(|| {
+                now += 2_000_000_000 / held;
+                serial += 1;
+                heap.push(Reverse((now + random(&mut seed) % 4_000_000_000, serial)));
+                if serial > held && serial % 2 == 0 {
+                    dead.insert(serial - held);
+                }
+                while heap.peek().is_some_and(|Reverse((due, _))| *due <= now) {
+                    let Reverse((_, n)) = heap.pop().unwrap();
+                    dead.remove(&n);
+                    black_box(n);
+                }
+            });
+        });
+        group.bench_function(BenchmarkId::new("sorted set", held), |b| {
+            let (mut now, mut seed, mut serial) = (0_u64, 1, 0_u64);
+            let (mut set, mut keys) = (BTreeSet::new(), std::collections::VecDeque::new());
+            b.iter(|| {
+                now += 2_000_000_000 / held;
+                serial += 1;
+                let key = (now + random(&mut seed) % 4_000_000_000, serial);
+                set.insert(key);
+                keys.push_back(key);
+                if keys.len() as u64 > held {
+                    let key = keys.pop_front().unwrap();
+                    if key.1 % 2 == 0 {
+                        black_box(set.remove(&key));
+                    }
+                }
+                while set.first().is_some_and(|(due, _)| *due <= now) {
+                    black_box(set.pop_first());
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
+fn sketches(c: &mut Criterion) {
+    let mut group = c.benchmark_group("heaviest of a stream");
+    for identities in [100_u64, 100_000] {
+        group.bench_function(BenchmarkId::new("space-saving of 64", identities), |b| {
+            let (mut seed, mut sketch) = (1, Heavy::new(64));
+            b.iter(|| sketch.add(random(&mut seed) % identities, 1.0));
+        });
+        group.bench_function(BenchmarkId::new("plain map", identities), |b| {
+            let (mut seed, mut map) = (1, HashMap::<u64, f64>::new());
+            b.iter(|| *map.entry(random(&mut seed) % identities).or_default() += 1.0);
+        });
+    }
+    group.finish();
+}
+
+fn requests(c: &mut Criterion) {
+    let mut group = c.benchmark_group("one request through the door");
+    for identities in [100_u64, 100_000] {
+        group.bench_function(BenchmarkId::from_parameter(identities), |b| {
+            let site = Site {
+                weights: vec![8.0, 1.0, 1.0],
+                classes: 3,
+                longest_ns: Some(1_000_000_000),
+                bytes_most: 8 << 20,
+                seed: 1,
+            };
+            let (mut now, mut id, mut seed) = (1_u64 << 60, 0, 1);
+            let mut door = Door::new(now, DoorSettings::default(), site);
+            let mut shown = std::collections::VecDeque::new();
+            b.iter_batched(
+                || random(&mut seed),
+                |draw| {
+                    (now, id) = (now + 100_000, id + 1);
+                    let arrival = Arrival {
+                        id,
+                        tenant: (draw % 3) as usize,
+                        client: (draw >> 8) % identities,
+                        class: 0,
+                        threads: 1.0,
+                        need_ns: 1e8,
+                        wanted_ns: now + 1_000_000_000,
+                        expires_ns: now + 6_000_000_000,
+                        bytes: 100,
+                    };
+                    door.arrive(now, arrival);
+                    while let Some(verdict) = door.open(now) {
+                        let Verdict::Show(id) = verdict else { continue };
+                        // Twice what can be served comes: the module takes fifty at a time.
+                        if shown.len() >= 50 {
+                            black_box(door.refused(now, id, false));
+                        } else {
+                            door.accepted(now, id);
+                            shown.push_back(id);
+                        }
+                    }
+                    if id % 2 == 0 {
+                        if let Some(first) = shown.pop_front() {
+                            door.over(now, first, Some(true));
+                        }
+                    }
+                },
+                BatchSize::SmallInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, timers, sketches, requests);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/door/src/settings.rs
@@ -0,0 +1,143 @@
+//! What the operator chooses.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+
+/// How the door divides what the module takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Order {
+    /// By weight among tenants, evenly among a tenant's clients.
+    #[default]
+    Fair,
+    /// All in the order in which they came: to compare with.
+    Fifo,
+}
+
+/// What names a client within its tenant.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Who {
+    /// The address that it connects from.
+    #[default]
+    Peer,
+    /// The user of its PostgreSQL session; else its address.
+    User,
+    /// The `application_name` of its PostgreSQL session; else its address.
+    ApplicationName,
+    /// A field of its MessagePack call; else its address.
+    Field(String),
+}
+
+/// The door's own file.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DoorSettings {
+    /// How to divide.
+    pub order: Order,
+    /// What names a client.
+    pub client: Who,
+    /// Weights by tenant; one that is not named has that of its allowance.
+    pub weights: BTreeMap<String, f64>,
+    /// Queues of a tenant (count), over which its clients are spread.
+    pub queues: usize,
+    /// Queues that one client may use (count).
+    pub hand: usize,
+    /// Requests that may be queued in all (count).
+    pub queued: usize,
+    /// Promises that may be out in all (count).
+    pub promises: usize,
+    /// Time for which a promise may be claimed (ms).
+    pub window_ms: u64,
+    /// Wait past which a request is stale while its tenant's queues do not empty (ms).
+    pub stale_ms: u64,
+}
+
+impl Default for DoorSettings {
+    fn default() -> Self {
+        DoorSettings {
+            order: Order::Fair,
+            client: Who::Peer,
+            weights: BTreeMap::new(),
+            queues: 64,
+            hand: 4,
+            queued: 2_000,
+            promises: 4_096,
+            window_ms: 500,
+            stale_ms: 400,
+        }
+    }
+}
+
+impl DoorSettings {
+    /// What is wrong with it, where something is; every figure has bounds, as memory is taken by them.
+    pub fn fault(&self) -> Option<String> {
+        let within = |name: &str, value: usize, least: usize, most: usize| {
+            (value < least || value > most)
+                .then(|| format!("door: {name} is {value}, not {least} to {most}: choose one within"))
+        };
+        let weight = |(name, w): (&String, &f64)| {
+            (!w.is_finite() || *w <= 0.0 || *w > 1e6)
+                .then(|| format!("door: the weight of {name} is {w}, not above 0 and up to 1000000"))
+        };
+        within("queues", self.queues, 1, 1_024)
+            .or_else(|| within("hand", self.hand, 1, self.queues.min(16)))
+            .or_else(|| within("queued", self.queued, 1, 100_000))
+            .or_else(|| within("promises", self.promises, 0, 100_000))
+            .or_else(|| within("window_ms", self.window_ms as usize, 50, 60_000))
+            .or_else(|| within("stale_ms", self.stale_ms as usize, 1, 60_000))
+            .or_else(|| self.weights.iter().find_map(weight))
+    }
+}
+
+/// Numbers for clients' names: keyed by the process's seed (SipHash-1-3, Aumasson and Bernstein, 2012), so that
+/// nobody can choose a name that shares another's queues.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Identity {
+    seed: u64,
+}
+
+impl Identity {
+    /// Keyed by this seed.
+    pub fn new(seed: u64) -> Self {
+        Identity { seed }
+    }
+
+    /// The number of a name.
+    pub fn of(&self, name: &[u8]) -> u64 {
+        let mut hasher = SipHasher13::new_with_keys(self.seed, 0x6d61_726c);
+        hasher.write(name);
+        hasher.finish()
+    }
+
+    /// The number of a client of a tenant.
+    pub fn flow(&self, tenant: usize, client: u64) -> u64 {
+        let mut hasher = SipHasher13::new_with_keys(self.seed, 0x666c_6f77);
+        hasher.write_usize(tenant);
+        hasher.write_u64(client);
+        hasher.finish()
+    }
+}
+
+/// The queues that a flow may use: a hand dealt from all of them without replacement (shuffle sharding, as in
+/// Kubernetes' API priority and fairness), so that a flow which fills its own shares all of them with few others.
+pub fn hand(flow: u64, queues: usize, count: usize) -> impl Iterator<Item = usize> {
+    let mut dealt = [usize::MAX; 16];
+    let mut rest = flow;
+    (0..count.min(queues).min(16)).map(move |i| {
+        let left = (queues - i) as u64;
+        let mut card = (rest % left) as usize;
+        rest = (rest / left) ^ flow.rotate_left(7 * (i as u32 + 1));
+        // The card's place among those that are left becomes its number among all.
+        let mut before = dealt[..i].to_vec();
+        before.sort_unstable();
+        for taken in before {
+            card += usize::from(card >= taken);
+        }
+        dealt[i] = card;
+        card
+    })
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,7 +6,10 @@
 pub mod msgpack;
 pub mod postgres;
 
+use std::net::IpAddr;
+
 use marljunction_control::interface::{ClassId, Settings, TenantId};
+use marljunction_door::settings::{Identity, Who};
 use marljunction_settings::{index_of, Names};
 
 /// Time that an answer may take from here to the client (ns): what is left of a request's time is shorter by it.
@@ -19,12 +22,36 @@
 pub struct Directory {
     names: Names,
     deadlines_ns: Vec<u64>,
+    who: Who,
+    identity: Identity,
 }
 
 impl Directory {
     /// Of a router's settings.
     pub fn new(names: Names, settings: &Settings) -> Self {
-        Directory { names, deadlines_ns: settings.classes.iter().map(|c| c.deadline_ns).collect() }
+        let deadlines_ns = settings.classes.iter().map(|c| c.deadline_ns).collect();
+        Directory { names, deadlines_ns, ..Directory::default() }
+    }
+
+    /// What names a client, and the key of clients' numbers.
+    pub fn with_clients(self, who: Who, seed: u64) -> Self {
+        Directory { who, identity: Identity::new(seed), ..self }
+    }
+
+    /// The number of the address that a client connects from.
+    pub fn peer(&self, address: IpAddr) -> u64 {
+        match address {
+            IpAddr::V4(v4) => self.identity.of(&v4.octets()),
+            IpAddr::V6(v6) => self.identity.of(&v6.octets()),
+        }
+    }
+
+    /// The number of a client, by `named` where that finds the name that the operator chose, else by its address.
+    pub fn client<'a>(&self, peer: u64, named: impl FnOnce(&Who) -> Option<&'a str>) -> u64 {
+        match &self.who {
+            Who::Peer => peer,
+            who => named(who).map_or(peer, |name| self.identity.of(name.as_bytes())),
+        }
     }
 
     /// A class by its name.
--- a/crates/front/src/msgpack.rs
+++ b/crates/front/src/msgpack.rs
@@ -12,7 +12,9 @@
 use marljunction_core::ending::Ending;
 use marljunction_core::statement::Statement;
 use marljunction_core::{Answer, Ask, Client, Router};
+use marljunction_door::settings::Who;
 use marljunction_net::Net;
+use std::net::IpAddr;
 
 /// Requests that a connection may have open.
 const OPEN_ON_CONN: usize = 32;
@@ -149,6 +151,8 @@
 
 #[derive(Default)]
 struct Caller {
+    /// The number of its address.
+    peer: u64,
     open: HashMap<u32, RequestId>,
     /// When it last did something: connected, called, or was answered.
     since_ns: u64,
@@ -175,8 +179,9 @@
     }
 
     /// A client has connected.
-    pub fn accept(&mut self, now: u64, conn: u64) {
-        self.callers.insert(conn, Caller { since_ns: now, ..Caller::default() });
+    pub fn accept(&mut self, now: u64, conn: u64, peer: IpAddr) {
+        let peer = self.directory.peer(peer);
+        self.callers.insert(conn, Caller { peer, since_ns: now, ..Caller::default() });
     }
 
     /// The client with no open request that makes room for another: one that has had its time to call and did
@@ -296,30 +301,32 @@
             Message::Call(..) if rejected >= REJECTED_MOST => {
                 return self.end(now, net, router, conn, "turned away too often");
             }
-            Message::Call(id, method, fields, body) => match self.directory.read(&method, &fields, body) {
-                Err(fault) => {
-                    router.counters.rejected += 1;
-                    error(id.into(), "Malformed", &[("why", fault)])
-                }
-                // Guards against a query that is taken for another client's: engines know it by this id alone.
-                Ok(ask) if router.knows(&ask.name) => {
-                    router.counters.rejected += 1;
-                    error(id.into(), "Malformed", &[("why", "the rid is an open request's".into())])
-                }
-                Ok(_) if caller.open.len() >= OPEN_ON_CONN || !router.has_room() => {
-                    if caller.open.len() < OPEN_ON_CONN {
-                        caller.rejected = rejected;
+            Message::Call(id, method, fields, body) => {
+                match self.directory.read(caller.peer, &method, &fields, body) {
+                    Err(fault) => {
+                        router.counters.rejected += 1;
+                        error(id.into(), "Malformed", &[("why", fault)])
+                    }
+                    // Guards against a query that is taken for another client's: engines know it by this id alone.
+                    Ok(ask) if router.knows(&ask.name) => {
+                        router.counters.rejected += 1;
+                        error(id.into(), "Malformed", &[("why", "the rid is an open request's".into())])
+                    }
+                    Ok(_) if caller.open.len() >= OPEN_ON_CONN || !router.has_room() => {
+                        if caller.open.len() < OPEN_ON_CONN {
+                            caller.rejected = rejected;
+                        }
+                        router.counters.rejected += 1;
+                        error(id.into(), "Backoff", &[("backoff", "200".into())])
+                    }
+                    Ok(ask) => {
+                        caller.rejected = 0;
+                        let request = router.take(now, Client { conn, call: id.into() }, ask);
+                        caller.open.insert(id, request);
+                        return;
                     }
-                    router.counters.rejected += 1;
-                    error(id.into(), "Backoff", &[("backoff", "200".into())])
-                }
-                Ok(ask) => {
-                    caller.rejected = 0;
-                    let request = router.take(now, Client { conn, call: id.into() }, ask);
-                    caller.open.insert(id, request);
-                    return;
                 }
-            },
+            }
         };
         if !net.send(conn, &answer) {
             self.close(net, router, conn, Ending::Garbled);
@@ -354,7 +361,13 @@
 
 impl Directory {
     /// Reads a call into what is asked.
-    fn read(&self, method: &str, fields: &[(String, String)], body: Option<Vec<u8>>) -> Result<Ask, String> {
+    fn read(
+        &self,
+        peer: u64,
+        method: &str,
+        fields: &[(String, String)],
+        body: Option<Vec<u8>>,
+    ) -> Result<Ask, String> {
         let class = self.class(method).ok_or_else(|| format!("unknown class {method:?}"))?;
         let field = |name: &str| fields.iter().find(|(k, _)| k == name).map(|(_, v)| v.as_str());
         let number = |name: &str| match field(name) {
@@ -384,6 +397,7 @@
             name: name.to_owned(),
             class,
             tenant,
+            client: self.client(peer, |who| if let Who::Field(name) = who { field(name) } else { None }),
             time_left_ns: budget_ns.saturating_sub(ANSWER_MARGIN_NS),
             work_estimate_ns: work,
             memory_estimate_mb: number("mem")?.filter(|m| *m > 0.0),
--- a/crates/front/src/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -15,7 +15,9 @@
 use marljunction_core::ending::Ending;
 use marljunction_core::statement::Statement;
 use marljunction_core::{Answer, Ask, Client, Column, Router, Row};
+use marljunction_door::settings::Who;
 use marljunction_net::Net;
+use std::net::IpAddr;
 
 /// The version that clients are told: what the protocol's present drivers expect.
 pub const SERVER_VERSION: &str = "15.0";
@@ -54,6 +56,9 @@
 
 #[derive(Default)]
 struct Session {
+    /// The number of its address, and its user.
+    peer: u64,
+    user: Option<String>,
     started: bool,
     /// When its client connected.
     since_ns: u64,
@@ -133,8 +138,9 @@
     }
 
     /// A client has connected.
-    pub fn accept(&mut self, now: u64, conn: u64) {
-        self.sessions.insert(conn, Session { since_ns: now, ..Session::default() });
+    pub fn accept(&mut self, now: u64, conn: u64, peer: IpAddr) {
+        let peer = self.directory.peer(peer);
+        self.sessions.insert(conn, Session { peer, since_ns: now, ..Session::default() });
     }
 
     /// Sessions that are open.
@@ -327,7 +333,11 @@
                     .filter_map(|word| word.trim_start_matches("-c").trim_start_matches("--").split_once('='))
                     .map(|(n, v)| (n.to_ascii_lowercase(), v.to_owned()))
                     .collect(),
-                "user" | "database" | "replication" => Vec::new(),
+                "user" => {
+                    session.user = Some(value);
+                    Vec::new()
+                }
+                "database" | "replication" => Vec::new(),
                 _ => vec![(name, value)],
             };
             for (name, value) in pairs {
@@ -508,10 +518,16 @@
             0 => deadline_ns,
             ms => ms.saturating_mul(1_000_000).min(deadline_ns),
         };
+        let client = self.directory.client(session.peer, |who| match who {
+            Who::User => session.user.as_deref(),
+            Who::ApplicationName => settings.others.get("application_name").map(String::as_str),
+            _ => None,
+        });
         let ask = Ask {
             name,
             class,
             tenant: settings.tenant,
+            client,
             time_left_ns: timeout_ns.saturating_sub(ANSWER_MARGIN_NS),
             work_estimate_ns: settings.cost_ms.map(|ms| (ms * 1e6) as u64),
             memory_estimate_mb: settings.memory_mb,
--- a/src/config.rs
+++ b/src/config.rs
@@ -5,6 +5,7 @@
 
 use marljunction_control::interface::Settings;
 use marljunction_discovery::stream::Update;
+use marljunction_door::settings::DoorSettings;
 use marljunction_settings::{read_settings, Names};
 
 /// Limits of the machine.
@@ -88,6 +89,11 @@
     }
 }
 
+fn read_door(text: &str) -> Result<DoorSettings, String> {
+    let door: DoorSettings = serde_json::from_str(text).map_err(|e| format!("door file: {e}"))?;
+    door.fault().map_or(Ok(door), Err)
+}
+
 #[derive(Deserialize)]
 struct Timing {
     #[serde(default)]
@@ -100,6 +106,17 @@
     connect_timeout_ns: Option<u64>,
 }
 
+/// What the files say.
+#[derive(Debug)]
+pub struct Read {
+    /// The configuration.
+    pub config: Config,
+    /// The PostgreSQL side, where it is on.
+    pub postgres: Option<PostgresFile>,
+    /// The door, where it is on.
+    pub door: Option<DoorSettings>,
+}
+
 /// The files that one process is set up by; a reload reads them again.
 #[derive(Clone, Debug)]
 pub struct Files {
@@ -107,20 +124,31 @@
     pub config: String,
     /// The PostgreSQL side, where it is on.
     pub postgres: Option<String>,
+    /// The door, where it is on.
+    pub door: Option<String>,
 }
 
 impl Files {
     /// As the environment names them.
     pub fn from_env() -> Result<Files, String> {
         let config = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file".to_owned())?;
-        Ok(Files { config, postgres: std::env::var("MARLJUNCTION_POSTGRES").ok() })
+        let of = |name| std::env::var(name).ok();
+        Ok(Files { config, postgres: of("MARLJUNCTION_POSTGRES"), door: of("MARLJUNCTION_DOOR") })
     }
 
-    /// Reads both.
-    pub fn read(&self) -> Result<(Config, Option<PostgresFile>), String> {
+    /// Reads all of them.
+    pub fn read(&self) -> Result<Read, String> {
         let text = |path: &str| std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"));
         let postgres = self.postgres.as_ref().map(|path| PostgresFile::read(&text(path)?)).transpose()?;
-        Ok((Config::read(&text(&self.config)?)?, postgres))
+        let door = self.door.as_ref().map(|path| read_door(&text(path)?)).transpose()?;
+        let config = Config::read(&text(&self.config)?)?;
+        let unknown = door.iter().flat_map(|d| d.weights.keys()).find(|n| !config.names.tenants.contains(n));
+        match unknown {
+            Some(name) => {
+                Err(format!("door: the weight of {name} is of no tenant: name one of the settings'"))
+            }
+            None => Ok(Read { config, postgres, door }),
+        }
     }
 }
 
@@ -154,6 +182,15 @@
 }
 
 impl Config {
+    /// Weights of the tenants: as the door's file says, else by their allowances.
+    pub fn weights(&self, door: &DoorSettings) -> Vec<f64> {
+        let allowances = self.settings.tenants.iter().map(|t| t.allowance_per_s);
+        let by_name = |(name, allowance): (&String, Option<f64>)| {
+            door.weights.get(name).copied().or(allowance).filter(|w| *w > 0.0).unwrap_or(1.0)
+        };
+        self.names.tenants.iter().zip(allowances).map(by_name).collect()
+    }
+
     /// Reads the JSON text.
     pub fn read(text: &str) -> Result<Config, String> {
         let raw: RawConfig = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,13 +10,14 @@
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
 
-use crate::config::{EngineFile, Files, Limits};
-use marljunction_control::interface::{Effect, Settings};
+use crate::config::{EngineFile, Files, Limits, Read};
+use marljunction_control::interface::{Effect, Settings, TenantId};
 use marljunction_core::ending::Ending;
 use marljunction_core::{Command, Router};
 use marljunction_discovery::consul::Consul;
 use marljunction_discovery::stream::Stream;
 use marljunction_discovery::{Change, Source};
+use marljunction_door::{Door, Site};
 use marljunction_engine::http::HttpEngines;
 use marljunction_engine::postgres::PostgresEngines;
 use marljunction_engine::{Backend, Context, Start};
@@ -87,7 +88,7 @@
 impl Daemon {
     /// Starts listening.
     pub fn start(files: Files) -> Result<Daemon, String> {
-        let (config, postgres) = files.read()?;
+        let Read { config, postgres, door } = files.read()?;
         let io = |what: &str, e: std::io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| io("poll", e))?;
         let registry = poll.registry().try_clone().map_err(|e| io("poll", e))?;
@@ -108,7 +109,20 @@
             postgres.as_ref().and_then(|p| p.listen.as_ref()).map(|at| listen(at, POSTGRES)).transpose()?;
         let mut signals = Signals::new([SIGTERM, SIGUSR1, SIGHUP]).map_err(|e| io("signals", e))?;
         registry.register(&mut signals, SIGNALS, Interest::READABLE).map_err(|e| io("signals", e))?;
-        let directory = Directory::new(config.names.clone(), &config.settings);
+        let clock = Clock::start();
+        let who = door.as_ref().map(|d| d.client.clone()).unwrap_or_default();
+        let directory = Directory::new(config.names.clone(), &config.settings).with_clients(who, config.seed);
+        let door = door.map(|settings| {
+            let site = Site {
+                weights: config.weights(&settings),
+                classes: config.settings.classes.len(),
+                longest_ns: config.settings.max_retry_after_ns,
+                bytes_most: Router::door_bytes(config.limits.memory_mb),
+                seed: config.seed,
+            };
+            info!("a door stands before the module");
+            Door::new(clock.now_ns(), settings, site)
+        });
         let address = |at: &str| at.parse().map_err(|e| format!("address {at}: {e}"));
         let names = config.names.clone();
         let discovery = match (postgres.as_ref().and_then(|p| p.consul.as_ref()), &config.coordinator) {
@@ -143,9 +157,10 @@
         let sockets = config.limits.sockets.max(64);
         let mut daemon = Daemon {
             poll,
-            clock: Clock::start(),
+            clock,
             net: Net::new(registry, FIRST_CONN, Room::of(sockets, config.limits.memory_mb)),
-            router: Router::new(config.settings.clone(), config.seed, config.limits.memory_mb),
+            router: Router::new(config.settings.clone(), config.seed, config.limits.memory_mb)
+                .with_door(door),
             msgpack: MsgpackFront::new(directory.clone()),
             postgres: front,
             files,
@@ -205,6 +220,7 @@
             self.turn();
             self.end_all(now);
             if self.finished(now) {
+                self.tell_counters();
                 info!("ends; {}", self.router.counters.line());
                 return Ok(());
             }
@@ -239,19 +255,19 @@
                     self.accept_at = Some(now + ACCEPT_AGAIN_NS);
                     return;
                 }
-                match listener.accept().map(|(stream, _)| self.net.adopt(stream, owner)) {
-                    Ok(Ok(conn)) => {
+                match listener.accept().map(|(stream, from)| (self.net.adopt(stream, owner), from.ip())) {
+                    Ok((Ok(conn), peer)) => {
                         self.router.counters.accepted += 1;
                         // Only now: guards against closing one whenever nobody else comes.
                         if let Some(idle) = idle {
                             self.msgpack.close(&mut self.net, &mut self.router, idle, Ending::Idle);
                         }
                         match (owner, &mut self.postgres) {
-                            (Owner::Postgres, Some(front)) => front.accept(now, conn),
-                            _ => self.msgpack.accept(now, conn),
+                            (Owner::Postgres, Some(front)) => front.accept(now, conn, peer),
+                            _ => self.msgpack.accept(now, conn, peer),
                         }
                     }
-                    Ok(Err(_)) => {}
+                    Ok((Err(_), _)) => {}
                     Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                     Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                     Err(e) => {
@@ -274,22 +290,39 @@
                     self.stopping.get_or_insert(now);
                 }
                 SIGHUP => self.reload(now),
-                _ => info!("{}", self.router.counters.line()),
+                _ => self.tell_counters(),
             }
         }
     }
 
+    /// Logs all counters, and the door's by tenant where there is one.
+    fn tell_counters(&mut self) {
+        info!("{}", self.router.counters.line());
+        let Some(door) = self.router.door() else { return };
+        let room = door.room();
+        info!("door queued={} used={:.1} served={:.1}", door.queued(), room.used(), room.served());
+        for (tenant, counters) in door.counters().enumerate() {
+            let fields: Vec<String> = counters.fields().iter().map(|(k, v)| format!("{k}={v}")).collect();
+            let name = self.directory.tenant_name(TenantId(tenant));
+            info!("door tenant={} {}", if name.is_empty() { "-" } else { name }, fields.join(" "));
+        }
+        for (flow, share) in door.heaviest() {
+            info!("door client={flow:016x} asked_for={share:.3}");
+        }
+    }
+
     /// Reads the configuration again. What can change while requests are open is applied: where news of the
     /// engines comes from, and news that the file holds. Guards against a file that is replaced badly: one that
     /// can't be read leaves all as it is.
     fn reload(&mut self, now: u64) {
-        let (config, postgres) = match self.files.read() {
+        let Read { config, postgres, door } = match self.files.read() {
             Ok(read) => read,
             Err(fault) => {
                 self.router.counters.reloads_failed += 1;
                 return warn!("the configuration stays as it was: {fault}");
             }
         };
+        let weights = door.as_ref().map(|d| config.weights(d));
         let consul = postgres.and_then(|p| p.consul);
         let address = match (&self.discovery, &consul, &config.coordinator) {
             (Some(Source::Consul(_)), Some(consul), _) => Some(&consul.address),
@@ -311,6 +344,13 @@
         };
         info!("the configuration was read again; {} membership events were new", changes.len());
         changes.into_iter().for_each(|change| self.change(change));
+        if let (Some(door), Some(settings), Some(weights)) = (self.router.door(), door, weights) {
+            let restart = door.reload(settings, &weights);
+            info!("the door has weights {weights:?}");
+            if !restart.is_empty() {
+                warn!("changes of the door's {} need a restart", restart.join(", "));
+            }
+        }
         if self.discovery.is_some() && address.is_none() {
             warn!("another source of membership news needs a restart");
         }
