--- /dev/null
+++ b/crates/core/tests/door.rs
@@ -0,0 +1,249 @@
+//! The core with a door before the module: one final answer each, whatever happens to what waits.
+
+use std::collections::HashMap;
+
+use marljunction_control::interface::*;
+use marljunction_core::ending::Ending;
+use marljunction_core::{Answer, Ask, Attempt, Client, Command, Router, Rows};
+use marljunction_door::settings::DoorSettings;
+use marljunction_door::{Door, Site};
+
+const MS: u64 = 1_000_000;
+const T0: u64 = 1_700_000_000_000 * MS;
+
+struct World {
+    router: Router,
+    now: u64,
+    calls: u64,
+    out: Vec<(Attempt, EngineId)>,
+    answers: HashMap<u64, Answer>,
+}
+
+fn settings() -> Settings {
+    let class = ClassSettings {
+        aim_ns: 1_000 * MS,
+        deadline_ns: 6_000 * MS,
+        worth: 1.0,
+        threads: 1.0,
+        ..ClassSettings::default()
+    };
+    let load = ClassSettings { effect: Effect::AtMostOnce, ..class.clone() };
+    Settings {
+        gateways: 1,
+        classes: vec![class, load],
+        kinds: vec![KindSettings { cores: Some(4.0), memory_mb: None }],
+        tenants: vec![TenantSettings::default(); 2],
+        max_attempts: Some(4),
+        may_cancel: true,
+        max_retry_after_ns: Some(1_000 * MS),
+        ..Settings::default()
+    }
+}
+
+impl World {
+    fn new(door: DoorSettings) -> World {
+        let site = Site {
+            weights: vec![1.0, 1.0],
+            classes: 2,
+            longest_ns: Some(1_000 * MS),
+            bytes_most: Router::door_bytes(64.0),
+            seed: 3,
+        };
+        let router = Router::new(settings(), 1, 64.0).with_door(Some(Door::new(T0, door, site)));
+        let mut w = World { router, now: T0, calls: 0, out: Vec::new(), answers: HashMap::new() };
+        let entry = EngineEntry {
+            engine: EngineId(5),
+            kind: Some(KindId(0)),
+            state: EngineState::Ready,
+            weight: 1.0,
+            ..EngineEntry::default()
+        };
+        w.router.membership(MembershipKind::Full, vec![entry]);
+        w.turn();
+        w
+    }
+
+    fn take(&mut self, tenant: usize, class: usize) -> (u64, RequestId) {
+        self.calls += 1;
+        let ask = Ask {
+            name: format!("{:016x}", self.calls),
+            class: ClassId(class),
+            tenant: Some(TenantId(tenant)),
+            client: self.calls % 7,
+            time_left_ns: 5_000 * MS,
+            work_estimate_ns: Some(200 * MS),
+            ..Ask::default()
+        };
+        let id = self.router.take(self.now, Client { conn: 1, call: self.calls }, ask);
+        (self.calls, id)
+    }
+
+    fn turn(&mut self) {
+        let mut commands = Vec::new();
+        loop {
+            self.router.turn(self.now, &mut commands);
+            for command in commands.drain(..) {
+                match command {
+                    Command::Start { attempt, engine, .. } => self.out.push((attempt, engine)),
+                    Command::Answer(client, answer) => {
+                        let twice = self.answers.insert(client.call, answer);
+                        assert!(twice.is_none(), "call {} has one final answer", client.call);
+                    }
+                    Command::GiveUp(at) => {
+                        self.out.retain(|(a, _)| *a != at);
+                        self.router.ended(at, Ending::GivenUp, None, None);
+                    }
+                    Command::Rank(..) => {}
+                }
+            }
+            if !self.router.has_news() {
+                return;
+            }
+        }
+    }
+
+    /// The oldest attempt ends.
+    fn end(&mut self, ending: Ending) {
+        let (at, _) = self.out.remove(0);
+        let rows = (ending == Ending::Served).then(|| Rows::Text(b"1\n".to_vec()));
+        self.router.ended(at, ending, rows, None);
+        self.turn();
+    }
+
+    fn wait(&mut self, ms: u64) {
+        let to = self.now + ms * MS;
+        while let Some(due) = self.router.next_due_ns().filter(|due| *due <= to) {
+            self.now = self.now.max(due) + 1;
+            self.turn();
+        }
+        self.now = to;
+        self.turn();
+    }
+
+    fn queued(&mut self) -> usize {
+        self.router.door().map_or(0, |d| d.queued())
+    }
+
+    /// Fills the engine until a queue forms; gives all calls.
+    fn fill(&mut self) -> Vec<(u64, RequestId)> {
+        let mut all: Vec<_> = (0..40).map(|i| self.take(i % 2, 0)).collect();
+        self.turn();
+        all.extend((0..40).map(|i| self.take(i % 2, 0)));
+        self.turn();
+        assert!(self.queued() >= 20 && self.out.len() >= 4, "{} {}", self.queued(), self.out.len());
+        all
+    }
+
+    fn finish(&mut self) {
+        for _ in 0..400 {
+            if self.out.is_empty() {
+                break;
+            }
+            self.end(Ending::Served);
+        }
+        self.wait(7_000);
+        assert_eq!((self.router.owed(), self.queued()), (0, 0));
+        let c = &self.router.counters;
+        assert_eq!(c.taken, c.served + c.refused + c.failed + c.left);
+        assert_eq!(self.router.door().unwrap().room().used(), 0.0, "all room is free again");
+    }
+}
+
+#[test]
+fn what_waits_is_served_as_room_comes_free() {
+    let mut w = World::new(DoorSettings::default());
+    w.fill();
+    let before = w.router.counters.sent;
+    for _ in 0..10 {
+        w.now += 20 * MS;
+        w.end(Ending::Served);
+    }
+    let door = w.router.door().unwrap();
+    let told = format!("{:?} {:?}", door.room(), door.counters().collect::<Vec<_>>());
+    let sent = w.router.counters.sent - before;
+    assert!(sent >= 5, "ends let others in: {sent} {told}");
+    w.finish();
+    assert_eq!(w.answers.len() as u64, w.router.counters.taken);
+}
+
+#[test]
+fn who_leaves_or_cancels_while_it_waits_is_never_sent() {
+    let mut w = World::new(DoorSettings::default());
+    let all = w.fill();
+    let waits: Vec<_> = all.iter().copied().filter(|(_, id)| w.router.door().unwrap().waits(id.0)).collect();
+    let sent = w.router.counters.sent;
+    for (i, (_, id)) in waits.iter().enumerate() {
+        if i % 2 == 0 {
+            w.router.leave(*id, Ending::Forgotten);
+        } else {
+            w.router.cancel(*id);
+        }
+    }
+    w.turn();
+    assert_eq!((w.queued(), w.router.counters.sent), (0, sent));
+    for (i, (call, _)) in waits.iter().enumerate() {
+        assert_eq!(w.answers.contains_key(call), i % 2 == 1, "only the cancelled hear of it");
+    }
+    w.finish();
+}
+
+#[test]
+fn a_queue_that_is_never_served_is_refused_in_time() {
+    let mut w = World::new(DoorSettings { stale_ms: 60_000, ..DoorSettings::default() });
+    let all = w.fill();
+    w.wait(1_500);
+    assert_eq!(w.queued(), 0, "past what is wanted nothing waits");
+    for (call, _) in all {
+        if let Some(Answer::Refused { backoff_ms, .. }) = w.answers.get(&call) {
+            assert!((1..=1_000).contains(backoff_ms));
+        }
+    }
+    w.finish();
+}
+
+#[test]
+fn the_end_of_the_program_answers_what_waits() {
+    let mut w = World::new(DoorSettings::default());
+    w.fill();
+    let mut commands = Vec::new();
+    w.router.end_all(&mut commands, w.now);
+    for command in commands {
+        if let Command::Answer(client, answer) = command {
+            assert!(w.answers.insert(client.call, answer).is_none());
+        }
+    }
+    assert_eq!((w.router.owed(), w.queued()), (0, 0));
+    assert_eq!(w.answers.len() as u64, w.router.counters.taken);
+}
+
+#[test]
+fn a_load_that_may_have_run_fails_and_its_room_is_free() {
+    let mut w = World::new(DoorSettings::default());
+    let (call, _) = w.take(0, 1);
+    w.turn();
+    w.end(Ending::Cut);
+    assert!(matches!(w.answers[&call], Answer::Failed(..)));
+    let (call, _) = w.take(0, 1);
+    w.turn();
+    w.end(Ending::Refused);
+    assert!(matches!(w.answers[&call], Answer::Refused { .. }), "it never ran, and there is no other engine");
+    w.finish();
+}
+
+#[test]
+fn a_full_door_makes_room_and_a_full_table_says_so() {
+    let mut w = World::new(DoorSettings { queued: 10, ..DoorSettings::default() });
+    w.fill_some();
+    assert!(w.queued() <= 10);
+    assert!(w.router.has_room(), "what waits has a bound of its own");
+    w.finish();
+}
+
+impl World {
+    fn fill_some(&mut self) {
+        for i in 0..200 {
+            self.take(i % 2, 0);
+            self.turn();
+        }
+    }
+}
--- a/crates/door/src/room.rs
+++ b/crates/door/src/room.rs
@@ -23,6 +23,8 @@
 const KEPT_CLEAR: f64 = 0.92;
 /// Weight of a new figure of the threads in use while there is a queue (share).
 const BUSY_WEIGHT: f64 = 0.02;
+/// The same for what was in use at a refusal (share).
+const FOUND_WEIGHT: f64 = 0.1;
 /// Bounds between sizes of a class: need over the class's mean need (ratio).
 const SIZES: [f64; 2] = [0.75, 1.6];
 
@@ -100,12 +102,11 @@
 
     /// The module took a shown request; `waited` tells that there was a queue.
     pub fn taken(&mut self, now: u64, kind: Kind, threads: f64, waited: bool) {
-        if waited {
-            let weight = if self.busy > 0.0 { BUSY_WEIGHT } else { 1.0 };
-            self.busy += weight * (self.used - self.busy);
-        }
         let limit = &mut self.limits[kind.0];
         if limit.threads.is_finite() && self.used >= limit.threads * NEAR {
+            if waited {
+                self.busy += BUSY_WEIGHT * (self.used - self.busy);
+            }
             let calm_s = now.saturating_sub(limit.refused_ns) as f64 / 1e9;
             limit.threads *= 1.0 + MORE * threads * calm_s.min(DOUBLINGS).exp2();
         }
@@ -121,7 +122,7 @@
         let least = if before.is_finite() { before * LEAST_LEFT } else { 0.0 };
         limit.threads = (before.min(found) * LESS).max(least).max(LIMIT_LEAST);
         limit.refused_ns = now;
-        self.busy = if self.busy > 0.0 { self.busy.min(found.max(self.busy * LEAST_LEFT)) } else { found };
+        self.busy = if self.busy > 0.0 { self.busy + FOUND_WEIGHT * (found - self.busy) } else { found };
     }
 
     /// A request that was shown and taken is over.
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -10,6 +10,8 @@
 use serde_json::json;
 
 const SETTINGS: &str = include_str!("../exchanges/settings.json");
+/// The door as it is shipped.
+const DOOR: &str = include_str!("../../deploy/door.json");
 /// How long a byte that must come is waited for: a failure shows by it, a pass never waits so long.
 const PATIENCE: Duration = Duration::from_secs(8);
 
@@ -193,9 +195,11 @@
         std::fs::create_dir_all(&dir).unwrap();
         std::fs::write(dir.join("config.json"), config.to_string()).unwrap();
         std::fs::write(dir.join("postgres.json"), file.to_string()).unwrap();
+        std::fs::write(dir.join("door.json"), DOOR).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_marljunction"))
             .env("ROUTER_CONFIG", dir.join("config.json"))
             .env("MARLJUNCTION_POSTGRES", dir.join("postgres.json"))
+            .envs(with("door").then(|| ("MARLJUNCTION_DOOR", dir.join("door.json"))))
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -25,9 +25,9 @@
 }
 
 #[rstest]
-fn plays(#[files("tests/exchanges/*.txt")] path: PathBuf) {
-    let script = std::fs::read_to_string(&path).unwrap();
-    let name = path.file_stem().unwrap().to_string_lossy().into_owned();
+fn plays(#[files("tests/exchanges/*.txt")] path: PathBuf, #[values("", "with door\n")] door: &str) {
+    let script = format!("{door}{}", std::fs::read_to_string(&path).unwrap());
+    let name = format!("{}{}", path.file_stem().unwrap().to_string_lossy(), door.len());
     let (counters, _) = play(&name, &script, usize::MAX).stop();
     balanced(&counters);
     for count in script.lines().filter_map(|l| l.strip_prefix("count ")) {
@@ -54,6 +54,7 @@
     #[values("load_postgres", "load_http")] name: &str,
     #[values("client", "engine", "process")] cut: &str,
     #[values(0, 1, 2, 3, 4, 5, 6)] step: usize,
+    #[values("", "with door\n")] door: &str,
 ) {
     let path = format!("{}/tests/exchanges/cuts/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let script = std::fs::read_to_string(path).unwrap();
@@ -62,11 +63,11 @@
     let execute = lines.iter().position(|l| l.starts_with("accept e")).unwrap();
     // The engine's connection can be cut once it is there. Past the query there is a second engine, to which a
     // load that may have run must not go; before, a second one would rightly get it.
-    let label = format!("{name}-{cut}-{step}");
+    let label = format!("{name}-{cut}-{step}-{}", door.len());
     let step = if cut == "client" { step } else { step.max(execute + 1) };
     let query = lines.iter().position(|l| l.starts_with("e < P") || l.starts_with("e < [P")).unwrap();
     let (with, engine) = if step > query { ("with two engines\n", "e2") } else { ("", "e1") };
-    let mut stage = play(&label, &format!("{with}{before}"), usize::MAX);
+    let mut stage = play(&label, &format!("{door}{with}{before}"), usize::MAX);
     let lines: Vec<String> =
         lines.iter().map(|l| l.replace("accept e e1", &format!("accept e {engine}"))).collect();
     lines[..step.min(lines.len())].iter().for_each(|line| stage.step(line));
