--- /dev/null
+++ b/crates/lab/src/disciplines.rs
@@ -0,0 +1,133 @@
+//! Disciplines and orders of service side by side, in stepped time: what the design of the door rests on.
+
+use std::time::Instant;
+
+use marljunction_door::fair::{DeficitRoundRobin, Discipline, StartTime, VirtualDeadline, WorstCase};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use serde_json::{json, Value};
+
+/// Weights of the flows that always have a backlog, and of the light one that comes and goes.
+const WEIGHTS: [f64; 5] = [8.0, 4.0, 2.0, 1.0, 1.0];
+const LIGHT: usize = 4;
+const TURNS: usize = 40_000;
+
+/// How a discipline did.
+fn measure(discipline: &mut dyn Discipline, estimates: f64, seed: u64) -> Value {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let cost = LogNormal::new(0.0, 0.9).expect("a distribution");
+    let guess = LogNormal::new(0.0, estimates.max(1e-9)).expect("a distribution");
+    let mut got = [0.0; WEIGHTS.len()];
+    let (mut apart, mut served, mut waits, mut waiting) = (0.0_f64, 0.0, Vec::new(), None);
+    let draw = |rng: &mut StdRng| {
+        let true_cost: f64 = cost.sample(rng);
+        (true_cost, true_cost * guess.sample(rng))
+    };
+    let mut next: Vec<(f64, f64)> = (0..WEIGHTS.len()).map(|_| draw(&mut rng)).collect();
+    (0..LIGHT).for_each(|flow| discipline.activate(flow, next[flow].1));
+    let begun = Instant::now();
+    for turn in 0..TURNS {
+        // The light flow comes with one request from time to time.
+        if waiting.is_none() && rng.gen::<f64>() < 0.02 {
+            waiting = Some(served);
+            discipline.activate(LIGHT, next[LIGHT].1);
+        }
+        let Some(flow) = discipline.pick() else { break };
+        let (true_cost, estimate) = next[flow];
+        next[flow] = draw(&mut rng);
+        discipline.charge(flow, estimate, next[flow].1);
+        discipline.correct(flow, true_cost - estimate);
+        if flow == LIGHT {
+            waits.push(served - waiting.take().unwrap_or(served));
+            discipline.deactivate(LIGHT);
+        }
+        served += true_cost;
+        got[flow] += true_cost;
+        if turn > 100 {
+            let shares: Vec<f64> = (0..LIGHT).map(|f| got[f] / WEIGHTS[f]).collect();
+            let (least, most) =
+                shares.iter().fold((f64::MAX, 0.0_f64), |(a, b), s| (a.min(*s), b.max(*s)));
+            apart = apart.max(most - least);
+        }
+    }
+    let ns = begun.elapsed().as_nanos() as f64 / TURNS as f64;
+    waits.sort_by(f64::total_cmp);
+    let at = |part: f64| waits.get((waits.len() as f64 * part) as usize).copied().unwrap_or(0.0);
+    json!({"furthest_apart": apart, "light_wait_mean": waits.iter().sum::<f64>() / waits.len().max(1) as f64,
+           "light_wait_p99": at(0.99), "ns_per_turn": ns})
+}
+
+/// A flow that had all to itself for a while, and what it gets in the time after another comes.
+fn after_idle(discipline: &mut dyn Discipline) -> f64 {
+    discipline.activate(0, 1.0);
+    for _ in 0..1_000 {
+        discipline.charge(0, 1.0, 1.0);
+    }
+    discipline.activate(1, 1.0);
+    let mut got = [0.0; 2];
+    for _ in 0..200 {
+        if let Some(flow) = discipline.pick() {
+            discipline.charge(flow, 1.0, 1.0);
+            got[flow.min(1)] += 1.0;
+        }
+    }
+    got[0] / 200.0
+}
+
+/// A single server under lasting overload: part of its work that was done in time, by order of service.
+fn order(newest_first: bool, stale_ms: f64, load: f64, seed: u64) -> (f64, f64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let gap = Exp::new(load / 100.0).expect("a distribution");
+    let (mut now, mut free, mut queue) = (0.0, 0.0, std::collections::VecDeque::<f64>::new());
+    let (mut in_time, mut served, mut waits) = (0.0, 0.0, 0.0);
+    while now < 600_000.0 {
+        now += gap.sample(&mut rng);
+        while free <= now {
+            queue.retain(|came| free - came <= stale_ms);
+            let next = if newest_first { queue.pop_back() } else { queue.pop_front() };
+            let Some(came) = next else {
+                free = now;
+                break;
+            };
+            // What ran takes from half to three times as long as usual, as engines share their cores.
+            let takes = 100.0 * rng.gen_range(0.5..1.5);
+            in_time += f64::from(u8::from(free + takes * 3.0 - came <= 1_200.0));
+            served += 1.0;
+            waits += free - came;
+            free += takes;
+        }
+        queue.push_back(now);
+    }
+    (in_time / 6_000.0, waits / f64::max(served, 1.0))
+}
+
+/// The figures.
+pub fn run(seed: u64) -> Value {
+    let make: [(&str, fn(&[f64]) -> Box<dyn Discipline>); 4] = [
+        ("start-time fair queueing", |w| Box::new(StartTime::new(w, f64::INFINITY))),
+        ("deficit round robin", |w| Box::new(DeficitRoundRobin::new(w, 1.0))),
+        ("WF2Q+", |w| Box::new(WorstCase::new(w))),
+        ("virtual deadlines", |w| Box::new(VirtualDeadline::new(w))),
+    ];
+    let disciplines: serde_json::Map<String, Value> = make
+        .iter()
+        .map(|(name, make)| {
+            let figures = json!({
+                "exact": measure(&mut *make(&WEIGHTS), 0.0, seed),
+                "rough": measure(&mut *make(&WEIGHTS), 1.0, seed),
+                "share_after_having_all": after_idle(&mut *make(&[1.0, 1.0])),
+            });
+            ((*name).to_owned(), figures)
+        })
+        .collect();
+    let orders = [("oldest first", false), ("newest first", true)].map(|(name, newest)| {
+        let at = |stale: f64, load: f64| {
+            let (in_time, wait) = order(newest, stale, load, seed);
+            json!({"in_time": in_time, "mean_wait_ms": wait})
+        };
+        (name.to_owned(), json!({"overload_1.5_stale_400": at(400.0, 1.5), "overload_1.5_stale_1100": at(1_100.0, 1.5),
+                                 "load_0.8": at(1_100.0, 0.8)}))
+    });
+    json!({"disciplines": disciplines, "orders": orders.into_iter().collect::<Value>()})
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins on loopback, at any free port: engines whose queries share cores, a coordinator, and clients that ask at
+//! times of their own. For experiments, and for tests that need the whole program.
+
+#![forbid(unsafe_code)]
+
+pub mod engine;
+pub mod load;
+pub mod server;
+pub mod stage;
--- /dev/null
+++ b/crates/rig/src/load.rs
@@ -0,0 +1,376 @@
+//! Clients that ask at times of their own, whatever the answers do: open loop, with drawn arrivals, works and
+//! estimates.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use hdrhistogram::Histogram;
+use marljunction_net::{Net, Owner};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use rmpv::decode::read_value;
+use rmpv::Value;
+
+/// Calls that may be open on a connection.
+const OPEN_MOST: usize = 32;
+/// A client has this many connections at most.
+const CONNS_MOST: usize = 40;
+const MS: f64 = 1e6;
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name.
+    pub name: &'static str,
+    /// Share of a tenant's requests.
+    pub share: f64,
+    /// Mean work (ms) and its spread (deviation of the logarithm).
+    pub work_ms: f64,
+    /// Spread of the work.
+    pub spread: f64,
+    /// Threads of a query.
+    pub threads: f64,
+    /// Wanted within (ms), and for each millisecond of its own running time.
+    pub aim_ms: f64,
+    /// Longer by this times the work over the threads.
+    pub stretch: f64,
+    /// Given up after (ms).
+    pub deadline_ms: f64,
+    /// Worth of an answer in time, and the part that a late one earns.
+    pub worth: f64,
+    /// Part of the worth that a late answer earns.
+    pub late: f64,
+    /// It holds its data set and must not run twice.
+    pub load: bool,
+}
+
+/// A source of requests.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// Its tenant's name.
+    pub tenant: &'static str,
+    /// Requests a second.
+    pub rate: f64,
+    /// Clients that it stands for; requests are drawn among them.
+    pub clients: u64,
+    /// What a client says of its work over what it is (ratio).
+    pub says: f64,
+}
+
+/// What became of a tenant's requests.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Tally {
+    /// Requests made, returns included.
+    pub asked: u64,
+    /// First tries, and their worth.
+    pub first: u64,
+    /// Worth asked for by first tries.
+    pub worth_asked: f64,
+    /// Worth served.
+    pub worth: f64,
+    /// Answers.
+    pub served: u64,
+    /// Served within the wanted time.
+    pub in_time: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Calls that had no answer in their time.
+    pub unanswered: u64,
+    /// Answers to calls that were answered before.
+    pub twice: u64,
+    /// Returns at a time that was told and is shorter than the longest advice: a promise.
+    pub returned: u64,
+    /// Such returns that were served.
+    pub returned_served: u64,
+    /// Median and 99th percentile of the time to a served answer (ms).
+    pub p50_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+    #[serde(skip)]
+    latencies: Histogram<u64>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        Tally {
+            asked: 0,
+            first: 0,
+            worth_asked: 0.0,
+            worth: 0.0,
+            served: 0,
+            in_time: 0,
+            refused: 0,
+            failed: 0,
+            unanswered: 0,
+            twice: 0,
+            returned: 0,
+            returned_served: 0,
+            p50_ms: 0.0,
+            p99_ms: 0.0,
+            latencies: Histogram::new_with_bounds(1, 120_000, 2).expect("bounds of a histogram"),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Want {
+    source: usize,
+    class: usize,
+    client: u64,
+    work_ms: f64,
+    says_ms: f64,
+    set: u64,
+    /// It was told to return now, and by a promise.
+    told: Option<bool>,
+    phase: usize,
+}
+
+struct Call {
+    want: Want,
+    asked_ns: u64,
+    until_ns: u64,
+}
+
+#[derive(Default)]
+struct Conn {
+    open: HashMap<u32, Call>,
+    next: u32,
+}
+
+/// All clients of one router.
+pub struct Load {
+    to: SocketAddr,
+    classes: Vec<Class>,
+    sources: Vec<Source>,
+    next_ns: Vec<u64>,
+    rng: StdRng,
+    conns: BTreeMap<u64, Conn>,
+    returns: BTreeMap<(u64, u64), Want>,
+    longest_ms: u64,
+    /// Part of the clients without a promise that return.
+    returning: f64,
+    serial: u64,
+    phase: usize,
+    /// Tallies by phase and source.
+    pub tallies: Vec<Vec<Tally>>,
+}
+
+impl Load {
+    /// Clients of the router that listens at `to`; `longest_ms` is the longest advice that the settings allow.
+    pub fn new(to: SocketAddr, classes: Vec<Class>, longest_ms: u64, returning: f64, seed: u64) -> Self {
+        Load {
+            to,
+            classes,
+            sources: Vec::new(),
+            next_ns: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+            conns: BTreeMap::new(),
+            returns: BTreeMap::new(),
+            longest_ms,
+            returning,
+            serial: 0,
+            phase: 0,
+            tallies: Vec::new(),
+        }
+    }
+
+    /// Begins a phase with these sources; what is open and due to return stays with the phase it began in.
+    pub fn begin(&mut self, now: u64, sources: Vec<Source>) {
+        self.phase = self.tallies.len();
+        self.tallies.push(vec![Tally::default(); sources.len()]);
+        self.sources = sources;
+        self.next_ns = (0..self.sources.len()).map(|i| now + self.gap_ns(i)).collect();
+    }
+
+    /// Stops asking; returns that were told are still made.
+    pub fn end(&mut self) {
+        self.next_ns = vec![u64::MAX; self.sources.len()];
+    }
+
+    /// Whether a connection is one of its own.
+    pub fn owns(&self, conn: u64) -> bool {
+        self.conns.contains_key(&conn)
+    }
+
+    /// Calls that are open, and returns that are due.
+    pub fn open(&self) -> usize {
+        self.conns.values().map(|c| c.open.len()).sum::<usize>() + self.returns.len()
+    }
+
+    fn gap_ns(&mut self, source: usize) -> u64 {
+        let rate = self.sources[source].rate.max(1e-9);
+        let gap = Exp::new(rate).map_or(1.0, |exp| exp.sample(&mut self.rng));
+        (gap.min(3_600.0) * 1e9) as u64
+    }
+
+    /// When it has something to do next (ns).
+    pub fn next_due_ns(&self) -> u64 {
+        let first = self.next_ns.iter().copied().min().unwrap_or(u64::MAX);
+        first.min(self.returns.keys().next().map_or(u64::MAX, |(at, _)| *at))
+    }
+
+    fn draw(&mut self, source: usize) -> Want {
+        let mut pick = self.rng.gen::<f64>() * self.classes.iter().map(|c| c.share).sum::<f64>();
+        let class = self.classes.iter().position(|c| {
+            pick -= c.share;
+            pick <= 0.0
+        });
+        let class = class.unwrap_or(0);
+        let (mean, spread) = (self.classes[class].work_ms, self.classes[class].spread);
+        // The mean of a log-normal is that of its logarithm and half of the variance.
+        let mu = mean.ln() - spread * spread / 2.0;
+        let work_ms = LogNormal::new(mu, spread).map_or(mean, |d| d.sample(&mut self.rng)).min(mean * 10.0);
+        let guess = LogNormal::new(0.0, 0.3).map_or(1.0, |d| d.sample(&mut self.rng));
+        let client = self.rng.gen_range(0..self.sources[source].clients.max(1));
+        let says_ms = (work_ms * guess * self.sources[source].says).max(0.1);
+        let set = self.rng.gen_range(0..64);
+        Want { source, class, client, work_ms, says_ms, set, told: None, phase: self.phase }
+    }
+
+    /// Makes the calls that are due.
+    pub fn tick(&mut self, now: u64, net: &mut Net) {
+        for source in 0..self.sources.len() {
+            while self.next_ns[source] <= now {
+                let want = self.draw(source);
+                let tally = &mut self.tallies[want.phase][source];
+                tally.first += 1;
+                tally.worth_asked += self.classes[want.class].worth;
+                self.next_ns[source] += self.gap_ns(source);
+                self.ask(now, net, want);
+            }
+        }
+        while let Some(entry) = self.returns.first_entry().filter(|e| e.key().0 <= now) {
+            let want = entry.remove();
+            self.ask(now, net, want);
+        }
+        let tallies = &mut self.tallies;
+        for conn in self.conns.values_mut() {
+            conn.open.retain(|_, call| {
+                let late = now > call.until_ns;
+                tallies[call.want.phase][call.want.source].unanswered += u64::from(late);
+                !late
+            });
+        }
+    }
+
+    fn ask(&mut self, now: u64, net: &mut Net, want: Want) {
+        let free = self.conns.iter().find(|(_, c)| c.open.len() < OPEN_MOST).map(|(id, _)| *id);
+        let tally = &mut self.tallies[want.phase][want.source];
+        tally.asked += 1;
+        tally.returned += u64::from(want.told == Some(true));
+        let conn = match free {
+            Some(conn) => conn,
+            None if self.conns.len() < CONNS_MOST => match net.connect(self.to, Owner::Msgpack) {
+                Ok(conn) => {
+                    self.conns.insert(conn, Conn { next: 1, ..Conn::default() });
+                    conn
+                }
+                Err(_) => return tally.unanswered += 1,
+            },
+            None => return tally.unanswered += 1,
+        };
+        let (class, source) = (&self.classes[want.class], &self.sources[want.source.min(self.sources.len() - 1)]);
+        self.serial += 1;
+        let holds = if class.load { format!(" holds={}", want.set) } else { String::new() };
+        let statement = format!(
+            "select a, b, c from sales_{}.orders /* work={:.3} threads={:.0}{holds} */",
+            want.set, want.work_ms, class.threads
+        );
+        let rid = format!("{:016x}", self.serial.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+        let fields = [
+            ("rid", rid),
+            ("budget", format!("{:.0}", class.deadline_ms)),
+            ("acct", source.tenant.to_owned()),
+            ("est", format!("{:.2}", want.says_ms)),
+            ("who", format!("{}-{}", source.tenant, want.client)),
+        ];
+        let fields = fields.into_iter().map(|(k, v)| (Value::from(k), Value::from(v))).collect();
+        let Some(line) = self.conns.get_mut(&conn) else { return };
+        let id = line.next;
+        line.next += 1;
+        let until_ns = now + (class.deadline_ms * MS) as u64 + 50_000_000;
+        let message = Value::Array(vec![
+            0.into(),
+            id.into(),
+            class.name.into(),
+            Value::Array(vec![Value::Map(fields), Value::Binary(statement.into_bytes())]),
+        ]);
+        line.open.insert(id, Call { want, asked_ns: now, until_ns });
+        let mut bytes = Vec::new();
+        // Writing to a vector can't fail.
+        let _ = rmpv::encode::write_value(&mut bytes, &message);
+        net.send(conn, &bytes);
+    }
+
+    /// Takes what has come in on one of its connections.
+    pub fn ready(&mut self, now: u64, net: &mut Net, conn: u64) {
+        let ended = net.service(conn).ended.is_some();
+        loop {
+            let input = net.input(conn);
+            let mut rest = input;
+            let Ok(value) = read_value(&mut rest) else { break };
+            let size = input.len() - rest.len();
+            net.consume(conn, size);
+            self.answer(now, conn, &value);
+        }
+        if ended {
+            net.close(conn);
+            for (_, call) in self.conns.remove(&conn).into_iter().flat_map(|c| c.open) {
+                self.tallies[call.want.phase][call.want.source].unanswered += 1;
+            }
+        }
+    }
+
+    fn answer(&mut self, now: u64, conn: u64, value: &Value) {
+        let Some(parts) = value.as_array().filter(|p| p.len() == 4) else { return };
+        let id = parts[1].as_u64().unwrap_or(0) as u32;
+        let Some(call) = self.conns.get_mut(&conn).and_then(|c| c.open.remove(&id)) else {
+            if let Some(tally) = self.tallies.get_mut(self.phase).and_then(|t| t.first_mut()) {
+                tally.twice += 1;
+            }
+            return;
+        };
+        let want = call.want;
+        let class = &self.classes[want.class];
+        let took_ms = (now - call.asked_ns) as f64 / MS;
+        let tally = &mut self.tallies[want.phase][want.source];
+        if parts[2].is_nil() {
+            let wanted = class.aim_ms + class.stretch * want.work_ms / class.threads;
+            let in_time = took_ms <= wanted;
+            tally.served += 1;
+            tally.in_time += u64::from(in_time);
+            tally.worth += class.worth * if in_time { 1.0 } else { class.late };
+            tally.returned_served += u64::from(want.told == Some(true));
+            // Within its bounds by the class's deadline.
+            let _ = tally.latencies.record(took_ms.ceil() as u64);
+            return;
+        }
+        let word = parts[2].as_array().and_then(|e| e.first()).and_then(Value::as_str);
+        if word != Some("Backoff") {
+            tally.failed += 1;
+            return;
+        }
+        tally.refused += 1;
+        let fields = parts[2].as_array().and_then(|e| e.get(1)).and_then(Value::as_map);
+        let backoff = fields.and_then(|f| f.iter().find(|(k, _)| k.as_str() == Some("backoff")));
+        let ms: u64 = backoff.and_then(|(_, v)| v.as_str()?.parse().ok()).unwrap_or(100);
+        // A request returns once at most, as soon as it was told to.
+        let promised = ms < self.longest_ms;
+        if want.told.is_none() && (promised || self.rng.gen::<f64>() < self.returning) {
+            self.serial += 1;
+            let key = (now + ms * 1_000_000, self.serial);
+            self.returns.insert(key, Want { told: Some(promised), ..want });
+        }
+    }
+
+    /// Fills in the percentiles.
+    pub fn finish(&mut self) {
+        for tally in self.tallies.iter_mut().flatten() {
+            tally.p50_ms = tally.latencies.value_at_quantile(0.5) as f64;
+            tally.p99_ms = tally.latencies.value_at_quantile(0.99) as f64;
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/server.rs
@@ -0,0 +1,290 @@
+//! Stand-ins that answer over HTTP/1.1: engines, and the coordinator.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+
+use marljunction_net::{Net, Owner};
+use mio::net::TcpListener;
+use mio::{Interest, Registry, Token};
+
+use crate::engine::{Cores, News};
+
+/// Longest wait for a query's end before a note is given (ns).
+const WAIT_NS: u64 = 250_000_000;
+/// How often load reports are made anew (ns).
+const REPORT_NS: u64 = 200_000_000;
+/// Answer of a query that ended.
+const ROWS: &str = "a\tb\tc\n";
+
+/// Starts listening on a free loopback port.
+pub fn listen(registry: &Registry, token: usize) -> std::io::Result<(TcpListener, SocketAddr)> {
+    let mut listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    registry.register(&mut listener, Token(token), Interest::READABLE)?;
+    let at = listener.local_addr()?;
+    Ok((listener, at))
+}
+
+/// A call that has come whole.
+struct Call {
+    method: String,
+    path: String,
+    fields: HashMap<String, String>,
+    body: String,
+    size: usize,
+}
+
+fn read_call(input: &[u8]) -> Result<Option<Call>, ()> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut request = httparse::Request::new(&mut headers);
+    let head = match request.parse(input) {
+        Ok(httparse::Status::Complete(size)) => size,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(()),
+    };
+    let text = |v: &[u8]| String::from_utf8_lossy(v).into_owned();
+    let fields: HashMap<String, String> =
+        request.headers.iter().map(|h| (h.name.to_ascii_lowercase(), text(h.value))).collect();
+    let length = fields.get("content-length").map_or(Ok(0), |v| v.parse()).map_err(|_| ())?;
+    if input.len() < head + length {
+        return Ok(None);
+    }
+    Ok(Some(Call {
+        method: request.method.unwrap_or("").to_owned(),
+        path: request.path.unwrap_or("").to_owned(),
+        fields,
+        body: text(&input[head..head + length]),
+        size: head + length,
+    }))
+}
+
+/// A stand-in engine: its listener, its queries, and who waits for news.
+pub struct Engine {
+    listener: Option<TcpListener>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its name.
+    pub uid: String,
+    cores: Cores,
+    conns: HashSet<u64>,
+    waiting: Vec<(u64, String, u64)>,
+    report: (u64, String),
+    /// How often each query of a class that must not run twice was started here.
+    pub loads: BTreeMap<String, u32>,
+    /// Queries started.
+    pub started: u64,
+}
+
+impl Engine {
+    /// An engine that listens.
+    pub fn new(
+        registry: &Registry,
+        token: usize,
+        uid: &str,
+        now: u64,
+        cores: f64,
+    ) -> std::io::Result<Engine> {
+        let (listener, address) = listen(registry, token)?;
+        Ok(Engine {
+            listener: Some(listener),
+            address,
+            uid: uid.to_owned(),
+            cores: Cores::new(now, cores),
+            conns: HashSet::new(),
+            waiting: Vec::new(),
+            report: (0, String::new()),
+            loads: BTreeMap::new(),
+            started: 0,
+        })
+    }
+
+    /// Whether a connection is one of its own.
+    pub fn owns(&self, conn: u64) -> bool {
+        self.conns.contains(&conn)
+    }
+
+    /// Whether it is there.
+    pub fn is_up(&self) -> bool {
+        self.listener.is_some()
+    }
+
+    /// Takes new connections.
+    pub fn accept(&mut self, net: &mut Net) {
+        while let Some(Ok((stream, _))) = self.listener.as_ref().map(TcpListener::accept) {
+            if let Ok(conn) = net.adopt(stream, Owner::Engine) {
+                self.conns.insert(conn);
+            }
+        }
+    }
+
+    /// The process dies: nothing listens any more, and its connections end.
+    pub fn die(&mut self, net: &mut Net) {
+        self.listener = None;
+        self.conns.drain().for_each(|conn| net.close(conn));
+        self.waiting.clear();
+        self.cores = Cores::new(0, 0.0);
+    }
+
+    fn answer(&mut self, now: u64, net: &mut Net, conn: u64, status: &str, extra: &str, body: &str) {
+        if now >= self.report.0 + REPORT_NS {
+            let (held, busy) = (self.cores.held(), self.cores.busy());
+            self.report = (now, format!("inflight:{held};util:{busy:.2}"));
+        }
+        let report = &self.report.1;
+        let length = body.len();
+        let text = format!(
+            "HTTP/1.1 {status}\r\nContent-Length: {length}\r\nLoad-Report: {report}\r\n{extra}\r\n{body}"
+        );
+        net.send(conn, text.as_bytes());
+    }
+
+    /// Takes what has come in on one of its connections.
+    pub fn ready(&mut self, now: u64, net: &mut Net, conn: u64) {
+        if net.service(conn).ended.is_some() {
+            self.conns.remove(&conn);
+            self.waiting.retain(|(c, ..)| *c != conn);
+            return net.close(conn);
+        }
+        loop {
+            match read_call(net.input(conn)) {
+                Ok(None) => return,
+                Err(()) => {
+                    self.conns.remove(&conn);
+                    return net.close(conn);
+                }
+                Ok(Some(call)) => {
+                    net.consume(conn, call.size);
+                    self.call(now, net, conn, call);
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, now: u64, net: &mut Net, conn: u64, call: Call) {
+        let parts: Vec<&str> = call.path.trim_start_matches('/').split('/').collect();
+        match (call.method.as_str(), &parts[..]) {
+            ("POST", ["o"]) => {
+                let name = call.fields.get("request-id").cloned().unwrap_or_default();
+                if self.cores.is_full() {
+                    return self.answer(now, net, conn, "503 Full", "Never-Ran: 1\r\n", "");
+                }
+                let said = |key: &str| {
+                    let rest = call.body.split_once(key)?.1;
+                    rest.split_whitespace().next()?.parse::<f64>().ok()
+                };
+                let rank = call.fields.get("pool-rank").and_then(|r| r.parse().ok()).unwrap_or(1);
+                let work = said("work=").unwrap_or(1.0) * 1e6;
+                let threads = said("threads=").unwrap_or(1.0);
+                let holds = said("holds=").map(|set| set as u64);
+                if holds.is_some() {
+                    *self.loads.entry(name.clone()).or_default() += 1;
+                }
+                self.started += 1;
+                self.cores.start(now, &name, work, threads, rank, holds);
+                self.waiting.push((conn, name, now + WAIT_NS));
+            }
+            ("GET", ["o", name, "0"]) => self.waiting.push((conn, (*name).to_owned(), now + WAIT_NS)),
+            ("GET", ["o", ..]) => self.answer(now, net, conn, "500 No such page", "", ""),
+            ("PUT", ["o", name]) => {
+                self.cores.rank(now, name, call.body.trim().parse().unwrap_or(1));
+                self.answer(now, net, conn, "204 Done", "", "");
+            }
+            ("DELETE", ["o", name]) => {
+                self.cores.cancel(now, name);
+                self.answer(now, net, conn, "204 Done", "", "");
+            }
+            _ => self.answer(now, net, conn, "500 What", "", ""),
+        }
+    }
+
+    /// Passes time: answers those who wait for what has ended, or have waited long enough.
+    pub fn tick(&mut self, now: u64, net: &mut Net) {
+        if !self.is_up() {
+            return;
+        }
+        self.cores.pass(now);
+        for (conn, name, until) in std::mem::take(&mut self.waiting) {
+            match self.cores.ask(now, &name) {
+                News::Done => self.answer(now, net, conn, "200 OK", "Chunks: 1\r\n", ROWS),
+                News::Unknown => self.answer(now, net, conn, "500 Unknown", "", ""),
+                News::Runs(share) if now >= until => {
+                    let note = format!("Outcome: frac\r\nReading: {share:.3}\r\n");
+                    self.answer(now, net, conn, "202 Accepted", &note, "");
+                }
+                News::Runs(_) => self.waiting.push((conn, name, until)),
+            }
+        }
+    }
+
+    /// When it has something to do next (ns).
+    pub fn next_due_ns(&self) -> Option<u64> {
+        let waits = self.waiting.iter().map(|(_, _, until)| *until).min();
+        waits.into_iter().chain(self.cores.next_end_ns()).min().filter(|_| self.is_up())
+    }
+}
+
+/// A stand-in coordinator: numbered events to whoever follows its stream.
+pub struct Coordinator {
+    listener: TcpListener,
+    /// Where it listens.
+    pub address: SocketAddr,
+    conns: HashMap<u64, bool>,
+    events: Vec<(u64, String)>,
+    told_ns: u64,
+}
+
+impl Coordinator {
+    /// A coordinator whose first event has the number `index`.
+    pub fn new(registry: &Registry, token: usize) -> std::io::Result<Coordinator> {
+        let (listener, address) = listen(registry, token)?;
+        Ok(Coordinator { listener, address, conns: HashMap::new(), events: Vec::new(), told_ns: 0 })
+    }
+
+    /// Whether a connection is one of its own.
+    pub fn owns(&self, conn: u64) -> bool {
+        self.conns.contains_key(&conn)
+    }
+
+    /// Takes new connections.
+    pub fn accept(&mut self, net: &mut Net) {
+        while let Ok((stream, _)) = self.listener.accept() {
+            if let Ok(conn) = net.adopt(stream, Owner::Discovery) {
+                self.conns.insert(conn, false);
+            }
+        }
+    }
+
+    /// Tells an event; `index` must be above those before.
+    pub fn tell(&mut self, net: &mut Net, index: u64, data: &serde_json::Value) {
+        let text = format!("id: {index}\ndata: {data}\n\n");
+        for (conn, follows) in &self.conns {
+            if *follows {
+                net.send(*conn, text.as_bytes());
+            }
+        }
+        self.events.push((index, text));
+    }
+
+    /// Takes what has come in on one of its connections.
+    pub fn ready(&mut self, net: &mut Net, conn: u64) {
+        if net.service(conn).ended.is_some() {
+            self.conns.remove(&conn);
+            return net.close(conn);
+        }
+        let Ok(Some(call)) = read_call(net.input(conn)) else { return };
+        net.consume(conn, call.size);
+        let last: u64 = call.fields.get("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
+        net.send(conn, b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:hi\n\n");
+        for (_, text) in self.events.iter().filter(|(index, _)| *index > last) {
+            net.send(conn, text.as_bytes());
+        }
+        self.conns.insert(conn, true);
+    }
+
+    /// Sends a comment each second.
+    pub fn tick(&mut self, now: u64, net: &mut Net) {
+        if now >= self.told_ns + 1_000_000_000 {
+            self.told_ns = now;
+            self.conns.keys().for_each(|conn| drop(net.send(*conn, b":\n\n")));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/stage.rs
@@ -0,0 +1,303 @@
+//! One router with its stand-ins round it, all in one loop.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use marljunction_net::clock::Clock;
+use marljunction_net::{Net, Room};
+use mio::{Events, Poll, Token};
+use serde_json::{json, Value};
+
+use crate::load::{Class, Load, Source};
+use crate::server::{Coordinator, Engine};
+
+const FIRST_CONN: u64 = 1_000;
+const COORDINATOR: usize = 999;
+/// Longest wait of the loop (ms).
+const STEP_MS: u64 = 20;
+
+/// What a stage is set up with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The router's program.
+    pub program: std::path::PathBuf,
+    /// A name that no other stage has now.
+    pub name: String,
+    /// Engines, and cores of each.
+    pub engines: usize,
+    /// Cores of an engine.
+    pub cores: f64,
+    /// Tenants by name and weight.
+    pub tenants: Vec<(&'static str, f64)>,
+    /// Classes.
+    pub classes: Vec<Class>,
+    /// The door's file; none for no door.
+    pub door: Option<Value>,
+    /// Longest advice to clients (ms).
+    pub longest_ms: u64,
+    /// Part of refused clients without a promise that return.
+    pub returning: f64,
+    /// Seed of all draws.
+    pub seed: u64,
+}
+
+/// A router among its stand-ins.
+pub struct Stage {
+    poll: Poll,
+    clock: Clock,
+    net: Net,
+    engines: Vec<Engine>,
+    coordinator: Coordinator,
+    /// The clients.
+    pub load: Load,
+    child: Child,
+    log: Option<BufReader<std::process::ChildStderr>>,
+    dir: std::path::PathBuf,
+    revision: u64,
+}
+
+/// What the router says of itself at its end.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    /// Its counters.
+    pub counters: Vec<(String, u64)>,
+    /// The door's, by tenant.
+    pub door: Vec<(String, Vec<(String, u64)>)>,
+    /// Greatest memory that it had (KB).
+    pub peak_kb: u64,
+    /// It ended by itself and well.
+    pub ended_well: bool,
+}
+
+impl Told {
+    /// A counter.
+    pub fn counter(&self, name: &str) -> u64 {
+        self.counters.iter().find(|(k, _)| k == name).map_or(0, |(_, v)| *v)
+    }
+
+    /// The sum of a counter of the door over all tenants.
+    pub fn door(&self, name: &str) -> u64 {
+        let of = |fields: &[(String, u64)]| fields.iter().find(|(k, _)| k == name).map_or(0, |(_, v)| *v);
+        self.door.iter().map(|(_, fields)| of(fields)).sum()
+    }
+}
+
+fn pairs(line: &str) -> Vec<(String, u64)> {
+    let pairs = line.split_whitespace().filter_map(|word| word.split_once('='));
+    pairs.filter_map(|(k, v)| Some((k.to_owned(), v.parse().ok()?))).collect()
+}
+
+fn settings(setup: &Setup) -> Value {
+    let ns = |ms: f64| (ms * 1e6) as u64;
+    let classes: Vec<Value> = setup
+        .classes
+        .iter()
+        .map(|c| {
+            json!({"name": c.name, "aim_ns": ns(c.aim_ms), "aim_stretch": c.stretch,
+                   "give_up_ns": ns(c.deadline_ms), "worth": c.worth, "late_worth": c.late,
+                   "effect": if c.load { "at_most_once" } else { "idempotent" }})
+        })
+        .collect();
+    let tenants: Vec<Value> =
+        setup.tenants.iter().map(|(name, weight)| json!({"name": name, "allowance_per_s": weight})).collect();
+    let of = |f: fn(&Class) -> Value| setup.classes.iter().map(f).collect::<Vec<Value>>();
+    json!({
+        "azs": ["a"], "balancers": 1, "me": 0, "zone": "a", "kinds": ["std"], "membership_mode": "automatic",
+        "load_report": {"fields": ["busy", "rif"], "how": "answers"}, "realms": tenants, "over_share_worth": 0.1,
+        "family_info": {"cores_by_kind": [setup.cores], "dop": of(|c| json!(c.threads)), "lanes_count": true,
+            "out_of_memory": "swap", "progress_pace_ns": 500_000_000u64, "ram_of_kind_mb": [1e6],
+            "takes_grants": false, "waits_for_loads": of(|_| json!(false)), "writes_tables": of(|c| json!(c.load))},
+        "guarantees": {"drain_grace_ns": 500_000_000u64},
+        "limits": {"cancelling": true, "conn_idle_ns": 30_000_000_000u64, "connect_timeout_ns": 250_000_000u64,
+            "max_retry_after_ns": setup.longest_ms * 1_000_000, "retry_after": true, "send_cap": 4},
+        "request_classes": classes,
+    })
+}
+
+impl Stage {
+    /// Starts the stand-ins and the program.
+    pub fn start(setup: &Setup) -> Result<Stage, String> {
+        let fault = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+        let poll = Poll::new().map_err(fault("poll"))?;
+        let registry = poll.registry().try_clone().map_err(fault("poll"))?;
+        let clock = Clock::start();
+        let now = clock.now_ns();
+        let mut engines = Vec::new();
+        for i in 0..setup.engines {
+            let engine = Engine::new(&registry, i, &format!("e{i}"), now, setup.cores);
+            engines.push(engine.map_err(fault("engine"))?);
+        }
+        let coordinator = Coordinator::new(&registry, COORDINATOR).map_err(fault("coordinator"))?;
+        let net = Net::new(registry, FIRST_CONN, Room { engines: 100_000, output: 256 << 20 });
+        let all: Vec<Value> = engines.iter().map(|e| target(e, "in_service")).collect();
+        let config = json!({
+            "name": setup.name, "listen": "127.0.0.1:0", "seed": format!("{:016x}", setup.seed),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "coordinator": coordinator.address.to_string(),
+            "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"all": true, "targets": all}}]},
+            "settings": settings(setup),
+        });
+        let dir = std::env::temp_dir().join(format!("marljunction-{}-{}", std::process::id(), setup.name));
+        std::fs::create_dir_all(&dir).map_err(fault("folder"))?;
+        let write = |name: &str, value: &Value| {
+            let path = dir.join(name);
+            std::fs::write(&path, value.to_string()).map(|()| path).map_err(fault("file"))
+        };
+        let mut command = Command::new(&setup.program);
+        command.env("ROUTER_CONFIG", write("config.json", &config)?).stderr(Stdio::piped());
+        command.env_remove("MARLJUNCTION_POSTGRES").env_remove("MARLJUNCTION_DOOR");
+        if let Some(door) = &setup.door {
+            command.env("MARLJUNCTION_DOOR", write("door.json", door)?);
+        }
+        let mut child =
+            command.spawn().map_err(|e| format!("{}: {e}", setup.program.display()))?;
+        let mut log = BufReader::new(child.stderr.take().ok_or("no log")?);
+        let to = loop {
+            let mut line = String::new();
+            if log.read_line(&mut line).map_err(fault("log"))? == 0 {
+                return Err("the program ended at its start".into());
+            }
+            let at = line.split("listens on ").nth(1).and_then(|l| l.split_whitespace().next());
+            if let Some(at) = at.and_then(|at| at.parse::<SocketAddr>().ok()) {
+                break at;
+            }
+        };
+        let classes = setup.classes.clone();
+        let load = Load::new(to, classes, setup.longest_ms, setup.returning, setup.seed);
+        let log = Some(log);
+        Ok(Stage { poll, clock, net, engines, coordinator, load, child, log, dir, revision: 1 })
+    }
+
+    /// Runs for a time with these sources of requests.
+    pub fn play(&mut self, sources: Vec<Source>, time: Duration) -> Result<(), String> {
+        let now = self.clock.now_ns();
+        self.load.begin(now, sources);
+        self.run_until(now + time.as_nanos() as u64, false)
+    }
+
+    /// Asks nothing more, and runs until all is answered, for no longer than `most`.
+    pub fn drain(&mut self, most: Duration) -> Result<(), String> {
+        self.load.end();
+        self.run_until(self.clock.now_ns() + most.as_nanos() as u64, true)
+    }
+
+    /// Lets engines die: their processes are gone at once, and the coordinator tells so at once.
+    pub fn kill(&mut self, count: usize) {
+        let mut gone = Vec::new();
+        for engine in self.engines.iter_mut().filter(|e| e.is_up()).take(count) {
+            engine.die(&mut self.net);
+            gone.push(target(engine, "terminated"));
+        }
+        self.revision += 1;
+        let index = self.revision;
+        let event = json!({"index": index, "endpoints": {"rev": index, "all": false, "targets": gone}});
+        self.coordinator.tell(&mut self.net, index, &event);
+    }
+
+    /// Runs of queries that must not run twice, beyond the first of each.
+    pub fn double_runs(&self) -> u64 {
+        let mut runs = std::collections::BTreeMap::<&str, u64>::new();
+        for (name, count) in self.engines.iter().flat_map(|e| &e.loads) {
+            *runs.entry(name).or_default() += u64::from(*count);
+        }
+        runs.values().map(|n| n - 1).sum()
+    }
+
+    fn run_until(&mut self, end: u64, until_answered: bool) -> Result<(), String> {
+        let mut events = Events::with_capacity(1_024);
+        let mut again: Vec<u64> = Vec::new();
+        loop {
+            let now = self.clock.now_ns();
+            if now >= end || until_answered && self.load.open() == 0 {
+                return Ok(());
+            }
+            let engines = self.engines.iter().filter_map(Engine::next_due_ns).min().unwrap_or(u64::MAX);
+            let due = engines.min(self.load.next_due_ns()).min(end).saturating_sub(now);
+            let wait = if again.is_empty() { due.min(STEP_MS * 1_000_000) } else { 0 };
+            match self.poll.poll(&mut events, Some(Duration::from_nanos(wait))) {
+                Err(e) if e.kind() != std::io::ErrorKind::Interrupted => return Err(format!("poll: {e}")),
+                _ => {}
+            }
+            let now = self.clock.now_ns();
+            let mut conns: Vec<u64> = std::mem::take(&mut again);
+            for event in &events {
+                match event.token() {
+                    Token(COORDINATOR) => self.coordinator.accept(&mut self.net),
+                    Token(at) if at < self.engines.len() => self.engines[at].accept(&mut self.net),
+                    Token(conn) => conns.push(conn as u64),
+                }
+            }
+            for conn in conns {
+                if self.load.owns(conn) {
+                    self.load.ready(now, &mut self.net, conn);
+                } else if self.coordinator.owns(conn) {
+                    self.coordinator.ready(&mut self.net, conn);
+                } else if let Some(engine) = self.engines.iter_mut().find(|e| e.owns(conn)) {
+                    engine.ready(now, &mut self.net, conn);
+                }
+                if self.net.has_more(conn) {
+                    again.push(conn);
+                }
+            }
+            self.engines.iter_mut().for_each(|e| e.tick(now, &mut self.net));
+            self.coordinator.tick(now, &mut self.net);
+            self.load.tick(now, &mut self.net);
+        }
+    }
+
+    /// Ends the program as a planned stop does; gives what it said of itself.
+    pub fn stop(mut self) -> Result<Told, String> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let peak_kb = peak.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0);
+        let sent = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        sent.map_err(|e| format!("kill: {e}"))?;
+        let mut log = self.log.take().ok_or("no log")?;
+        let reader = std::thread::spawn(move || {
+            let mut text = String::new();
+            // What could be read of a log says what it can.
+            let _ = log.read_to_string(&mut text);
+            text
+        });
+        let end = self.clock.now_ns() + 8_000_000_000;
+        while !reader.is_finished() && self.clock.now_ns() < end {
+            self.run_until(self.clock.now_ns() + 50_000_000, false)?;
+        }
+        if !reader.is_finished() {
+            // It does not end by itself; its log ends with it.
+            let _ = self.child.kill();
+        }
+        let ended_well = self.child.wait().is_ok_and(|status| status.success());
+        let text = reader.join().map_err(|_| "the log's reader failed")?;
+        let counters = text.lines().rev().find(|l| l.contains("ends; ")).map(pairs).unwrap_or_default();
+        let tenants = text.lines().filter_map(|l| {
+            let (name, fields) = l.split_once("door tenant=")?.1.split_once(' ')?;
+            Some((name.to_owned(), pairs(fields)))
+        });
+        Ok(Told { counters, door: tenants.collect(), peak_kb, ended_well })
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        // Only where the stage was not stopped: its program must not outlive it.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn target(engine: &Engine, state: &str) -> Value {
+    json!({"uid": engine.uid, "endpoint": engine.address.to_string(), "az": "a", "model": "std", "state": state,
+           "capacity_hint": 1, "boot_ms": 0})
+}
+
+/// The router's program beside the one that runs.
+pub fn program_beside() -> Option<std::path::PathBuf> {
+    let own = std::env::current_exe().ok()?;
+    let beside = own.parent()?.join("marljunction");
+    Path::new(&beside).exists().then_some(beside)
+}
