Count a given-up query as over only once its engine has answered or forgotten it

What fits is the 250 ms after which a written DELETE counted as come: an engine that stands still for longer has not read it, and the module sends the query again meanwhile. That was not caught in the act.

The attempt now stays out until the engine answers, or until 2.1 s after it was last asked for. Two tests pass time by hand over real bytes and fail with the shortcut back in.

The door: the room is limited only once a quarter of the shown is refused, tenants within their part stay clear of the limit, of a standing queue the most worth for its cost goes first.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -437,6 +437,7 @@
             class: ask.class.0,
             threads,
             need_ns,
+            worth: class.worth,
             wanted_ns: open.taken_ns.saturating_add(class.aim_ns).saturating_add(stretch_ns),
             expires_ns: open.expires_ns,
             bytes: ask.statement.text.len(),
--- a/crates/core/tests/door.rs
+++ b/crates/core/tests/door.rs
@@ -126,6 +126,7 @@
 
     /// Fills the engine until a queue forms; gives all calls.
     fn fill(&mut self) -> Vec<(u64, RequestId)> {
+        // So many at once that a quarter of them is refused: from then on there is a queue.
         let mut all: Vec<_> = (0..40).map(|i| self.take(i % 2, 0)).collect();
         self.turn();
         all.extend((0..40).map(|i| self.take(i % 2, 0)));
--- a/crates/door/benches/structures.rs
+++ b/crates/door/benches/structures.rs
@@ -121,6 +121,7 @@
                         client: (draw >> 8) % identities,
                         class: 0,
                         threads: 1.0,
+                        worth: 1.0,
                         need_ns: 1e8,
                         wanted_ns: now + 1_000_000_000,
                         expires_ns: now + 6_000_000_000,
--- a/crates/door/src/calendar.rs
+++ b/crates/door/src/calendar.rs
@@ -4,7 +4,7 @@
 //! flows' tenants by weight; a promise takes its cost from the first slot of its tenant that has some left, and from those
 //! behind it what that one lacks. Whoever comes back within the promise's window claims it.
 
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
 
 use crate::wheel::{Key, Wheel};
 
@@ -48,7 +48,7 @@
     slots: Vec<Slot>,
     /// Promises by the end of their window.
     book: Wheel<Promise>,
-    of_flow: HashMap<u64, Vec<Key>>,
+    of_flow: FxHashMap<u64, Vec<Key>>,
     most: usize,
     window_ns: u64,
 }
@@ -57,7 +57,13 @@
     /// Nothing promised; `most` promises at a time, each of which may be claimed for `window_ns`.
     pub fn new(now: u64, tenants: usize, most: usize, window_ns: u64) -> Self {
         let slot = Slot { number: 0, taken: vec![0.0; tenants] };
-        Calendar { slots: vec![slot; SLOTS], book: Wheel::new(now), of_flow: HashMap::new(), most, window_ns }
+        Calendar {
+            slots: vec![slot; SLOTS],
+            book: Wheel::new(now),
+            of_flow: FxHashMap::default(),
+            most,
+            window_ns,
+        }
     }
 
     /// Promises that are out.
--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -19,15 +19,16 @@
 pub mod sketch;
 pub mod wheel;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 
+use rustc_hash::FxHashMap;
 use slab::Slab;
 
 use calendar::{Calendar, Promise};
 use counters::TenantCounters;
 use fair::{Discipline, StartTime};
 use queues::{Entry, Queue, Stand};
-use room::{Kind, Room};
+use room::{Kind, Room, Surety};
 use settings::{hand, DoorSettings, Identity, Order};
 use sketch::Heavy;
 use wheel::Wheel;
@@ -39,14 +40,18 @@
 const DEBT_THREADS: f64 = 32.0;
 /// Queues of one tenant that are looked at for a request that fits (count).
 const LOOK: usize = 8;
+/// Newest of a queue among which the one with the most worth for its cost is sought (count).
+const NEWEST: usize = 8;
 /// While the first in turn does not fit, as the module refuses its kind earlier, others may be served so far past it
 /// (ns of what is served at a time, for a weight of 1); then all wait for it. Guards against a kind that never
 /// fits because others fill the room each time.
-const PASSING_NS: f64 = 150_000_000.0;
+const PASSING_NS: f64 = 60_000_000.0;
 /// Wait that says of a tenant's queues that they do not empty, where none was shorter in an interval of so long (ns).
 /// CoDel's way of telling a standing queue from a burst (Nichols and Jacobson, 2012).
 const TARGET_NS: u64 = 30_000_000;
 const INTERVAL_NS: u64 = 100_000_000;
+/// Requests of a tenant that wait in a queue that may be said to stand (count).
+const STANDING: u32 = 8;
 /// Weight of a new figure in what is learned of classes and queues (share).
 const LEARN: f64 = 0.05;
 /// A promise is void where its client turned out to hold this multiple of what was set aside (ratio).
@@ -82,6 +87,8 @@
     pub threads: f64,
     /// Estimated work (core-nanoseconds).
     pub need_ns: f64,
+    /// What an answer in time is worth, by any measure that is the same for all.
+    pub worth: f64,
     /// When its answer is wanted (ns).
     pub wanted_ns: u64,
     /// When its client gives up (ns).
@@ -146,11 +153,13 @@
     }
 
     /// Takes the wait of one that is shown, or of the oldest still there.
-    fn waited(&mut self, now: u64, wait: u64) {
+    fn waited(&mut self, now: u64, wait: u64, rate: f64, stale_ns: u64) {
         self.interval.1 = self.interval.1.min(wait);
         if now >= self.interval.0 + INTERVAL_NS {
-            // Once it stands, the newest go first and wait little: only an empty queue tells that it is over.
-            self.standing |= self.interval.1 > TARGET_NS;
+            // Once it stands, the newest go first and wait little: only an empty queue tells that it is over. A few that
+            // wait are no standing queue, nor is what the tenant's own part of the room serves before it is stale.
+            let long = self.backlog > rate * stale_ns as f64;
+            self.standing |= self.interval.1 > TARGET_NS && self.queued >= STANDING && long;
             self.interval = (now, u64::MAX);
         }
     }
@@ -164,7 +173,8 @@
     longest_ns: Option<u64>,
     bytes_most: usize,
     entries: Slab<Entry>,
-    by_id: HashMap<u64, usize>,
+    /// Numbers of requests and flows are the router's own or hashed with a key: nobody chooses them.
+    by_id: FxHashMap<u64, usize>,
     tenants: Vec<Tenant>,
     turns: StartTime,
     classes: Vec<Class>,
@@ -175,6 +185,8 @@
     halved_ns: u64,
     queued: usize,
     held_bytes: usize,
+    /// Nothing that waits fits, and no room came free since that was found.
+    blocked: bool,
     /// Refusals that were decided but not told yet.
     verdicts: VecDeque<Verdict>,
 }
@@ -221,7 +233,7 @@
             longest_ns: site.longest_ns,
             bytes_most: site.bytes_most,
             entries: Slab::new(),
-            by_id: HashMap::new(),
+            by_id: FxHashMap::default(),
             tenants: weights.iter().map(|_| Tenant::new(queues)).collect(),
             turns: StartTime::new(&weights, DEBT_NS * DEBT_THREADS),
             classes: vec![Class { need: 0.0, held: 1.0 }; site.classes],
@@ -232,6 +244,7 @@
             halved_ns: now,
             queued: 0,
             held_bytes: 0,
+            blocked: false,
             verdicts: VecDeque::new(),
             settings,
         }
@@ -386,6 +399,8 @@
         tenant.backlog += self.entries[key].cost;
         self.turns.activate(lane, 0.0);
         self.by_id.insert(arrival.id, key);
+        let e = &self.entries[key];
+        self.blocked = self.blocked && !self.room.fits(now, e.kind, e.arrival.threads, Surety::Any);
         self.push_out(now);
     }
 
@@ -446,11 +461,26 @@
     }
 
     fn forget(&mut self, key: usize) -> Entry {
+        self.blocked = false;
         let entry = self.entries.remove(key);
         self.by_id.remove(&entry.arrival.id);
         entry
     }
 
+    /// A tenant's part of the room, among those seen of late.
+    fn share(&self, now: u64, tenant: usize) -> f64 {
+        let active = |t: &usize| self.tenants[*t].came_ns + ACTIVE_NS >= now;
+        let weights = (0..self.tenants.len()).filter(active).map(|t| self.turns.weight(t));
+        self.turns.weight(tenant) / weights.sum::<f64>().max(1e-9)
+    }
+
+    /// Threads of the room that are a lane's while all want more than there is.
+    fn rate(&self, lane: usize) -> f64 {
+        let queued = (0..self.tenants.len()).filter(|t| self.tenants[*t].queued > 0 || *t == lane);
+        let weights: f64 = queued.map(|t| self.turns.weight(t)).sum();
+        self.room.served() * self.turns.weight(lane) / weights.max(1e-9)
+    }
+
     /// When a refused request's client should come back, with room set aside for it where there is some.
     fn advise(&mut self, now: u64, entry: &Entry) -> Advice {
         let tenant = entry.arrival.tenant;
@@ -458,9 +488,7 @@
             return Advice { after_ns: self.longest_ns.unwrap_or(SOONEST_NS), promised: false };
         };
         let likely = self.room.limit(entry.kind) >= self.room.greatest() * PROMISED_KINDS;
-        let active = |t: &Tenant| t.came_ns + ACTIVE_NS >= now;
-        let weights = (0..self.tenants.len()).filter(|t| active(&self.tenants[*t]));
-        let share = self.turns.weight(tenant) / weights.map(|t| self.turns.weight(t)).sum::<f64>().max(1e-9);
+        let share = self.share(now, tenant);
         let threads = self.room.served();
         let at = likely
             .then(|| {
@@ -515,8 +543,13 @@
         if let Some(verdict) = self.verdicts.pop_front() {
             return Some(verdict);
         }
-        let key = self.next(now)?;
-        Some(self.show(now, key))
+        if self.blocked {
+            self.room.wait(now);
+            return None;
+        }
+        let next = self.next(now);
+        self.blocked = next.is_none() && self.queued > 0;
+        next.map(|key| self.show(now, key))
     }
 
     /// A queued request's time is over, or it has become stale.
@@ -527,8 +560,9 @@
         // The wheel's ticks are coarser than times: what is due within its tick is due now.
         if latest.saturating_sub(now) > 2_000_000 {
             let wait = now.saturating_sub(entry.came_ns);
+            let (rate, stale_ns) = (self.rate(lane), self.settings.stale_ms * 1_000_000);
             let tenant = &mut self.tenants[lane];
-            tenant.waited(now, wait);
+            tenant.waited(now, wait, rate, stale_ns);
             if !tenant.standing || self.settings.order == Order::Fifo {
                 self.entries[key].timer = Some(self.timers.insert(latest, key));
                 return;
@@ -547,7 +581,7 @@
         for lane in self.turns.in_order() {
             let Some(key) = self.tenants[lane].returned.oldest() else { continue };
             let e = &self.entries[key];
-            if self.room.fits(now, e.kind, e.arrival.threads, true) {
+            if self.room.fits(now, e.kind, e.arrival.threads, Surety::Promised) {
                 return Some(key);
             }
             returned = true;
@@ -567,17 +601,19 @@
                 return None;
             }
             let tenant = &self.tenants[lane];
+            // Who wants no more than its part has no share in finding out where the limit is.
+            let sure = !tenant.standing && self.settings.order == Order::Fair;
+            let surety = if sure { Surety::Clear } else { Surety::Any };
             let mut first_queue = f64::INFINITY;
-            let newest = tenant.standing && self.settings.order == Order::Fair;
+            let standing = tenant.standing && self.settings.order == Order::Fair;
             for queue in tenant.turns.in_order().take(LOOK) {
                 if past(&tenant.turns, &mut first_queue, queue) {
                     break;
                 }
-                // Behind a queue that does not empty the newest can still be met in time.
                 let queue = &tenant.queues[queue];
-                let Some(key) = (if newest { queue.newest() } else { queue.oldest() }) else { continue };
+                let Some(key) = (if standing { self.best(queue) } else { queue.oldest() }) else { continue };
                 let e = &self.entries[key];
-                if self.room.fits(now, e.kind, e.arrival.threads, false) {
+                if self.room.fits(now, e.kind, e.arrival.threads, surety) {
                     return Some(key);
                 }
             }
@@ -585,6 +621,13 @@
         None
     }
 
+    /// Behind a queue that does not empty: of its newest few, which can still be met in time, the one with the most
+    /// worth for what it holds. Not all can be served, and the heavy are worth no more than the light of their class.
+    fn best(&self, queue: &Queue) -> Option<usize> {
+        let worth = |key: &usize| self.entries[*key].arrival.worth / self.entries[*key].cost.max(1.0);
+        queue.from_newest(&self.entries).take(NEWEST).min_by(|a, b| worth(b).total_cmp(&worth(a)))
+    }
+
     fn show(&mut self, now: u64, key: usize) -> Verdict {
         let stand = self.entries[key].stand;
         let e = &self.entries[key];
@@ -593,10 +636,11 @@
         let lane = self.lane(own);
         let queue = e.queue;
         self.turns.charge(lane, cost, 0.0);
+        let (rate, stale_ns) = (self.rate(lane), self.settings.stale_ms * 1_000_000);
         let tenant = &mut self.tenants[lane];
         tenant.turns.charge(queue, cost, 0.0);
         if stand == Stand::Queued {
-            tenant.waited(now, wait);
+            tenant.waited(now, wait, rate, stale_ns);
         }
         self.unqueue(key);
         self.room.take(threads);
@@ -617,6 +661,7 @@
     pub fn accepted(&mut self, now: u64, id: u64) {
         let Some(e) = self.by_id.get(&id).map(|key| &self.entries[*key]) else { return };
         let waited = self.queued > 0;
+        self.blocked = false;
         self.room.taken(now, e.kind, e.arrival.threads, waited);
     }
 
--- a/crates/door/src/queues.rs
+++ b/crates/door/src/queues.rs
@@ -101,6 +101,12 @@
         (self.tail != NONE).then_some(self.tail as usize)
     }
 
+    /// Its entries, the newest first.
+    pub fn from_newest<'a>(&self, entries: &'a Slab<Entry>) -> impl Iterator<Item = usize> + 'a {
+        let before = |key: &u32| Some(entries[*key as usize].before).filter(|b| *b != NONE);
+        std::iter::successors(Some(self.tail).filter(|t| *t != NONE), before).map(|key| key as usize)
+    }
+
     /// Adds an entry as the newest.
     pub fn push(&mut self, entries: &mut Slab<Entry>, key: usize) {
         let entry = &mut entries[key];
--- a/crates/door/src/room.rs
+++ b/crates/door/src/room.rs
@@ -1,12 +1,19 @@
 //! How much the decision module takes, learned from what it refuses.
 //!
-//! Room is counted in threads of requests that the module was shown and that are not over. A refusal tells that there
-//! was none left for this kind of request; what the module takes at the limit tells that there may be more.
-//! The limit moves as a congestion window does, up slowly and down at once (after Chiu and Jain, 1989), with an
-//! increase that doubles for each second without a refusal, so that it finds new capacity soon.
+//! Room is counted in threads of requests that the module was shown and that are not over. The module refuses single
+//! requests for many reasons, so that only a share of refusals says that there is no room: from then on the room is
+//! limited, until nobody has had to wait for a while. While it is limited a refusal tells that there was none left for this
+//! kind of request, and what the module takes at the limit tells that there may be more. The limit moves as a congestion
+//! window does, up slowly and down at once (after Chiu and Jain, 1989), with an increase that doubles for each
+//! second without a refusal, so that it finds new capacity soon.
 //! Each kind, a class and a size within it, has a limit of its own, since the module refuses the heavy ones of
 //! a class before its light ones.
 
+/// Share of the shown that are refused from which the room is limited, and weight of each in that share.
+const LIMITED_FROM: f64 = 0.25;
+const SHARE_WEIGHT: f64 = 0.05;
+/// Time without anybody waiting after which the room is not limited any more (ns).
+const FREE_AFTER_NS: u64 = 1_000_000_000;
 /// What is left of a limit after a refusal (share), and the least that one refusal leaves of it.
 const LESS: f64 = 0.98;
 const LEAST_LEFT: f64 = 0.9;
@@ -20,7 +27,7 @@
 const LIMIT_LEAST: f64 = 1.0;
 const FORGET_NS: u64 = 20_000_000_000;
 /// Room that is left to those who were promised it (share): others find out where the limit is.
-const KEPT_CLEAR: f64 = 0.92;
+const KEPT_CLEAR: f64 = 0.84;
 /// Weight of a new figure of the threads in use while there is a queue (share).
 const BUSY_WEIGHT: f64 = 0.02;
 /// The same for what was in use at a refusal (share).
@@ -40,12 +47,27 @@
     limits: Vec<Limit>,
     used: f64,
     busy: f64,
+    /// Share of the shown that were refused of late.
+    refused: f64,
+    /// While the room is limited: when somebody last had to wait.
+    waited_ns: Option<u64>,
 }
 
 /// A kind of request: its class and its size within it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Kind(usize);
 
+/// How sure it must be that the module takes a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Surety {
+    /// Up to the limit: those who want more than their part find out where that is.
+    Any,
+    /// Clear of the limit.
+    Clear,
+    /// The same, and also where the crowd that showed the limit is over.
+    Promised,
+}
+
 impl Kind {
     /// Of a class, by need over the class's mean need.
     pub fn of(class: usize, ratio: f64) -> Self {
@@ -57,7 +79,8 @@
     /// All the room there is, for so many classes.
     pub fn new(classes: usize) -> Self {
         let limit = Limit { threads: f64::INFINITY, refused_ns: 0 };
-        Room { limits: vec![limit; classes.max(1) * (SIZES.len() + 1)], used: 0.0, busy: 0.0 }
+        let limits = vec![limit; classes.max(1) * (SIZES.len() + 1)];
+        Room { limits, used: 0.0, busy: 0.0, refused: 0.0, waited_ns: None }
     }
 
     /// Threads of what is shown and not over.
@@ -70,6 +93,11 @@
         self.busy
     }
 
+    /// Whether the room is limited: the module refused too many for it to be chance.
+    pub fn is_limited(&self) -> bool {
+        self.waited_ns.is_some()
+    }
+
     /// Limit of a kind (threads); infinite while nothing was refused.
     pub fn limit(&self, kind: Kind) -> f64 {
         self.limits[kind.0].threads
@@ -85,14 +113,34 @@
         self.limits.capacity() * std::mem::size_of::<Limit>()
     }
 
-    /// Whether a request of a kind fits now. What was promised stays clear of the limit, where the module may refuse.
-    pub fn fits(&mut self, now: u64, kind: Kind, threads: f64, promised: bool) -> bool {
+    /// Whether a request of a kind fits now. What is to be served surely stays clear of the limit,
+    /// where the module may refuse.
+    pub fn fits(&mut self, now: u64, kind: Kind, threads: f64, surety: Surety) -> bool {
+        if self.waited_ns.is_some_and(|at| now > at + FREE_AFTER_NS) {
+            (self.waited_ns, self.refused) = (None, 0.0);
+        }
+        // Guards against promised clients that come back in one instant, when the crowd before them is over: what was
+        // learned then holds for them.
+        if !self.is_limited() && surety != Surety::Promised {
+            return true;
+        }
         let limit = &mut self.limits[kind.0];
         if now.saturating_sub(limit.refused_ns) > FORGET_NS {
             limit.threads = f64::INFINITY;
         }
-        let part = if promised { KEPT_CLEAR } else { 1.0 };
-        self.used <= 0.0 || self.used + threads <= limit.threads * part
+        let part = if surety == Surety::Any { 1.0 } else { KEPT_CLEAR };
+        let fits = self.used <= 0.0 || self.used + threads <= limit.threads * part;
+        if !fits {
+            self.waited_ns = Some(now);
+        }
+        fits
+    }
+
+    /// Somebody waits: the room stays limited.
+    pub fn wait(&mut self, now: u64) {
+        if self.waited_ns.is_some() {
+            self.waited_ns = Some(now);
+        }
     }
 
     /// A request is shown.
@@ -102,8 +150,9 @@
 
     /// The module took a shown request; `waited` tells that there was a queue.
     pub fn taken(&mut self, now: u64, kind: Kind, threads: f64, waited: bool) {
+        self.refused -= SHARE_WEIGHT * self.refused;
         let limit = &mut self.limits[kind.0];
-        if limit.threads.is_finite() && self.used >= limit.threads * NEAR {
+        if self.waited_ns.is_some() && limit.threads.is_finite() && self.used >= limit.threads * NEAR {
             if waited {
                 self.busy += BUSY_WEIGHT * (self.used - self.busy);
             }
@@ -112,17 +161,27 @@
         }
     }
 
-    /// The module refused a shown request for want of room.
+    /// The module refused a shown request that it never sent.
     pub fn refused(&mut self, now: u64, kind: Kind, threads: f64) {
         self.used = (self.used - threads).max(0.0);
+        self.refused += SHARE_WEIGHT * (1.0 - self.refused);
         let found = self.used.max(LIMIT_LEAST);
+        if self.waited_ns.is_none() {
+            if self.refused < LIMITED_FROM {
+                return;
+            }
+            // What was learned in an earlier crowd is no guide to this one; what is in use now is one for all kinds.
+            self.waited_ns = Some(now);
+            self.limits.iter_mut().for_each(|limit| (limit.threads, limit.refused_ns) = (found, now));
+            self.busy = found;
+        }
         let limit = &mut self.limits[kind.0];
         let before = limit.threads;
         // Guards against a refusal for another reason, such as a load that waits for its data set: one says little.
         let least = if before.is_finite() { before * LEAST_LEFT } else { 0.0 };
         limit.threads = (before.min(found) * LESS).max(least).max(LIMIT_LEAST);
         limit.refused_ns = now;
-        self.busy = if self.busy > 0.0 { self.busy + FOUND_WEIGHT * (found - self.busy) } else { found };
+        self.busy += FOUND_WEIGHT * (found - self.busy);
     }
 
     /// A request that was shown and taken is over.
--- a/crates/door/src/settings.rs
+++ b/crates/door/src/settings.rs
@@ -125,19 +125,20 @@
 /// The queues that a flow may use: a hand dealt from all of them without replacement (shuffle sharding, as in
 /// Kubernetes' API priority and fairness), so that a flow which fills its own shares all of them with few others.
 pub fn hand(flow: u64, queues: usize, count: usize) -> impl Iterator<Item = usize> {
-    let mut dealt = [usize::MAX; 16];
+    let mut sorted = [usize::MAX; 16];
     let mut rest = flow;
     (0..count.min(queues).min(16)).map(move |i| {
         let left = (queues - i) as u64;
         let mut card = (rest % left) as usize;
         rest = (rest / left) ^ flow.rotate_left(7 * (i as u32 + 1));
         // The card's place among those that are left becomes its number among all.
-        let mut before = dealt[..i].to_vec();
-        before.sort_unstable();
-        for taken in before {
-            card += usize::from(card >= taken);
+        // Those dealt before are kept in order beside their deal.
+        for taken in &sorted[..i] {
+            card += usize::from(card >= *taken);
         }
-        dealt[i] = card;
+        let place = sorted[..i].partition_point(|taken| *taken < card);
+        sorted.copy_within(place..i, place + 1);
+        sorted[place] = card;
         card
     })
 }
--- a/crates/door/src/sketch.rs
+++ b/crates/door/src/sketch.rs
@@ -5,7 +5,7 @@
 //! its error. With `k` places and a total of `w`, whoever has more than `w / k` is held, and no weight is
 //! told too high by more than that. All weights are halved from time to time, so that it tells of late.
 
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
 
 #[derive(Clone, Copy, Debug)]
 struct Place {
@@ -19,7 +19,7 @@
 pub struct Heavy {
     /// A binary heap with the lightest first.
     heap: Vec<Place>,
-    at: HashMap<u64, usize>,
+    at: FxHashMap<u64, usize>,
     most: usize,
     total: f64,
 }
@@ -39,7 +39,12 @@
     /// A sketch of so many places.
     pub fn new(places: usize) -> Self {
         let most = places.max(1);
-        Heavy { heap: Vec::with_capacity(most), at: HashMap::with_capacity(most), most, total: 0.0 }
+        Heavy {
+            heap: Vec::with_capacity(most),
+            at: FxHashMap::with_capacity_and_hasher(most, Default::default()),
+            most,
+            total: 0.0,
+        }
     }
 
     /// Bytes taken from the heap.
@@ -96,34 +101,34 @@
         Held { who: place.who, most: place.weight, least: place.weight - place.error }
     }
 
-    fn swap(&mut self, a: usize, b: usize) {
-        self.heap.swap(a, b);
-        self.at.insert(self.heap[a].who, a);
-        self.at.insert(self.heap[b].who, b);
-    }
-
+    /// Puts a place where it belongs, from `at` up or down; what it passes moves by one.
     fn up(&mut self, mut at: usize) {
-        while at > 0 && self.heap[at].weight < self.heap[(at - 1) / 2].weight {
-            self.swap(at, (at - 1) / 2);
+        let place = self.heap[at];
+        while at > 0 && place.weight < self.heap[(at - 1) / 2].weight {
+            self.put(at, self.heap[(at - 1) / 2]);
             at = (at - 1) / 2;
         }
+        self.put(at, place);
     }
 
     fn down(&mut self, mut at: usize) {
+        let place = self.heap[at];
         loop {
-            let lighter = |a: usize, b: usize| {
-                if b < self.heap.len() && self.heap[b].weight < self.heap[a].weight {
-                    b
-                } else {
-                    a
-                }
-            };
-            let least = lighter(lighter(at, 2 * at + 1), 2 * at + 2);
-            if least == at {
-                return;
+            let (left, right) = (2 * at + 1, 2 * at + 2);
+            let Some(first) = self.heap.get(left) else { break };
+            let least =
+                if self.heap.get(right).is_some_and(|r| r.weight < first.weight) { right } else { left };
+            if self.heap[least].weight >= place.weight {
+                break;
             }
-            self.swap(at, least);
+            self.put(at, self.heap[least]);
             at = least;
         }
+        self.put(at, place);
+    }
+
+    fn put(&mut self, at: usize, place: Place) {
+        self.heap[at] = place;
+        self.at.insert(place.who, at);
     }
 }
--- a/crates/door/tests/common/mod.rs
+++ b/crates/door/tests/common/mod.rs
@@ -79,6 +79,7 @@
                 client,
                 class: 0,
                 threads: 1.0,
+                worth: 1.0,
                 need_ns: (said_ms * MS) as f64,
                 wanted_ns: self.now + wanted * MS,
                 expires_ns: self.now + 6 * wanted * MS,
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -23,10 +23,9 @@
 const SILENT_NS: u64 = 500_000_000;
 /// Wait before a query is asked after again where no connection came up (ns).
 const ASK_AGAIN_NS: u64 = 200_000_000;
-/// An engine ends a query that nobody asks for in this time (ns), with the allowance for sockets.
-const FORGOTTEN_NS: u64 = 2_050_000_000;
-/// Time after which a call that gives a query up counts as come, once it was wholly written (ns).
-const TOLD_NS: u64 = 250_000_000;
+/// An engine ends a query that nobody asks for in this time (ns), with the allowance for sockets and as much again for
+/// the call that asked last, which came later than it was written.
+const FORGOTTEN_NS: u64 = 2_100_000_000;
 /// Largest result (bytes).
 const RESULT_MOST: usize = 48_000;
 /// Times that a query's start is written to a new connection because the one before came to nothing (count).
@@ -61,7 +60,6 @@
 /// How far giving up has come.
 struct Leaving {
     conn: Option<u64>,
-    written_ns: Option<u64>,
     again_ns: u64,
 }
 
@@ -213,10 +211,6 @@
             Some(Role::Ask(at) | Role::Page(at, _)) => {
                 self.runs.entry(at).and_modify(|r| r.asked_ns = r.asked_ns.max(cx.now));
             }
-            Some(Role::GiveUp(at)) => {
-                let leaving = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut());
-                leaving.map(|l| l.written_ns.get_or_insert(cx.now));
-            }
             _ => {}
         }
     }
@@ -268,7 +262,7 @@
         let Some(leaving) = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut()) else { return };
         match found {
             Ok(conn) => {
-                (leaving.conn, leaving.written_ns) = (Some(conn), None);
+                leaving.conn = Some(conn);
                 self.call(cx, conn, "DELETE", &path, "", b"");
                 self.written(cx, conn);
             }
@@ -397,8 +391,6 @@
                     return self.end(cx, at, Ending::GivenUp);
                 }
                 if let Some(leaving) = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut()) {
-                    // Guards against a call that counts as come though it was reset away unread.
-                    leaving.written_ns = None;
                     (leaving.conn, leaving.again_ns) =
                         (None, if up { cx.now } else { cx.now + ASK_AGAIN_NS / 2 });
                 }
@@ -500,7 +492,7 @@
             }
             return;
         }
-        run.leaving = Some(Leaving { conn: None, written_ns: None, again_ns: cx.now });
+        run.leaving = Some(Leaving { conn: None, again_ns: cx.now });
         self.tell_leaving(cx, at);
     }
 
@@ -572,18 +564,18 @@
             .iter()
             .filter_map(|(at, run)| match &run.leaving {
                 None => (run.conn.is_none() && cx.now >= run.again_ns).then_some((*at, false)),
-                Some(l) => (l.conn.is_none() && cx.now >= l.again_ns
-                    || l.written_ns.is_some_and(|t| cx.now >= t + TOLD_NS))
-                .then_some((*at, true)),
+                // Guards against a second copy: a call that was written to a machine that stands still for a while has
+                // not come, whatever the socket took. Only its answer, or time, says that the query is over.
+                Some(l) => (l.conn.is_none() && cx.now >= l.again_ns || cx.now > run.asked_ns + FORGOTTEN_NS)
+                    .then_some((*at, true)),
             })
             .collect();
         for (at, leaving) in due {
-            let told = self.runs.get(&at).and_then(|r| r.leaving.as_ref()).and_then(|l| l.written_ns);
-            match (leaving, told) {
-                (false, _) => self.ask(cx, at, None),
-                // The call has gone whole to a machine that says nothing.
-                (true, Some(written)) if cx.now >= written + TOLD_NS => self.end(cx, at, Ending::GivenUp),
-                (true, _) => self.tell_leaving(cx, at),
+            let asked_ns = self.runs.get(&at).map_or(0, |r| r.asked_ns);
+            match leaving {
+                false => self.ask(cx, at, None),
+                true if cx.now > asked_ns + FORGOTTEN_NS => self.end(cx, at, Ending::GivenUp),
+                true => self.tell_leaving(cx, at),
             }
         }
     }
--- /dev/null
+++ b/crates/engine/tests/give_up.rs
@@ -0,0 +1,133 @@
+//! When a query that was given up is over: times are passed in, only the bytes are real.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+
+use marljunction_control::interface::*;
+use marljunction_core::{Ask, Attempt, Client, Router};
+use marljunction_discovery::{Change, Target};
+use marljunction_engine::http::HttpEngines;
+use marljunction_engine::{Backend, Context, Start};
+use marljunction_net::{Net, Room};
+use mio::{Events, Poll};
+
+const MS: u64 = 1_000_000;
+const T0: u64 = 1_700_000_000_000 * MS;
+
+struct World {
+    poll: Poll,
+    net: Net,
+    router: Router,
+    engines: HttpEngines,
+    listener: TcpListener,
+    now: u64,
+}
+
+impl World {
+    fn new() -> World {
+        let poll = Poll::new().unwrap();
+        let registry = poll.registry().try_clone().unwrap();
+        let net = Net::new(registry, 10, Room::of(64, 64.0));
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let entry = EngineEntry { engine: EngineId(1), state: EngineState::Ready, ..EngineEntry::default() };
+        let target = Target { entry, address: listener.local_addr().unwrap() };
+        let mut engines = HttpEngines::new(30_000 * MS, 250 * MS);
+        engines.change(&Change { kind: MembershipKind::Full, targets: vec![target] });
+        let router =
+            Router::new(Settings { classes: vec![ClassSettings::default()], ..Settings::default() }, 1, 64.0);
+        World { poll, net, router, engines, listener, now: T0 }
+    }
+
+    /// Hands what the sockets bring to the engines' side, until `done`.
+    fn until(&mut self, mut done: impl FnMut(&mut World) -> bool) {
+        let mut events = Events::with_capacity(16);
+        while !done(self) {
+            self.poll.poll(&mut events, Some(std::time::Duration::from_millis(5))).unwrap();
+            let conns: Vec<u64> = events.iter().map(|e| e.token().0 as u64).collect();
+            for conn in conns {
+                let mut cx = Context { now: self.now, net: &mut self.net, router: &mut self.router };
+                self.engines.ready(&mut cx, conn);
+            }
+        }
+    }
+
+    fn accept(&mut self) -> TcpStream {
+        self.listener.set_nonblocking(true).unwrap();
+        let mut found = None;
+        self.until(|w| {
+            found = w.listener.accept().ok();
+            found.is_some()
+        });
+        let stream = found.unwrap().0;
+        stream.set_nonblocking(true).unwrap();
+        stream
+    }
+
+    /// Reads from the engine's end until the text has come.
+    fn read(&mut self, stream: &mut TcpStream, text: &str) {
+        let mut got = Vec::new();
+        self.until(|_| {
+            let mut buffer = [0; 4_096];
+            let n = stream.read(&mut buffer).unwrap_or(0);
+            got.extend_from_slice(&buffer[..n]);
+            got.windows(text.len()).any(|w| w == text.as_bytes())
+        });
+    }
+
+    fn tick(&mut self, ms: u64) {
+        self.now = T0 + ms * MS;
+        let mut cx = Context { now: self.now, net: &mut self.net, router: &mut self.router };
+        self.engines.tick(&mut cx);
+    }
+
+    /// A query that the engine has whole, and that was given up: the end of the connection that tells it so.
+    fn given_up(&mut self) -> (TcpStream, TcpStream) {
+        let ask = Ask { name: "aaaabbbbccccdddd".into(), time_left_ns: 9_000 * MS, ..Ask::default() };
+        let request = self.router.take(self.now, Client { conn: 1, call: 1 }, ask.clone());
+        self.router.turn(self.now, &mut Vec::new());
+        let attempt = Attempt { request, number: 0 };
+        let start = Start {
+            attempt,
+            engine: EngineId(1),
+            timeout_ns: 9_000 * MS,
+            priority: 1,
+            ask: Rc::new(ask),
+            class: "lookup".into(),
+            once: false,
+        };
+        let mut cx = Context { now: self.now, net: &mut self.net, router: &mut self.router };
+        self.engines.start(&mut cx, start);
+        let mut first = self.accept();
+        self.read(&mut first, "POST /o ");
+        let mut cx = Context { now: self.now, net: &mut self.net, router: &mut self.router };
+        self.engines.give_up(&mut cx, attempt);
+        let mut second = self.accept();
+        self.read(&mut second, "DELETE /o/aaaabbbbccccdddd ");
+        (first, second)
+    }
+}
+
+#[test]
+fn an_engine_that_stands_still_has_not_been_told_until_it_answers() {
+    let mut w = World::new();
+    let (_first, mut second) = w.given_up();
+    for ms in [100, 260, 400, 490] {
+        w.tick(ms);
+        assert!(!w.router.has_news(), "after {ms} ms the query may still run");
+    }
+    second.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
+    w.until(|w| w.router.has_news());
+}
+
+#[test]
+fn an_engine_that_never_answers_has_ended_the_query_by_itself_after_its_time() {
+    let mut w = World::new();
+    let _ends = w.given_up();
+    for ms in [600, 1_200, 2_000, 2_090] {
+        w.tick(ms);
+        assert!(!w.router.has_news(), "after {ms} ms the query may still run");
+    }
+    w.tick(2_110);
+    assert!(w.router.has_news(), "nobody has asked for it for 2 s and the allowance");
+}
--- a/crates/lab/src/door.rs
+++ b/crates/lab/src/door.rs
@@ -161,7 +161,8 @@
             .iter()
             .zip(&self.tallies)
             .map(|(phase, tallies)| {
-                let by_name = TENANTS.iter().zip(tallies).map(|((name, _), t)| ((*name).to_owned(), json!(t)));
+                let by_name =
+                    TENANTS.iter().zip(tallies).map(|((name, _), t)| ((*name).to_owned(), json!(t)));
                 ((*phase).to_owned(), Value::Object(by_name.collect()))
             })
             .collect();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -67,7 +67,8 @@
     match Arguments::parse().experiment {
         Experiment::Door { quick, json, program, seed } => {
             let beside = marljunction_rig::stage::program_beside;
-            let program = program.or_else(beside).ok_or("no program beside this one: build it, or name it")?;
+            let program =
+                program.or_else(beside).ok_or("no program beside this one: build it, or name it")?;
             write(json, &door::run(quick, &program, seed)?)
         }
         Experiment::Disciplines { json, seed } => write(json, &disciplines::run(seed)),
--- a/crates/lab/src/memory.rs
+++ b/crates/lab/src/memory.rs
@@ -40,6 +40,7 @@
                 client: rng.gen_range(0..identities),
                 class: 0,
                 threads: 1.0,
+                worth: 1.0,
                 need_ns: 1e8,
                 wanted_ns: now + 1_000_000_000,
                 expires_ns: now + 6_000_000_000,
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -284,7 +284,9 @@
     pub fn tick(&mut self, now: u64, net: &mut Net) {
         if now >= self.told_ns + 1_000_000_000 {
             self.told_ns = now;
-            self.conns.keys().for_each(|conn| drop(net.send(*conn, b":\n\n")));
+            for conn in self.conns.keys() {
+                net.send(*conn, b":\n\n");
+            }
         }
     }
 }
