--- a/crates/door/src/fair.rs
+++ b/crates/door/src/fair.rs
@@ -248,6 +248,7 @@
     }
 
     fn correct(&mut self, flow: usize, delta: f64) {
+        self.now += delta / self.sum;
         let f = &mut self.flows[flow];
         f.start += delta / f.weight;
         self.finish[flow] += delta / f.weight;
--- a/crates/door/src/room.rs
+++ b/crates/door/src/room.rs
@@ -26,8 +26,10 @@
 /// A limit never falls below this (threads), and is forgotten after so long without a refusal (ns).
 const LIMIT_LEAST: f64 = 1.0;
 const FORGET_NS: u64 = 20_000_000_000;
-/// Room that is left to those who were promised it (share): others find out where the limit is.
+/// Part of a limit up to which a request is shown that is to be served surely, and one that was promised (share): others
+/// find out where the limit is.
 const KEPT_CLEAR: f64 = 0.84;
+const PROMISED_CLEAR: f64 = 0.75;
 /// Weight of a new figure of the threads in use while there is a queue (share).
 const BUSY_WEIGHT: f64 = 0.02;
 /// The same for what was in use at a refusal (share).
@@ -128,7 +130,11 @@
         if now.saturating_sub(limit.refused_ns) > FORGET_NS {
             limit.threads = f64::INFINITY;
         }
-        let part = if surety == Surety::Any { 1.0 } else { KEPT_CLEAR };
+        let part = match surety {
+            Surety::Any => 1.0,
+            Surety::Clear => KEPT_CLEAR,
+            Surety::Promised => PROMISED_CLEAR,
+        };
         let fits = self.used <= 0.0 || self.used + threads <= limit.threads * part;
         if !fits {
             self.waited_ns = Some(now);
--- a/crates/lab/src/disciplines.rs
+++ b/crates/lab/src/disciplines.rs
@@ -61,7 +61,9 @@
 fn after_idle(discipline: &mut dyn Discipline) -> f64 {
     discipline.activate(0, 1.0);
     for _ in 0..1_000 {
-        discipline.charge(0, 1.0, 1.0);
+        if let Some(flow) = discipline.pick() {
+            discipline.charge(flow, 1.0, 1.0);
+        }
     }
     discipline.activate(1, 1.0);
     let mut got = [0.0; 2];
