Add the configuration language, the operator's file in it, and a command line

What operators choose stood in JSON files and variables: no units, no mend in a message, and no way to ask whether a file is right before it is used.

A crate reads typed records in the manner of CUE: a lossless tree (logos, rowan), unification with definitions, defaults, bounds, references, includes, and figures that carry their units; a bare figure where a unit is wanted is an error. Messages name file, line, column, the text and the mend (miette). The door, the PostgreSQL side, Consul and the log's level come from one operator's file; marljunction run, check, fmt and completions (clap); with no arguments it serves as before. The door's JSON file, not released yet, is gone.

--- a/crates/rig/src/stage.rs
+++ b/crates/rig/src/stage.rs
@@ -148,9 +148,12 @@
         };
         let mut command = Command::new(&setup.program);
         command.env("ROUTER_CONFIG", write("config.json", &config)?).stderr(Stdio::piped());
-        command.env_remove("MARLJUNCTION_POSTGRES").env_remove("MARLJUNCTION_DOOR");
+        command.env_remove("MARLJUNCTION_POSTGRES").env_remove("MARLJUNCTION_SETUP");
         if let Some(door) = &setup.door {
-            command.env("MARLJUNCTION_DOOR", write("door.json", door)?);
+            // A record of the configuration language may be written as JSON is.
+            let path = dir.join("operator.conf");
+            std::fs::write(&path, format!("door: {door}\n")).map_err(fault("file"))?;
+            command.env("MARLJUNCTION_SETUP", path);
         }
         let mut child = command.spawn().map_err(|e| format!("{}: {e}", setup.program.display()))?;
         let mut log = BufReader::new(child.stderr.take().ok_or("no log")?);
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,118 @@
+//! The command line. With no arguments the program serves, as the platform starts it.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser, Subcommand};
+
+use crate::config::Files;
+use crate::daemon::Daemon;
+use crate::{logger, setup};
+
+/// A query router daemon: decides which engine runs each query and when, and gives each client one final answer.
+#[derive(Parser)]
+#[command(name = "marljunction", version)]
+struct Arguments {
+    #[command(subcommand)]
+    task: Option<Task>,
+}
+
+#[derive(Subcommand)]
+enum Task {
+    /// Serve: what is done with no arguments at all.
+    Run {
+        /// The operator's file; else the one that MARLJUNCTION_SETUP names, or none.
+        #[arg(long, value_name = "FILE")]
+        setup: Option<PathBuf>,
+    },
+    /// Tell what is wrong with operators' files.
+    Check {
+        /// The files.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+    /// Lay files of the configuration language out in the one way.
+    Fmt {
+        /// Change nothing; tell which files are not laid out so.
+        #[arg(long)]
+        check: bool,
+        /// The files.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+    /// Print a shell's completions.
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+fn serve(own: Option<PathBuf>) -> ExitCode {
+    let started = Files::from_env(own).and_then(|files| {
+        let setup = files.setup()?;
+        logger::start(setup.level);
+        Daemon::start(files)?.run()
+    });
+    match started {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            logger::start(None);
+            log::error!("{fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Whether a file is right; what is wrong with it goes to standard error.
+fn check(path: &Path) -> bool {
+    match setup::read_file(path).map(|outcome| setup::faults(&outcome)) {
+        Ok(None) => {
+            println!("{}: right", path.display());
+            true
+        }
+        Ok(Some(told)) | Err(told) => {
+            eprintln!("{told}");
+            false
+        }
+    }
+}
+
+fn format(path: &Path, only_check: bool) -> Result<bool, String> {
+    let fault = |e: std::io::Error| format!("{}: {e}", path.display());
+    let text = std::fs::read_to_string(path).map_err(fault)?;
+    let Some(laid_out) = marljunction_language::format::format(&text) else {
+        let why = setup::read_file(path).map(|outcome| setup::faults(&outcome).unwrap_or_default());
+        return Err(why.unwrap_or_else(|fault| fault));
+    };
+    let right = laid_out == text;
+    if !right && !only_check {
+        std::fs::write(path, laid_out).map_err(fault)?;
+        println!("{}: laid out", path.display());
+    } else if !right {
+        println!("{}: not laid out", path.display());
+    }
+    Ok(right || !only_check)
+}
+
+/// Does what the arguments say.
+pub fn main() -> ExitCode {
+    let all = |right: Vec<bool>| if right.iter().all(|r| *r) { ExitCode::SUCCESS } else { ExitCode::FAILURE };
+    match Arguments::parse().task {
+        None => serve(None),
+        Some(Task::Run { setup }) => serve(setup),
+        Some(Task::Check { files }) => all(files.iter().map(|path| check(path)).collect()),
+        Some(Task::Fmt { check, files }) => {
+            let one = |path: &PathBuf| {
+                format(path, check).unwrap_or_else(|why| {
+                    eprintln!("{why}");
+                    false
+                })
+            };
+            all(files.iter().map(one).collect())
+        }
+        Some(Task::Completions { shell }) => {
+            clap_complete::generate(shell, &mut Arguments::command(), "marljunction", &mut std::io::stdout());
+            ExitCode::SUCCESS
+        }
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,8 @@
 //! The configuration: where to listen, the limits, the settings of the module and the engines known so far.
 
+use std::path::PathBuf;
+
+use crate::setup::Setup;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -89,11 +92,6 @@
     }
 }
 
-fn read_door(text: &str) -> Result<DoorSettings, String> {
-    let door: DoorSettings = serde_json::from_str(text).map_err(|e| format!("door file: {e}"))?;
-    door.fault().map_or(Ok(door), Err)
-}
-
 #[derive(Deserialize)]
 struct Timing {
     #[serde(default)]
@@ -124,23 +122,38 @@
     pub config: String,
     /// The PostgreSQL side, where it is on.
     pub postgres: Option<String>,
-    /// The door, where it is on.
-    pub door: Option<String>,
+    /// The operator's file, where there is one.
+    pub setup: Option<PathBuf>,
 }
 
 impl Files {
-    /// As the environment names them.
-    pub fn from_env() -> Result<Files, String> {
+    /// As the environment names them; `setup` in place of the operator's file that it names.
+    pub fn from_env(setup: Option<PathBuf>) -> Result<Files, String> {
         let config = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file".to_owned())?;
-        let of = |name| std::env::var(name).ok();
-        Ok(Files { config, postgres: of("MARLJUNCTION_POSTGRES"), door: of("MARLJUNCTION_DOOR") })
+        let named = || std::env::var_os("MARLJUNCTION_SETUP").map(PathBuf::from);
+        let postgres = std::env::var("MARLJUNCTION_POSTGRES").ok();
+        Ok(Files { config, postgres, setup: setup.or_else(named) })
+    }
+
+    /// What the operator's file says; nothing where there is none.
+    pub fn setup(&self) -> Result<Setup, String> {
+        self.setup.as_deref().map_or(Ok(Setup::default()), Setup::of_file)
     }
 
     /// Reads all of them.
     pub fn read(&self) -> Result<Read, String> {
         let text = |path: &str| std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"));
         let postgres = self.postgres.as_ref().map(|path| PostgresFile::read(&text(path)?)).transpose()?;
-        let door = self.door.as_ref().map(|path| read_door(&text(path)?)).transpose()?;
+        let setup = self.setup()?;
+        if postgres.is_some() && setup.postgres.is_some() {
+            return Err(
+                "MARLJUNCTION_POSTGRES and the operator's file both set PostgreSQL up: keep one".into()
+            );
+        }
+        let (postgres, door) = (postgres.or(setup.postgres), setup.door);
+        if let Some(fault) = door.as_ref().and_then(DoorSettings::fault) {
+            return Err(fault);
+        }
         let config = Config::read(&text(&self.config)?)?;
         let unknown = door.iter().flat_map(|d| d.weights.keys()).find(|n| !config.names.tenants.contains(n));
         match unknown {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 #![forbid(unsafe_code)]
 #![doc = include_str!("../README.md")]
 
+pub mod cli;
 pub mod config;
 pub mod daemon;
 pub mod logger;
+pub mod setup;
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -30,9 +30,9 @@
     fn flush(&self) {}
 }
 
-/// Starts logging at the level that `MARLJUNCTION_LOG` names, or at `info`.
-pub fn start() {
-    let level = std::env::var("MARLJUNCTION_LOG").ok().and_then(|l| l.parse().ok());
+/// Starts logging at the level that `MARLJUNCTION_LOG` names, else at `level`, else at `info`.
+pub fn start(level: Option<LevelFilter>) {
+    let level = std::env::var("MARLJUNCTION_LOG").ok().and_then(|l| l.parse().ok()).or(level);
     if log::set_logger(&Logger).is_ok() {
         log::set_max_level(level.unwrap_or(LevelFilter::Info));
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,21 +4,6 @@
 
 use std::process::ExitCode;
 
-use marljunction::config::Files;
-use marljunction::daemon::Daemon;
-use marljunction::logger;
-
-fn run() -> Result<(), String> {
-    Daemon::start(Files::from_env()?)?.run()
-}
-
 fn main() -> ExitCode {
-    logger::start();
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            log::error!("{fault}");
-            ExitCode::FAILURE
-        }
-    }
+    marljunction::cli::main()
 }
--- /dev/null
+++ b/src/setup.rs
@@ -0,0 +1,174 @@
+//! The operator's file: written in the configuration language, held against its definitions, and read into what
+//! the program's parts are set up with.
+
+use std::path::{Path, PathBuf};
+
+use log::LevelFilter;
+use marljunction_door::settings::{DoorSettings, Order, Who};
+use marljunction_language::eval::Loader;
+use marljunction_language::message::long;
+use marljunction_language::value::{Quantity, RecordValue, Value, What};
+use marljunction_language::{read, Outcome};
+
+use crate::config::{ConsulFile, EngineFile, PostgresFile};
+
+/// What an operator's file may say.
+pub const DEFINITIONS: &str = include_str!("definitions.conf");
+
+/// What an operator's file says.
+#[derive(Clone, Debug, Default)]
+pub struct Setup {
+    /// The door, where it is on.
+    pub door: Option<DoorSettings>,
+    /// The PostgreSQL side, where it is on.
+    pub postgres: Option<PostgresFile>,
+    /// What is logged.
+    pub level: Option<LevelFilter>,
+}
+
+/// Files below the folder of the first one.
+struct Folder {
+    root: PathBuf,
+}
+
+impl Loader for Folder {
+    fn load(&mut self, _from: &str, name: &str) -> Result<(String, String), String> {
+        let path = self.root.join(name);
+        let found = path.canonicalize().map_err(|e| e.to_string())?;
+        // Guards against a file that reaches for what the operator did not put beside it.
+        if !found.starts_with(&self.root) {
+            return Err("it lies outside the folder of the first file".into());
+        }
+        let text = std::fs::read_to_string(&found).map_err(|e| e.to_string())?;
+        Ok((found.display().to_string(), text))
+    }
+}
+
+/// Reads a file with what it includes, against the definitions.
+pub fn read_file(path: &Path) -> Result<Outcome, String> {
+    let fault = |e: std::io::Error| format!("{}: {e}", path.display());
+    let found = path.canonicalize().map_err(fault)?;
+    let text = std::fs::read_to_string(&found).map_err(fault)?;
+    let root = found.parent().map_or_else(PathBuf::new, Path::to_owned);
+    let name = found.display().to_string();
+    Ok(read(&name, &text, &mut Folder { root }, DEFINITIONS, "#Main"))
+}
+
+/// All that is wrong with a file, as operators read it; none where nothing is.
+pub fn faults(outcome: &Outcome) -> Option<String> {
+    let all: Vec<String> = outcome.faults.iter().map(|fault| long(&outcome.sources, fault)).collect();
+    (!all.is_empty()).then(|| all.join("\n"))
+}
+
+impl Setup {
+    /// Reads the operator's file.
+    pub fn of_file(path: &Path) -> Result<Setup, String> {
+        let outcome = read_file(path)?;
+        match faults(&outcome) {
+            Some(told) => Err(format!("{} can't be used\n{told}", path.display())),
+            None => Setup::of(&outcome.value).ok_or_else(|| format!("{} holds no record", path.display())),
+        }
+    }
+
+    /// What a value that its definitions hold for says; none where it is not of their shape.
+    fn of(value: &Value) -> Option<Setup> {
+        let main = record(value)?;
+        let door = main.fields.get("door").map(|f| door(&f.value));
+        let consul = main.fields.get("consul").map(|f| consul(&f.value));
+        let postgres = main.fields.get("postgres").map(|f| postgres(&f.value, consul.clone().flatten()));
+        let level = text(record(field(main, "log")?)?, "level")?.parse().ok();
+        Some(Setup { door: flat(door)?, postgres: flat(postgres)?, level })
+    }
+}
+
+/// A part that is absent is right, one that can't be read is not.
+fn flat<T>(part: Option<Option<T>>) -> Option<Option<T>> {
+    match part {
+        None => Some(None),
+        Some(read) => read.map(Some),
+    }
+}
+
+fn record(value: &Value) -> Option<&RecordValue> {
+    if let What::Record(record) = &value.what {
+        Some(record)
+    } else {
+        None
+    }
+}
+
+fn field<'a>(record: &'a RecordValue, name: &str) -> Option<&'a Value> {
+    record.fields.get(name).map(|f| &f.value)
+}
+
+fn text(record: &RecordValue, name: &str) -> Option<String> {
+    match &field(record, name)?.what {
+        What::Text(text) => Some(text.clone()),
+        _ => None,
+    }
+}
+
+fn number(record: &RecordValue, name: &str) -> Option<f64> {
+    match field(record, name)?.what {
+        What::Number(Quantity { value, .. }) => Some(value),
+        _ => None,
+    }
+}
+
+fn milliseconds(record: &RecordValue, name: &str) -> Option<u64> {
+    number(record, name).map(|ns| (ns / 1e6) as u64)
+}
+
+fn door(value: &Value) -> Option<DoorSettings> {
+    let door = record(value)?;
+    let client = match &field(door, "client")?.what {
+        What::Record(of) => Who::Field(text(of, "field")?),
+        What::Text(name) if name == "user" => Who::User,
+        What::Text(name) if name == "application_name" => Who::ApplicationName,
+        _ => Who::Peer,
+    };
+    let weights = field(door, "weights").and_then(record);
+    let weight = |(name, f): (&String, &marljunction_language::value::FieldValue)| match f.value.what {
+        What::Number(Quantity { value, .. }) => Some((name.clone(), value)),
+        _ => None,
+    };
+    Some(DoorSettings {
+        order: if text(door, "order")? == "fifo" { Order::Fifo } else { Order::Fair },
+        client,
+        weights: weights.iter().flat_map(|w| &w.fields).filter_map(weight).collect(),
+        queues: number(door, "queues")? as usize,
+        hand: number(door, "hand")? as usize,
+        queued: number(door, "queued")? as usize,
+        promises: number(door, "promises")? as usize,
+        window_ms: milliseconds(door, "window")?,
+        stale_ms: milliseconds(door, "stale")?,
+    })
+}
+
+fn consul(value: &Value) -> Option<ConsulFile> {
+    let consul = record(value)?;
+    Some(ConsulFile { address: text(consul, "address")?, service: text(consul, "service")? })
+}
+
+fn postgres(value: &Value, consul: Option<ConsulFile>) -> Option<PostgresFile> {
+    let side = record(value)?;
+    let engines = match &field(side, "engines")?.what {
+        What::Record(of) => EngineFile::Postgres { user: text(of, "user")?, database: text(of, "database")? },
+        _ => EngineFile::Http,
+    };
+    let columns = match &field(side, "columns")?.what {
+        What::List(all, _) => all.iter().map(|v| match &v.what {
+            What::Text(name) => Some(name.clone()),
+            _ => None,
+        }),
+        _ => return None,
+    };
+    Some(PostgresFile {
+        listen: text(side, "listen"),
+        class: text(side, "class")?,
+        columns: columns.collect::<Option<_>>()?,
+        sessions: number(side, "sessions")? as usize,
+        engines,
+        consul,
+    })
+}
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -11,7 +11,7 @@
 
 const SETTINGS: &str = include_str!("../exchanges/settings.json");
 /// The door as it is shipped.
-const DOOR: &str = include_str!("../../deploy/door.json");
+const DOOR: &str = include_str!("../../deploy/door.conf");
 /// How long a byte that must come is waited for: a failure shows by it, a pass never waits so long.
 const PATIENCE: Duration = Duration::from_secs(8);
 
@@ -195,11 +195,11 @@
         std::fs::create_dir_all(&dir).unwrap();
         std::fs::write(dir.join("config.json"), config.to_string()).unwrap();
         std::fs::write(dir.join("postgres.json"), file.to_string()).unwrap();
-        std::fs::write(dir.join("door.json"), DOOR).unwrap();
+        std::fs::write(dir.join("door.conf"), DOOR).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_marljunction"))
             .env("ROUTER_CONFIG", dir.join("config.json"))
             .env("MARLJUNCTION_POSTGRES", dir.join("postgres.json"))
-            .envs(with("door").then(|| ("MARLJUNCTION_DOOR", dir.join("door.json"))))
+            .envs(with("door").then(|| ("MARLJUNCTION_SETUP", dir.join("door.conf"))))
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
--- /dev/null
+++ b/tests/setup.rs
@@ -0,0 +1,101 @@
+//! Operators' files: those that are shipped are right, wrong ones are told, and the command line says so.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use marljunction::config::EngineFile;
+use marljunction::setup::Setup;
+use marljunction_door::settings::{DoorSettings, Who};
+use marljunction_language::format::format;
+
+fn shipped(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(name)
+}
+
+/// A folder of its own with these files.
+fn folder(name: &str, files: &[(&str, &str)]) -> PathBuf {
+    let dir = std::env::temp_dir().join(format!("marljunction-setup-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(dir.join("below")).unwrap();
+    files.iter().for_each(|(name, text)| std::fs::write(dir.join(name), text).unwrap());
+    dir
+}
+
+fn program(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_marljunction"));
+    command.args(arguments).env_remove("ROUTER_CONFIG").env_remove("MARLJUNCTION_SETUP").output().unwrap()
+}
+
+#[test]
+fn shipped_files_are_right_and_laid_out() {
+    for name in ["deploy/operator.conf", "deploy/door.conf", "src/definitions.conf"] {
+        let text = std::fs::read_to_string(shipped(name)).unwrap();
+        assert_eq!(format(&text).as_ref(), Some(&text), "{name}");
+    }
+    let setup = Setup::of_file(&shipped("deploy/operator.conf")).unwrap();
+    let postgres = setup.postgres.unwrap();
+    assert_eq!((postgres.class.as_str(), postgres.sessions), ("lookup", 64));
+    assert!(matches!(postgres.engines, EngineFile::Postgres { .. }));
+    assert_eq!(postgres.consul.unwrap().service, "engine");
+}
+
+#[test]
+fn the_definitions_defaults_are_the_doors_own() {
+    let setup = Setup::of_file(&shipped("deploy/door.conf")).unwrap();
+    assert_eq!(setup.door, Some(DoorSettings::default()));
+    assert!(setup.postgres.is_none());
+    assert_eq!(DoorSettings::default().fault(), None);
+}
+
+#[test]
+fn files_are_read_with_what_they_include_and_no_farther_than_their_folder() {
+    let weights = ("below/weights.conf", "#weights: { \"gulf-coast-comfort\": 73, other: 1.5 }\n");
+    let main = "include \"below/weights.conf\"\n\ndoor: { weights: #weights, client: { field: \"who\" }, stale: 0.2s }\n";
+    let dir =
+        folder("include", &[weights, ("main.conf", main), ("out.conf", "include \"../../etc/hostname\"\n")]);
+    let door = Setup::of_file(&dir.join("main.conf")).unwrap().door.unwrap();
+    assert_eq!((door.weights["gulf-coast-comfort"], door.weights["other"]), (73.0, 1.5));
+    assert_eq!((door.client, door.stale_ms), (Who::Field("who".into()), 200));
+    let fault = Setup::of_file(&dir.join("out.conf")).unwrap_err();
+    assert!(fault.contains("can't be included"), "{fault}");
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn the_command_line_checks_and_lays_out() {
+    let dir =
+        folder("cli", &[("bad.conf", "door: { stale: 400 }\n"), ("good.conf", "door :{stale:400ms}\n")]);
+    let (bad, good) =
+        (dir.join("bad.conf").display().to_string(), dir.join("good.conf").display().to_string());
+    let checked = program(&["check", &good, &bad]);
+    assert_eq!(checked.status.code(), Some(1));
+    let told = String::from_utf8_lossy(&checked.stderr).into_owned();
+    assert!(told.contains("bad.conf:1:16") && told.contains("write 400ms"), "{told}");
+    assert_eq!(program(&["fmt", "--check", &good]).status.code(), Some(1));
+    assert_eq!(
+        std::fs::read_to_string(&good).unwrap(),
+        "door :{stale:400ms}\n",
+        "nothing is changed by that"
+    );
+    assert!(program(&["fmt", &good]).status.success());
+    assert_eq!(std::fs::read_to_string(&good).unwrap(), "door: { stale: 400ms }\n");
+    assert!(program(&["fmt", "--check", &good]).status.success());
+    let started = program(&["run", "--setup", &bad]);
+    assert_eq!(started.status.code(), Some(1), "a wrong file or no configuration ends the start");
+    assert!(String::from_utf8_lossy(&program(&["completions", "bash"]).stdout).contains("marljunction"));
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn two_sources_of_one_part_are_refused() {
+    use marljunction::config::Files;
+    let config =
+        folder("twice", &[("postgres.json", "{\"class\": \"lookup\", \"columns\": [], \"sessions\": 1}")]);
+    let files = Files {
+        config: "no such file".into(),
+        postgres: Some(config.join("postgres.json").display().to_string()),
+        setup: Some(shipped("deploy/operator.conf")),
+    };
+    let fault = files.read().unwrap_err();
+    assert!(fault.contains("keep one"), "{fault}");
+    std::fs::remove_dir_all(config).unwrap();
+}
