Tell what a change of the operator's file does, and when: diff, and the same on SIGHUP

A text comparison says nothing of behaviour, and SIGHUP said only that something needs a restart.

marljunction diff compares the settled values of two files, so that layout, order, includes and written-out defaults make no difference, and tells of each change what it does and whether it counts at once or after a restart; SIGHUP logs the same. The log's level follows the file at once.

--- a/crates/language/src/lib.rs
+++ b/crates/language/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod diff;
 pub mod eval;
 pub mod fault;
 pub mod format;
--- a/crates/language/tests/language.rs
+++ b/crates/language/tests/language.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use marljunction_language::diff::diff;
 use marljunction_language::eval::{Loader, Sources};
 use marljunction_language::format::format;
 use marljunction_language::message::{long, short};
@@ -194,8 +195,10 @@
             let (mut faults, mut none) = (Vec::new(), BTreeMap::<String, String>::new());
             let sources = Sources::read("f", t, &mut none as &mut dyn Loader, &mut faults);
             let told: Vec<String> = faults.iter().map(|f| f.what.clone()).collect();
-            (told, sources.value_of("#None", &mut faults).told())
+            (told, sources.value_of("#None", &mut faults))
         };
-        prop_assert_eq!(meaning(&once), meaning(&text));
+        let ((told, value), (told_before, before)) = (meaning(&once), meaning(&text));
+        prop_assert_eq!(told, told_before);
+        prop_assert_eq!(diff(&before, &value), Vec::new());
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,8 +5,10 @@
 
 use clap::{CommandFactory, Parser, Subcommand};
 
+use crate::behaviour::effects;
 use crate::config::Files;
 use crate::daemon::Daemon;
+use crate::setup::Setup;
 use crate::{logger, setup};
 
 /// A query router daemon: decides which engine runs each query and when, and gives each client one final answer.
@@ -40,6 +42,14 @@
         #[arg(required = true, value_name = "FILE")]
         files: Vec<PathBuf>,
     },
+    /// Tell what the program does differently under the second of two files; status 0 where they mean the same, 1 where not,
+    /// 2 where one is wrong.
+    Diff {
+        /// The file as it is.
+        from: PathBuf,
+        /// The file as it is to be.
+        to: PathBuf,
+    },
     /// Print a shell's completions.
     Completions {
         /// The shell.
@@ -110,6 +120,17 @@
             };
             all(files.iter().map(one).collect())
         }
+        Some(Task::Diff { from, to }) => match (Setup::of_file(&from), Setup::of_file(&to)) {
+            (Ok(Setup { value: Some(from), .. }), Ok(Setup { value: Some(to), .. })) => {
+                let all = effects(&from, &to);
+                all.iter().for_each(|effect| println!("{effect}"));
+                ExitCode::from(u8::from(!all.is_empty()))
+            }
+            (one, other) => {
+                [one, other].into_iter().filter_map(Result::err).for_each(|fault| eprintln!("{fault}"));
+                ExitCode::from(2)
+            }
+        },
         Some(Task::Completions { shell }) => {
             clap_complete::generate(shell, &mut Arguments::command(), "marljunction", &mut std::io::stdout());
             ExitCode::SUCCESS
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,6 +2,9 @@
 
 use std::path::PathBuf;
 
+use log::LevelFilter;
+use marljunction_language::value::Value;
+
 use crate::setup::Setup;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -113,6 +116,10 @@
     pub postgres: Option<PostgresFile>,
     /// The door, where it is on.
     pub door: Option<DoorSettings>,
+    /// All that the operator's file says, and the level of the log that it names.
+    pub operator: Option<Value>,
+    /// The level of the log.
+    pub level: Option<LevelFilter>,
 }
 
 /// The files that one process is set up by; a reload reads them again.
@@ -160,7 +167,7 @@
             Some(name) => {
                 Err(format!("door: the weight of {name} is of no tenant: name one of the settings'"))
             }
-            None => Ok(Read { config, postgres, door }),
+            None => Ok(Read { config, postgres, door, operator: setup.value, level: setup.level }),
         }
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,7 +10,9 @@
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
 
+use crate::behaviour::effects;
 use crate::config::{EngineFile, Files, Limits, Read};
+use crate::logger;
 use marljunction_control::interface::{Effect, Settings, TenantId};
 use marljunction_core::ending::Ending;
 use marljunction_core::{Command, Router};
@@ -24,6 +26,7 @@
 use marljunction_front::msgpack::MsgpackFront;
 use marljunction_front::postgres::{PostgresFront, PostgresSetup};
 use marljunction_front::Directory;
+use marljunction_language::value::{Value, What};
 use marljunction_net::clock::Clock;
 use marljunction_net::{Net, Owner, Room};
 
@@ -65,6 +68,8 @@
     router: Router,
     files: Files,
     told: Told,
+    /// What the operator's file said when it was last applied.
+    operator: Option<Value>,
     settings: Settings,
     directory: Directory,
     listeners: [Option<TcpListener>; 2],
@@ -88,7 +93,7 @@
 impl Daemon {
     /// Starts listening.
     pub fn start(files: Files) -> Result<Daemon, String> {
-        let Read { config, postgres, door } = files.read()?;
+        let Read { config, postgres, door, operator, .. } = files.read()?;
         let io = |what: &str, e: std::io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| io("poll", e))?;
         let registry = poll.registry().try_clone().map_err(|e| io("poll", e))?;
@@ -165,6 +170,7 @@
             postgres: front,
             files,
             told: Told { listen: config.listen, limits: config.limits, settings: config.settings_text },
+            operator,
             settings: config.settings,
             directory,
             listeners: [Some(first), second],
@@ -315,7 +321,7 @@
     /// engines comes from, and news that the file holds. Guards against a file that is replaced badly: one that
     /// can't be read leaves all as it is.
     fn reload(&mut self, now: u64) {
-        let Read { config, postgres, door } = match self.files.read() {
+        let Read { config, postgres, door, operator, level } = match self.files.read() {
             Ok(read) => read,
             Err(fault) => {
                 self.router.counters.reloads_failed += 1;
@@ -338,6 +344,11 @@
             }
         };
         self.router.counters.reloads += 1;
+        let nothing = Value::new(What::Record(Default::default()), Default::default());
+        let [before, now_says] = [&self.operator, &operator].map(|v| v.as_ref().unwrap_or(&nothing));
+        effects(before, now_says).iter().for_each(|effect| info!("the operator's file: {effect}"));
+        logger::set_level(level);
+        self.operator = operator;
         let changes = match (&mut self.discovery, address) {
             (Some(discovery), Some(address)) => discovery.reload(now, &mut self.net, address, config.known),
             _ => Vec::new(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 #![forbid(unsafe_code)]
 #![doc = include_str!("../README.md")]
 
+pub mod behaviour;
 pub mod cli;
 pub mod config;
 pub mod daemon;
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -32,8 +32,13 @@
 
 /// Starts logging at the level that `MARLJUNCTION_LOG` names, else at `level`, else at `info`.
 pub fn start(level: Option<LevelFilter>) {
-    let level = std::env::var("MARLJUNCTION_LOG").ok().and_then(|l| l.parse().ok()).or(level);
     if log::set_logger(&Logger).is_ok() {
-        log::set_max_level(level.unwrap_or(LevelFilter::Info));
+        set_level(level);
     }
 }
+
+/// Logs at another level from here on; `MARLJUNCTION_LOG` goes before it.
+pub fn set_level(level: Option<LevelFilter>) {
+    let named = std::env::var("MARLJUNCTION_LOG").ok().and_then(|l| l.parse().ok());
+    log::set_max_level(named.or(level).unwrap_or(LevelFilter::Info));
+}
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -24,6 +24,8 @@
     pub postgres: Option<PostgresFile>,
     /// What is logged.
     pub level: Option<LevelFilter>,
+    /// All that the file says, with defaults; none where there is no file.
+    pub value: Option<Value>,
 }
 
 /// Files below the folder of the first one.
@@ -77,7 +79,7 @@
         let consul = main.fields.get("consul").map(|f| consul(&f.value));
         let postgres = main.fields.get("postgres").map(|f| postgres(&f.value, consul.clone().flatten()));
         let level = text(record(field(main, "log")?)?, "level")?.parse().ok();
-        Some(Setup { door: flat(door)?, postgres: flat(postgres)?, level })
+        Some(Setup { door: flat(door)?, postgres: flat(postgres)?, level, value: Some(value.clone()) })
     }
 }
 
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -252,6 +252,12 @@
                     .extend(std::iter::from_fn(|| TcpStream::connect_timeout(&at, short).ok()).take(5_000));
             }
             ["term"] => self.signal("-TERM"),
+            // The operator's file says something else; SIGHUP.
+            ["setup", ..] => {
+                let text = line.split_once(' ').unwrap().1;
+                std::fs::write(self.dir.join("door.conf"), format!("{text}\n")).unwrap();
+                self.signal("-HUP");
+            }
             ["reload", key, listener] => self.reload(key, listener),
             ["logged", ..] => {
                 let (text, mut line) = (line.split_once(' ').unwrap().1, String::new());
--- a/tests/setup.rs
+++ b/tests/setup.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
+use marljunction::behaviour::{effects, Effect};
 use marljunction::config::EngineFile;
 use marljunction::setup::Setup;
 use marljunction_door::settings::{DoorSettings, Who};
@@ -79,12 +80,60 @@
     assert!(program(&["fmt", &good]).status.success());
     assert_eq!(std::fs::read_to_string(&good).unwrap(), "door: { stale: 400ms }\n");
     assert!(program(&["fmt", "--check", &good]).status.success());
+    let differ = |a: &str, b: &str| program(&["diff", a, b]).status.code();
+    assert_eq!((differ(&good, &good), differ(&good, &bad)), (Some(0), Some(2)));
+    assert_eq!(differ(&good, &shipped("deploy/operator.conf").display().to_string()), Some(1));
     let started = program(&["run", "--setup", &bad]);
     assert_eq!(started.status.code(), Some(1), "a wrong file or no configuration ends the start");
     assert!(String::from_utf8_lossy(&program(&["completions", "bash"]).stdout).contains("marljunction"));
     std::fs::remove_dir_all(dir).unwrap();
 }
 
+/// What the second of two texts changes, a line each.
+fn changes(name: &str, from: &str, to: &str) -> Vec<String> {
+    let dir = folder(name, &[("from.conf", from), ("to.conf", to), ("part.conf", "#w: { a: 2 }\n")]);
+    let read = |file: &str| Setup::of_file(&dir.join(file)).unwrap().value.unwrap();
+    let all = effects(&read("from.conf"), &read("to.conf")).iter().map(Effect::to_string).collect();
+    std::fs::remove_dir_all(dir).unwrap();
+    all
+}
+
+#[test]
+fn files_that_mean_the_same_differ_in_nothing() {
+    let plain = "door: { weights: { a: 2 } }\n";
+    for (name, other) in [
+        ("order", "log: {}\ndoor: {\n  weights: {\n    a: 2\n  }\n}\n"),
+        ("defaults", "door: { weights: { a: 2 }, stale: 0.4s, queues: 64, client: \"peer\" }\nlog: { level: \"info\" }\n"),
+        ("included", "include \"part.conf\"\ndoor: { weights: #w }\n"),
+        ("twice", "door: { weights: { a: 2 } }\ndoor: { stale: 400ms }\n"),
+    ] {
+        assert_eq!(changes(name, plain, other), Vec::<String>::new(), "{name}");
+    }
+}
+
+#[test]
+fn a_change_is_told_by_what_it_does_and_when() {
+    let told = changes(
+        "effects",
+        "door: { weights: { a: 2, b: 1 }, stale: 400ms }\n",
+        "door: { weights: { a: 3, c: 1 }, stale: 250ms, order: \"fifo\" }\nlog: { level: \"debug\" }\n",
+    );
+    let heads: Vec<&str> = told.iter().map(|line| line.rsplit_once(": ").unwrap().0).collect();
+    assert_eq!(
+        heads,
+        [
+            "door.order: \"fair\" becomes \"fifo\" after a restart",
+            "door.stale: 400ms becomes 250ms at once",
+            "door.weights.a: 2 becomes 3 at once",
+            "door.weights.b: 1 becomes nothing at once",
+            "door.weights.c: nothing becomes 1 at once",
+            "log.level: \"info\" becomes \"debug\" at once",
+        ]
+    );
+    let whole = changes("whole", "log: {}\n", "door: {}\n");
+    assert!(whole.len() == 8 && whole.iter().all(|line| line.contains("after a restart")), "{whole:?}");
+}
+
 #[test]
 fn two_sources_of_one_part_are_refused() {
     use marljunction::config::Files;
