Say once what was said twice: ending a request, unlisting a promise, reading the file

Read again, the change held twins: two ways to end a request that the module did not, two to take a key off a flow's list, two places that took a tenant's wait, and an operator's file that was read and evaluated twice at each start. Each is one piece now, and the log's level is set where the file is read. A line of the formatter that did nothing is gone.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -486,13 +486,7 @@
             Inbound::Cancelled(id) => {
                 if self.open.get(&id).is_some_and(|o| !o.concluded) {
                     self.counters.ended(Ending::Forgotten);
-                    let waits = self.door.as_ref().is_some_and(|d| d.waits(id.0));
-                    let answer = Answer::Failed(Some(Ending::Forgotten), None);
-                    self.conclude(now, id, answer, out);
-                    if !waits {
-                        self.decide(now, Event::Left(id), out);
-                    }
-                    self.tidy(id);
+                    self.end(now, id, Answer::Failed(Some(Ending::Forgotten), None), out);
                 }
             }
             Inbound::Note(at, note) => {
@@ -575,6 +569,11 @@
             0 => Answer::Refused { backoff_ms: 100, after: None, fault: None },
             _ => Answer::Failed(open.last, open.fault.clone()),
         };
+        self.end(now, id, answer, out);
+    }
+
+    /// Ends a request that the module did not end: it hears of it where it was shown it.
+    fn end(&mut self, now: u64, id: RequestId, answer: Answer, out: &mut Vec<Command>) {
         let waits = self.door.as_ref().is_some_and(|d| d.waits(id.0));
         self.conclude(now, id, answer, out);
         if !waits {
--- a/crates/door/src/calendar.rs
+++ b/crates/door/src/calendar.rs
@@ -142,21 +142,14 @@
         };
         let key = *keys.iter().filter(open).min_by_key(|key| self.book.get(**key).map(|p| p.at_ns))?;
         let promise = self.book.remove(key);
-        self.unlist(flow, key);
+        self.unlist(flow);
         promise
     }
 
     /// Takes out one promise whose window is over.
     pub fn expire(&mut self, now: u64) -> Option<Promise> {
         let promise = self.book.expire(now)?;
-        // The key is free again: whichever of the flow's keys holds no promise of the flow any more is the one.
-        let flow = promise.flow;
-        if let Some(keys) = self.of_flow.get_mut(&flow) {
-            keys.retain(|key| self.book.get(*key).is_some_and(|p| p.flow == flow));
-            if keys.is_empty() {
-                self.of_flow.remove(&flow);
-            }
-        }
+        self.unlist(promise.flow);
         Some(promise)
     }
 
@@ -165,9 +158,10 @@
         self.book.next_due_ns()
     }
 
-    fn unlist(&mut self, flow: u64, key: Key) {
+    /// Takes the keys out of a flow's list that hold no promise of the flow any more.
+    fn unlist(&mut self, flow: u64) {
         if let Some(keys) = self.of_flow.get_mut(&flow) {
-            keys.retain(|k| *k != key);
+            keys.retain(|key| self.book.get(*key).is_some_and(|p| p.flow == flow));
             if keys.is_empty() {
                 self.of_flow.remove(&flow);
             }
--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -394,7 +394,6 @@
             tenant.queues[queue].push(&mut self.entries, key);
             tenant.turns.activate(queue, 0.0);
         }
-        let tenant = &mut self.tenants[lane];
         tenant.queued += 1;
         tenant.backlog += self.entries[key].cost;
         self.turns.activate(lane, 0.0);
@@ -552,6 +551,12 @@
         next.map(|key| self.show(now, key))
     }
 
+    /// Takes the wait of one of a lane's.
+    fn waited(&mut self, now: u64, lane: usize, wait: u64) {
+        let (rate, stale_ns) = (self.rate(lane), self.settings.stale_ms * 1_000_000);
+        self.tenants[lane].waited(now, wait, rate, stale_ns);
+    }
+
     /// A queued request's time is over, or it has become stale.
     fn time_out(&mut self, now: u64, key: usize) {
         let entry = &self.entries[key];
@@ -560,10 +565,8 @@
         // The wheel's ticks are coarser than times: what is due within its tick is due now.
         if latest.saturating_sub(now) > 2_000_000 {
             let wait = now.saturating_sub(entry.came_ns);
-            let (rate, stale_ns) = (self.rate(lane), self.settings.stale_ms * 1_000_000);
-            let tenant = &mut self.tenants[lane];
-            tenant.waited(now, wait, rate, stale_ns);
-            if !tenant.standing || self.settings.order == Order::Fifo {
+            self.waited(now, lane, wait);
+            if !self.tenants[lane].standing || self.settings.order == Order::Fifo {
                 self.entries[key].timer = Some(self.timers.insert(latest, key));
                 return;
             }
@@ -636,11 +639,9 @@
         let lane = self.lane(own);
         let queue = e.queue;
         self.turns.charge(lane, cost, 0.0);
-        let (rate, stale_ns) = (self.rate(lane), self.settings.stale_ms * 1_000_000);
-        let tenant = &mut self.tenants[lane];
-        tenant.turns.charge(queue, cost, 0.0);
+        self.tenants[lane].turns.charge(queue, cost, 0.0);
         if stand == Stand::Queued {
-            tenant.waited(now, wait, rate, stale_ns);
+            self.waited(now, lane, wait);
         }
         self.unqueue(key);
         self.room.take(threads);
--- a/crates/language/src/format.rs
+++ b/crates/language/src/format.rs
@@ -31,7 +31,6 @@
                 flat.push(is_flat);
                 out.depth += usize::from(!is_flat);
                 if !is_flat && !empty {
-                    out.lines = out.lines.max(1);
                     out.lines = 1;
                     out.break_line();
                 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -58,15 +58,10 @@
 }
 
 fn serve(own: Option<PathBuf>) -> ExitCode {
-    let started = Files::from_env(own).and_then(|files| {
-        let setup = files.setup()?;
-        logger::start(setup.level);
-        Daemon::start(files)?.run()
-    });
-    match started {
+    logger::start();
+    match Files::from_env(own).and_then(|files| Daemon::start(files)?.run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            logger::start(None);
             log::error!("{fault}");
             ExitCode::FAILURE
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -143,7 +143,7 @@
     }
 
     /// What the operator's file says; nothing where there is none.
-    pub fn setup(&self) -> Result<Setup, String> {
+    fn setup(&self) -> Result<Setup, String> {
         self.setup.as_deref().map_or(Ok(Setup::default()), Setup::of_file)
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -93,7 +93,8 @@
 impl Daemon {
     /// Starts listening.
     pub fn start(files: Files) -> Result<Daemon, String> {
-        let Read { config, postgres, door, operator, .. } = files.read()?;
+        let Read { config, postgres, door, operator, level } = files.read()?;
+        logger::set_level(level);
         let io = |what: &str, e: std::io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| io("poll", e))?;
         let registry = poll.registry().try_clone().map_err(|e| io("poll", e))?;
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -30,10 +30,10 @@
     fn flush(&self) {}
 }
 
-/// Starts logging at the level that `MARLJUNCTION_LOG` names, else at `level`, else at `info`.
-pub fn start(level: Option<LevelFilter>) {
+/// Starts logging at the level that `MARLJUNCTION_LOG` names, or at `info`.
+pub fn start() {
     if log::set_logger(&Logger).is_ok() {
-        set_level(level);
+        set_level(None);
     }
 }
 
