End a given-up query only on proof: a refused DELETE is none while its call stands

Ruled out: the 2.1 s rule (the call was 1 ms old) and a dead process (it would have reset that call; none of these was reset). A draining engine takes no new connections and runs on. At fault: tell_leaving and broken(GiveUp) in crates/engine/src/http.rs. Now the DELETE goes on the query's own connection once that is free, and only a refusal with no such connection up ends the query.

Seen beside it: all but 1 of 1,521 given-up attempts ended as EngineError, since the engine answers the call for news with 500 before it answers the DELETE. The module took each for a failing engine. Such a 500 now means given up.

Debug lines tell of each attempt's sending, giving up and end.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -545,9 +545,13 @@
             memory_mb: None,
             report,
         };
-        if status != Status::Done {
-            debug!("request {} attempt {} ended {ending:?}", at.request.0, at.number);
-        }
+        debug!(
+            "{} attempt {} on {:016x} ended {ending:?} after {} ms",
+            open.ask.name,
+            at.number,
+            ran.engine.0,
+            outcome.latency_ns / 1_000_000
+        );
         self.decide(now, Event::Outcome(outcome), out);
         self.tidy(at.request);
     }
@@ -626,6 +630,7 @@
                 open.attempts += 1;
                 open.out = Some(Out { number: attempt.number, engine, sent_ns: now });
                 let (priority, ask) = (open.priority, open.ask.clone());
+                debug!("{} attempt {} goes to {:016x}", ask.name, attempt.number, engine.0);
                 let due = now.saturating_add(timeout_ns).min(open.expires_ns);
                 self.counters.sent += 1;
                 self.set_timer(due, Timer::TimeOut(attempt));
@@ -633,6 +638,9 @@
                 out.push(Command::Start { attempt, engine, timeout_ns, priority, ask });
             }
             Action::Cancel { request, attempt } => {
+                if let Some(open) = self.open.get(&request) {
+                    debug!("{} attempt {attempt} is given up", open.ask.name);
+                }
                 out.push(Command::GiveUp(Attempt { request, number: attempt }))
             }
             Action::Refuse { request, retry_after_ns } => {
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -218,9 +218,13 @@
     /// Asks for a query's news, or for its next page.
     fn ask(&mut self, cx: &mut Context, at: Attempt, on: Option<u64>) {
         let Some(run) = self.runs.get(&at) else { return };
-        if run.leaving.is_some() {
+        if let Some(leaving) = &run.leaving {
+            let untold = leaving.conn.is_none();
             self.runs.entry(at).and_modify(|r| r.conn = None);
-            return self.rest(cx, on);
+            return match on {
+                Some(conn) if untold => self.tell_leaving_on(cx, at, conn),
+                _ => self.rest(cx, on),
+            };
         }
         let role = if run.pages > 0 { Role::Page(at, run.next_page) } else { Role::Ask(at) };
         let (engine, path) = (run.engine, format!("/o/{}/{}", run.ask.name, run.next_page));
@@ -257,22 +261,40 @@
 
     fn tell_leaving(&mut self, cx: &mut Context, at: Attempt) {
         let Some(run) = self.runs.get(&at) else { return };
-        let (engine, path, asked_ns) = (run.engine, format!("/o/{}", run.ask.name), run.asked_ns);
+        let (engine, asked_ns) = (run.engine, run.asked_ns);
         let found = self.line(cx, engine, Role::GiveUp(at), false);
+        let over = !self.heard_on(at);
         let Some(leaving) = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut()) else { return };
         match found {
-            Ok(conn) => {
-                leaving.conn = Some(conn);
-                self.call(cx, conn, "DELETE", &path, "", b"");
-                self.written(cx, conn);
-            }
-            Err(Ending::Refused) => self.end(cx, at, Ending::GivenUp),
+            Ok(conn) => self.tell_leaving_on(cx, at, conn),
+            Err(Ending::Refused) if over => self.end(cx, at, Ending::GivenUp),
             // A query that nobody asks for ends by itself.
             Err(_) if cx.now >= asked_ns + FORGOTTEN_NS => self.end(cx, at, Ending::GivenUp),
             Err(_) => (leaving.conn, leaving.again_ns) = (None, cx.now + ASK_AGAIN_NS / 2),
         }
     }
 
+    /// Gives a query up by a call on this connection.
+    fn tell_leaving_on(&mut self, cx: &mut Context, at: Attempt, conn: u64) {
+        let Some(run) = self.runs.get_mut(&at) else { return };
+        let path = format!("/o/{}", run.ask.name);
+        let Some(leaving) = &mut run.leaving else { return };
+        leaving.conn = Some(conn);
+        if let Some(line) = self.lines.get_mut(&conn) {
+            line.role = Role::GiveUp(at);
+        }
+        self.call(cx, conn, "DELETE", &path, "", b"");
+        self.written(cx, conn);
+    }
+
+    /// Whether a connection that is up still waits for a query's news. A process that has gone resets it, so
+    /// while it stands a refused connection says only that the engine takes no new ones: it may be draining, or
+    /// hold as many as it can.
+    fn heard_on(&self, at: Attempt) -> bool {
+        let conn = self.runs.get(&at).and_then(|r| r.conn);
+        conn.and_then(|conn| self.lines.get(&conn)).is_some_and(|l| l.up)
+    }
+
     /// Takes a whole answer; its connection is absent where it can carry nothing more.
     fn answer(&mut self, cx: &mut Context, conn: Option<u64>, role: Role, head: Head, body: Vec<u8>) {
         match role {
@@ -315,6 +337,9 @@
                     }
                     (503, true) => self.over(cx, at, conn, Ending::Full),
                     (504, true) => self.over(cx, at, conn, Ending::Over),
+                    // Guards against a cancel that counts as the engine's failure: the call that waits for news is
+                    // answered so once the engine has given the query up, before the DELETE's own answer.
+                    (500, _) if run.leaving.is_some() => self.over(cx, at, conn, Ending::GivenUp),
                     (500, _) => self.over(cx, at, conn, Ending::EngineError),
                     _ => self.spoilt(cx, conn, role, "no answer that the protocol knows"),
                 }
@@ -322,7 +347,9 @@
             Role::Page(at, number) => {
                 let Some(run) = self.runs.get_mut(&at) else { return self.rest(cx, conn) };
                 if head.status == 500 {
-                    return self.over(cx, at, conn, Ending::EngineError);
+                    let given_up = run.leaving.is_some();
+                    let ending = if given_up { Ending::GivenUp } else { Ending::EngineError };
+                    return self.over(cx, at, conn, ending);
                 }
                 let fits = head.status == 200 && head.page == Some(number) && whole_rows(&body);
                 if !fits || run.rows.len() + body.len() > RESULT_MOST {
@@ -377,13 +404,14 @@
 
     /// What the end of a connection means depends on what it was used for.
     fn broken(&mut self, cx: &mut Context, role: Role, up: bool, ending: Ending) {
+        debug!("{role:?}: connection {} ended {ending:?}", if up { "that was up" } else { "not yet up" });
         match role {
             Role::Idle | Role::Discard => {}
             Role::Rank(at) => {
                 self.runs.entry(at).and_modify(|r| r.ranking = false);
             }
             Role::GiveUp(at) => {
-                if !up && ending == Ending::Refused {
+                if !up && ending == Ending::Refused && !self.heard_on(at) {
                     return self.end(cx, at, Ending::GivenUp);
                 }
                 let asked_ns = self.runs.get(&at).map_or(0, |r| r.asked_ns);
--- a/crates/engine/tests/give_up.rs
+++ b/crates/engine/tests/give_up.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use marljunction_control::interface::*;
+use marljunction_core::ending::{Ending, ENDINGS};
 use marljunction_core::{Ask, Attempt, Client, Router};
 use marljunction_discovery::{Change, Target};
 use marljunction_engine::http::HttpEngines;
@@ -34,8 +35,11 @@
         let target = Target { entry, address: listener.local_addr().unwrap() };
         let mut engines = HttpEngines::new(30_000 * MS, 250 * MS);
         engines.change(&Change { kind: MembershipKind::Full, targets: vec![target] });
-        let router =
-            Router::new(Settings { classes: vec![ClassSettings::default()], ..Settings::default() }, 1, 64.0);
+        let class = ClassSettings { aim_ns: 9_000 * MS, deadline_ns: 9_000 * MS, ..ClassSettings::default() };
+        let settings = Settings { classes: vec![class], may_cancel: true, ..Settings::default() };
+        let mut router = Router::new(settings, 1, 64.0);
+        router.membership(MembershipKind::Full, vec![entry]);
+        router.turn(T0, &mut Vec::new());
         World { poll, net, router, engines, listener, now: T0 }
     }
 
@@ -52,6 +56,21 @@
         }
     }
 
+    /// The engine takes no connections from here on.
+    fn refuse(&mut self) {
+        let elsewhere = TcpListener::bind("127.0.0.1:0").unwrap();
+        self.listener = elsewhere;
+    }
+
+    /// Some rounds of what the sockets bring.
+    fn turn_sockets(&mut self) {
+        let mut rounds = 0;
+        self.until(|_| {
+            rounds += 1;
+            rounds > 4
+        });
+    }
+
     fn accept(&mut self) -> TcpStream {
         self.listener.set_nonblocking(true).unwrap();
         let mut found = None;
@@ -81,8 +100,8 @@
         self.engines.tick(&mut cx);
     }
 
-    /// A query that the engine has whole, and that was given up: the end of the connection that tells it so.
-    fn given_up(&mut self) -> (TcpStream, TcpStream) {
+    /// A query that the engine has whole, and the connection that waits for its news.
+    fn started(&mut self) -> (Attempt, TcpStream) {
         let ask = Ask { name: "aaaabbbbccccdddd".into(), time_left_ns: 9_000 * MS, ..Ask::default() };
         let request = self.router.take(self.now, Client { conn: 1, call: 1 }, ask.clone());
         self.router.turn(self.now, &mut Vec::new());
@@ -100,14 +119,70 @@
         self.engines.start(&mut cx, start);
         let mut first = self.accept();
         self.read(&mut first, "POST /o ");
+        (attempt, first)
+    }
+
+    fn give_up(&mut self, attempt: Attempt) {
         let mut cx = Context { now: self.now, net: &mut self.net, router: &mut self.router };
         self.engines.give_up(&mut cx, attempt);
+    }
+
+    /// The attempt's ending, once it has been reported.
+    fn ending(&mut self) -> Ending {
+        self.until(|w| w.router.has_news());
+        self.router.turn(self.now, &mut Vec::new());
+        let counted = ENDINGS.iter().find(|(ending, _)| self.router.counters.endings(*ending) > 0);
+        counted.expect("an ending is counted").0
+    }
+
+    /// A query that the engine has whole, and that was given up: the end of the connection that tells it so.
+    fn given_up(&mut self) -> (TcpStream, TcpStream) {
+        let (attempt, first) = self.started();
+        self.give_up(attempt);
         let mut second = self.accept();
         self.read(&mut second, "DELETE /o/aaaabbbbccccdddd ");
         (first, second)
     }
 }
 
+#[test]
+fn a_call_for_news_that_is_answered_with_an_error_says_that_the_query_is_given_up() {
+    let mut w = World::new();
+    let (mut first, _second) = w.given_up();
+    first.write_all(b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n").unwrap();
+    assert_eq!(w.ending(), Ending::GivenUp, "the engine must not pass for a failing one");
+}
+
+#[test]
+fn an_engine_that_takes_no_new_connection_is_told_on_the_one_that_waits_for_news() {
+    let mut w = World::new();
+    let (attempt, mut first) = w.started();
+    w.refuse();
+    w.give_up(attempt);
+    for ms in [20, 40, 150, 240] {
+        w.tick(ms);
+        w.turn_sockets();
+        assert!(!w.router.has_news(), "after {ms} ms the query may still run: its connection stands");
+    }
+    first.write_all(b"HTTP/1.1 202 Running\r\nContent-Length: 0\r\n\r\n").unwrap();
+    w.read(&mut first, "DELETE /o/aaaabbbbccccdddd ");
+    assert!(!w.router.has_news());
+    first.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
+    assert_eq!(w.ending(), Ending::GivenUp);
+}
+
+#[test]
+fn an_engine_that_takes_no_new_connection_and_resets_the_old_one_has_gone() {
+    let mut w = World::new();
+    let (attempt, first) = w.started();
+    w.refuse();
+    w.give_up(attempt);
+    drop(first);
+    w.turn_sockets();
+    w.tick(240);
+    assert_eq!(w.ending(), Ending::GivenUp);
+}
+
 #[test]
 fn an_engine_that_stands_still_has_not_been_told_until_it_answers() {
     let mut w = World::new();
