Let a hundred routers use cold engines: budget lanes whose owners whole queries fit

Ruled out: membership (the starts were told at 9 to 12 s), connections (none refused), processor time (peak 0.4% of a core).

At fault in crates/control/src/control.rs: cold_budget gave a class's one owner a part of 2.2 core-seconds, in which no usual report (4) or load fits; others() believed an unheard cold engine as full as the average, past the knee; pick() drew 6 of 30 engines, though only a few routers may use a cold one at all.

Now light and heavy classes own halves of the budget, along the ramp; an owner may always send one whole query a window; peers' threads there are believed within what the budget lets through; owners always look at it.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -93,10 +93,13 @@
 const SLOW_BAND: f64 = 1.2;
 /// Busy share of the cores at which an engine's capacity is counted (share).
 const CAPACITY_BUSY: f64 = 0.85;
-/// Part of a cold engine's budget that is used (share), and queries of a class that an owner's part of it
-/// holds within the window (count): whole queries fit such parts, where those of hundreds would hold none.
+/// Part of a cold engine's budget that is used (share), and queries of a light class that it holds at least
+/// as the engine starts (count).
 const COLD_SAFETY: f64 = 0.8;
-const COLD_QUERIES: f64 = 2.0;
+const COLD_LIGHT: f64 = 8.0;
+/// Threads a core that peers are taken to hold at most on a cold engine that is not heard of (ratio): its
+/// budget keeps them from more.
+const COLD_OTHERS: f64 = 0.5;
 /// Load factor added for an engine in another zone (ratio), as crossing has a small price.
 const CROSS_ZONE: f64 = 0.05;
 /// Engines drawn for a request, of which the lowest factor picks; the others only where none of these passes.
@@ -510,9 +513,11 @@
     }
 
     /// Threads of other gateways on an engine: as reported, and the older that is, the more as on the average
-    /// engine. A cold one is average for what it can do, or it would stay unused.
+    /// engine. A cold one holds what its budget lets through, or it would stay unused while others are full.
     fn others(&self, now: u64, e: &Engine, view: &View) -> f64 {
-        self.believed(now, e, e.others, view.others * e.cores * self.warmth(now, e))
+        let cold = self.warmed(now, e).is_some() && self.settings.tip_multiple.is_some();
+        let average = view.others.min(if cold { COLD_OTHERS } else { f64::INFINITY });
+        self.believed(now, e, e.others, average * e.cores * self.warmth(now, e))
     }
 
     /// What still holds of a figure heard of an engine, against the average of all.
@@ -627,7 +632,8 @@
                 Ok(pass) => {
                     let crosses = e.entry.zone != self.settings.zone;
                     let tie = mix(self.seed ^ id.0 ^ p.request.id.0.rotate_left(32));
-                    let drawn = tie % (self.engines.len() as u64) < DRAWN;
+                    // Few may send to a cold engine: they always look at it.
+                    let drawn = tie % (self.engines.len() as u64) < DRAWN || self.warmed(now, e).is_some();
                     let rank = pass.factor + CROSS_ZONE * f64::from(crosses) + f64::from(!drawn);
                     if best.as_ref().is_none_or(|b| (rank, tie) < (b.0, b.1)) {
                         best = Some((rank, tie, *id, pass));
@@ -979,10 +985,11 @@
         ready && self.repeats(now, p, Some(&e.entry)) && self.cold_budget(now, p, e)
     }
 
-    /// Whether a cold engine stays within this gateway's share of what does not push it over. Each class has
-    /// a part of the budget, owned by as many gateways as whole queries fit by settings alone, so that all
-    /// know the owners by their numbers and the engine's, and shares add up to the budget. A gateway that
-    /// restarted meanwhile waits for a window. An engine back from refused connections has none until told.
+    /// Whether a cold engine stays within this gateway's share of what does not push it over. Light and heavy
+    /// classes have half of the budget each, owned by as many gateways as whole queries of theirs fit in by
+    /// settings alone, so that all know the owners by their numbers and the engine's. An owner may send one
+    /// query in a window, or as many as its share holds. A gateway that restarted meanwhile waits for a
+    /// window. An engine back from refused connections has no owners until told.
     fn cold_budget(&self, now: u64, p: &Pending, e: &Engine) -> bool {
         let s = &self.settings;
         let (Some(since), Some(_)) = (e.cold_since_ns, self.warmed(now, e)) else { return true };
@@ -991,18 +998,18 @@
         let gateways = u64::from(s.gateways.max(1));
         let place = (u64::from(s.gateway_index) + mix(e.entry.engine.0) % gateways) % gateways;
         let unknown = self.born_ns.is_some_and(|b| b > since && now < b.saturating_add(fall_ns));
-        let budget = tip * e.cores * CAPACITY_BUSY * start * fall_ns as f64 * COLD_SAFETY;
-        let part = budget / s.classes.len() as f64;
-        let owners = |c: &ClassSettings| {
-            (part / (prior_need(c) * COLD_QUERIES).max(1.0)).floor().clamp(1.0, gateways as f64)
-        };
-        let owned = |c: &&ClassSettings| (place as f64) < owners(c);
-        let told = e.entry.started_ns.zip(s.cold_ns).is_some_and(|(at, cold)| now < at.saturating_add(cold));
-        let own = s.classes.iter().filter(owned).map(|c| part / owners(c)).sum();
-        let share: f64 = if told { own } else { part };
-        let sent: f64 = e.sent.iter().filter(|s| s.0 + fall_ns >= now).map(|s| s.1).sum();
+        let full = tip * e.cores * CAPACITY_BUSY * fall_ns as f64 * COLD_SAFETY;
+        let half = full * self.warmth(now, e) / 2.0;
+        let heavy = |need: f64| need * COLD_LIGHT > full * start;
         let class = p.request.class.0;
-        let fits = sent + self.models[class].usual.value <= share;
-        fits && !unknown && (!told || owned(&&s.classes[class]))
+        let lane = heavy(prior_need(&s.classes[class]));
+        let needs = s.classes.iter().map(prior_need).filter(|need| heavy(*need) == lane);
+        let owners = (half / needs.fold(1.0, f64::max)).floor().clamp(1.0, gateways as f64);
+        let started = e.entry.started_ns.zip(s.cold_ns);
+        let told = started.is_some_and(|(at, cold)| now < at.saturating_add(cold));
+        let recent = e.sent.iter().filter(|s| s.0 + fall_ns >= now && heavy(s.1) == lane);
+        let sent: f64 = recent.map(|s| s.1).sum();
+        let fits = sent <= 0.0 || sent + self.models[class].usual.value <= half / owners;
+        fits && !unknown && (!told || (place as f64) < owners)
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -498,6 +498,10 @@
             Inbound::Ended(at, ending, rows, report) => self.end_attempt(now, at, ending, rows, report, out),
             Inbound::Membership(kind, entries) => {
                 self.counters.membership += 1;
+                for e in &entries {
+                    let started_ms = e.started_ns.map(|ns| ns / 1_000_000);
+                    debug!("{kind:?} list: engine {:016x} {:?} started {started_ms:?}", e.engine.0, e.state);
+                }
                 self.decide(now, Event::Membership(kind, entries), out);
             }
         }
@@ -630,7 +634,8 @@
                 open.attempts += 1;
                 open.out = Some(Out { number: attempt.number, engine, sent_ns: now });
                 let (priority, ask) = (open.priority, open.ask.clone());
-                debug!("{} attempt {} goes to {:016x}", ask.name, attempt.number, engine.0);
+                let class = ask.class.0;
+                debug!("{} attempt {} of class {class} goes to {:016x}", ask.name, attempt.number, engine.0);
                 let due = now.saturating_add(timeout_ns).min(open.expires_ns);
                 self.counters.sent += 1;
                 self.set_timer(due, Timer::TimeOut(attempt));
