--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1004,9 +1004,10 @@
         let class = p.request.class.0;
         let lane = heavy(prior_need(&s.classes[class]));
         let needs = s.classes.iter().map(prior_need).filter(|need| heavy(*need) == lane);
-        let owners = (half / needs.fold(1.0, f64::max)).floor().clamp(1.0, gateways as f64);
         let started = e.entry.started_ns.zip(s.cold_ns);
         let told = started.is_some_and(|(at, cold)| now < at.saturating_add(cold));
+        let most = if told { gateways as f64 } else { 1.0 };
+        let owners = (half / needs.fold(1.0, f64::max)).floor().clamp(1.0, most);
         let recent = e.sent.iter().filter(|s| s.0 + fall_ns >= now && heavy(s.1) == lane);
         let sent: f64 = recent.map(|s| s.1).sum();
         let fits = sent <= 0.0 || sent + self.models[class].usual.value <= half / owners;
