Have each router of a large fleet look at a few engines of its own first

Seen over 100 routers: one meets an engine once in six seconds. Ruled out: wrong reports (queries told are within 10% of those held), late lists, processor time. At fault: pick() in crates/control/src/control.rs drew 6 engines of all anew for each request.

Now the first engines of a router's own order come first: 5, or as many as have each engine among the first of 8 routers; others where none of these passes. Up to 8 routers all is as it was.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -102,7 +102,14 @@
 const COLD_OTHERS: f64 = 0.5;
 /// Load factor added for an engine in another zone (ratio), as crossing has a small price.
 const CROSS_ZONE: f64 = 0.05;
-/// Engines drawn for a request, of which the lowest factor picks; the others only where none of these passes.
+/// Engines that a gateway looks at first, the same ones for all of its requests, and gateways at least that
+/// have an engine among their first ones, so that it is not left to a few (counts). Others only where none of
+/// these passes. A hundred gateways that spread their thin traffic over all engines know none of them: their
+/// figures are old, and connections close before they are used again.
+const FIRST: usize = 5;
+const SHARED: usize = 8;
+/// Of these, engines drawn for a request, of which the lowest factor picks: gateways that read the same
+/// report must not all pick the same.
 const DRAWN: u64 = 6;
 /// Retry advice at least (ns): sooner than this nothing has changed.
 const ADVICE_MIN_NS: u64 = 100_000_000;
@@ -617,10 +624,21 @@
         before * view.stretch.max(1.0) * PEERS_HOLD
     }
 
+    /// Place of an engine in this gateway's own order of all; the order of two stays as others come and go.
+    fn place(&self, e: &Engine) -> u64 {
+        mix(self.seed ^ e.entry.engine.0)
+    }
+
     /// The usable engine with the lowest passing factor; else the lowest factor that failed.
     fn pick(&self, now: u64, p: &Pending) -> Result<(EngineId, Pass), f64> {
         let (due_ns, need_ns) = (self.due(now, p), self.need(&p.request));
         let view = View { due_ns, need_ns, threads: self.threads(p.request.class), ..self.view(now) };
+        let ready = |e: &&Engine| e.entry.state == EngineState::Ready && !e.suspended;
+        let mut places: Vec<u64> = self.engines.values().filter(ready).map(|e| self.place(e)).collect();
+        places.sort_unstable();
+        let first = (SHARED * places.len() / self.settings.gateways.max(1) as usize).max(FIRST);
+        let last = places.get(first - 1).copied().unwrap_or(u64::MAX);
+        let among = first.min(self.engines.len()) as u64;
         let mut best: Option<(f64, u64, EngineId, Pass)> = None;
         let mut lowest = f64::INFINITY;
         for (id, e) in &self.engines {
@@ -633,7 +651,7 @@
                     let crosses = e.entry.zone != self.settings.zone;
                     let tie = mix(self.seed ^ id.0 ^ p.request.id.0.rotate_left(32));
                     // Few may send to a cold engine: they always look at it.
-                    let drawn = tie % (self.engines.len() as u64) < DRAWN || self.warmed(now, e).is_some();
+                    let drawn = self.place(e) <= last && tie % among < DRAWN || self.warmed(now, e).is_some();
                     let rank = pass.factor + CROSS_ZONE * f64::from(crosses) + f64::from(!drawn);
                     if best.as_ref().is_none_or(|b| (rank, tie) < (b.0, b.1)) {
                         best = Some((rank, tie, *id, pass));
--- a/crates/control/tests/demand_check.rs
+++ b/crates/control/tests/demand_check.rs
@@ -179,3 +179,34 @@
     let passed = (100..130).filter(|id| sent(&w.arrive(request(*id, 1, 0))).is_some()).count();
     assert!((11..=13).contains(&passed), "{passed}");
 }
+
+#[test]
+fn thin_traffic_keeps_to_a_few_engines_of_the_gateways_own() {
+    // Sixty idle engines, one query at a time: spread over all of them, none would be met twice in a minute.
+    let engines: Vec<u64> = (1..=60).collect();
+    let met = |seed| {
+        let mut w = World::new(Settings { gateways: 100, ..settings() }, &engines);
+        w.c = marljunction_control::Controller::new(Settings { gateways: 100, ..settings() }, seed);
+        w.on(Event::Membership(MembershipKind::Cached, engines.iter().map(|e| entry(*e)).collect()));
+        let mut met = std::collections::BTreeSet::new();
+        for id in 0..200 {
+            w.now += 200 * MS;
+            let engine = sent(&w.arrive(request(id, 0, 100))).expect("all are idle");
+            w.end(outcome(id, 0, engine, Status::Done, 100));
+            met.insert(engine);
+        }
+        met
+    };
+    assert!(met(1).len() <= 6, "{:?}", met(1));
+    let all: std::collections::BTreeSet<u64> = (0..100).flat_map(met).collect();
+    assert!(all.len() >= 58, "a hundred gateways leave {} of 60 engines unused", 60 - all.len());
+}
+
+#[test]
+fn engines_beyond_a_gateways_own_few_are_used_once_those_are_full() {
+    let engines: Vec<u64> = (1..=20).collect();
+    let mut w = World::new(settings(), &engines);
+    let used = (0..200).filter_map(|id| sent(&w.arrive(request(id, 0, 900))));
+    let used: std::collections::BTreeSet<u64> = used.collect();
+    assert!(used.len() >= 9, "200 queries of a thread each on {used:?}");
+}
