Let the answer to a query's own call carry the DELETE when a new connection is pending

Found on reading the change again: where the call for news was answered while the DELETE's new connection was still coming up, the query's connection went idle, and the refusal that followed counted as the end of the query after all. At fault: ask() in crates/engine/src/http.rs, which took a connection not yet up for one that carries the DELETE. The new test forces that order and fails without the change.

--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -219,12 +219,16 @@
     fn ask(&mut self, cx: &mut Context, at: Attempt, on: Option<u64>) {
         let Some(run) = self.runs.get(&at) else { return };
         if let Some(leaving) = &run.leaving {
-            let untold = leaving.conn.is_none();
+            // Guards against a refusal that comes after this answer, when no connection of the query's stands any
+            // more: this one carries the DELETE unless another already does.
+            let pending = leaving.conn;
+            let told = pending.and_then(|conn| self.lines.get(&conn)).is_some_and(|l| l.up);
             self.runs.entry(at).and_modify(|r| r.conn = None);
-            return match on {
-                Some(conn) if untold => self.tell_leaving_on(cx, at, conn),
-                _ => self.rest(cx, on),
-            };
+            let Some(conn) = on.filter(|_| !told) else { return self.rest(cx, on) };
+            if let Some(line) = pending.and_then(|conn| self.lines.get_mut(&conn)) {
+                line.role = Role::Discard;
+            }
+            return self.tell_leaving_on(cx, at, conn);
         }
         let role = if run.pages > 0 { Role::Page(at, run.next_page) } else { Role::Ask(at) };
         let (engine, path) = (run.engine, format!("/o/{}/{}", run.ask.name, run.next_page));
--- a/crates/engine/tests/give_up.rs
+++ b/crates/engine/tests/give_up.rs
@@ -206,3 +206,20 @@
     w.tick(2_110);
     assert!(w.router.has_news(), "nobody has asked for it for 2 s and the allowance");
 }
+
+#[test]
+fn news_that_come_before_a_connection_is_refused_do_not_make_the_refusal_an_end() {
+    let mut w = World::new();
+    let (attempt, mut first) = w.started();
+    w.refuse();
+    w.give_up(attempt);
+    first.write_all(b"HTTP/1.1 202 Running\r\nContent-Length: 0\r\n\r\n").unwrap();
+    // The connection that waits for news is looked at first, the refused one after it.
+    let mut cx = Context { now: w.now, net: &mut w.net, router: &mut w.router };
+    w.engines.ready(&mut cx, 11);
+    w.turn_sockets();
+    assert!(!w.router.has_news(), "the engine is there, and may still run the query");
+    w.read(&mut first, "DELETE /o/aaaabbbbccccdddd ");
+    first.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
+    assert_eq!(w.ending(), Ending::GivenUp);
+}
