Say once that a given-up query's 500 is no failure, and select where pick sorted

Read over: the 500 of a given-up query was told apart in two places, now in over(), which both go through; tell_leaving asks about the query's connection as its twin in broken does; pick sorted all engines for the one at a place, and its order had the name of another thing in cold_budget.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -624,8 +624,8 @@
         before * view.stretch.max(1.0) * PEERS_HOLD
     }
 
-    /// Place of an engine in this gateway's own order of all; the order of two stays as others come and go.
-    fn place(&self, e: &Engine) -> u64 {
+    /// This gateway's own order of all engines: lowest first; that of two stays as others come and go.
+    fn preference(&self, e: &Engine) -> u64 {
         mix(self.seed ^ e.entry.engine.0)
     }
 
@@ -634,10 +634,10 @@
         let (due_ns, need_ns) = (self.due(now, p), self.need(&p.request));
         let view = View { due_ns, need_ns, threads: self.threads(p.request.class), ..self.view(now) };
         let ready = |e: &&Engine| e.entry.state == EngineState::Ready && !e.suspended;
-        let mut places: Vec<u64> = self.engines.values().filter(ready).map(|e| self.place(e)).collect();
-        places.sort_unstable();
-        let first = (SHARED * places.len() / self.settings.gateways.max(1) as usize).max(FIRST);
-        let last = places.get(first - 1).copied().unwrap_or(u64::MAX);
+        let mut ready: Vec<u64> = self.engines.values().filter(ready).map(|e| self.preference(e)).collect();
+        let first = (SHARED * ready.len() / self.settings.gateways.max(1) as usize).max(FIRST);
+        let all = first > ready.len();
+        let last = if all { u64::MAX } else { *ready.select_nth_unstable(first - 1).1 };
         let among = first.min(self.engines.len()) as u64;
         let mut best: Option<(f64, u64, EngineId, Pass)> = None;
         let mut lowest = f64::INFINITY;
@@ -651,7 +651,8 @@
                     let crosses = e.entry.zone != self.settings.zone;
                     let tie = mix(self.seed ^ id.0 ^ p.request.id.0.rotate_left(32));
                     // Few may send to a cold engine: they always look at it.
-                    let drawn = self.place(e) <= last && tie % among < DRAWN || self.warmed(now, e).is_some();
+                    let drawn = self.preference(e) <= last && tie % among < DRAWN;
+                    let drawn = drawn || self.warmed(now, e).is_some();
                     let rank = pass.factor + CROSS_ZONE * f64::from(crosses) + f64::from(!drawn);
                     if best.as_ref().is_none_or(|b| (rank, tie) < (b.0, b.1)) {
                         best = Some((rank, tie, *id, pass));
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -267,14 +267,16 @@
         let Some(run) = self.runs.get(&at) else { return };
         let (engine, asked_ns) = (run.engine, run.asked_ns);
         let found = self.line(cx, engine, Role::GiveUp(at), false);
-        let over = !self.heard_on(at);
-        let Some(leaving) = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut()) else { return };
         match found {
             Ok(conn) => self.tell_leaving_on(cx, at, conn),
-            Err(Ending::Refused) if over => self.end(cx, at, Ending::GivenUp),
+            Err(Ending::Refused) if !self.heard_on(at) => self.end(cx, at, Ending::GivenUp),
             // A query that nobody asks for ends by itself.
             Err(_) if cx.now >= asked_ns + FORGOTTEN_NS => self.end(cx, at, Ending::GivenUp),
-            Err(_) => (leaving.conn, leaving.again_ns) = (None, cx.now + ASK_AGAIN_NS / 2),
+            Err(_) => {
+                if let Some(leaving) = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut()) {
+                    (leaving.conn, leaving.again_ns) = (None, cx.now + ASK_AGAIN_NS / 2);
+                }
+            }
         }
     }
 
@@ -341,9 +343,6 @@
                     }
                     (503, true) => self.over(cx, at, conn, Ending::Full),
                     (504, true) => self.over(cx, at, conn, Ending::Over),
-                    // Guards against a cancel that counts as the engine's failure: the call that waits for news is
-                    // answered so once the engine has given the query up, before the DELETE's own answer.
-                    (500, _) if run.leaving.is_some() => self.over(cx, at, conn, Ending::GivenUp),
                     (500, _) => self.over(cx, at, conn, Ending::EngineError),
                     _ => self.spoilt(cx, conn, role, "no answer that the protocol knows"),
                 }
@@ -351,9 +350,7 @@
             Role::Page(at, number) => {
                 let Some(run) = self.runs.get_mut(&at) else { return self.rest(cx, conn) };
                 if head.status == 500 {
-                    let given_up = run.leaving.is_some();
-                    let ending = if given_up { Ending::GivenUp } else { Ending::EngineError };
-                    return self.over(cx, at, conn, ending);
+                    return self.over(cx, at, conn, Ending::EngineError);
                 }
                 let fits = head.status == 200 && head.page == Some(number) && whole_rows(&body);
                 if !fits || run.rows.len() + body.len() > RESULT_MOST {
@@ -378,7 +375,11 @@
 
     fn over(&mut self, cx: &mut Context, at: Attempt, conn: Option<u64>, ending: Ending) {
         self.rest(cx, conn);
-        self.end(cx, at, ending);
+        // Guards against a cancel that counts as the engine's failure: the call that waits for news is answered so
+        // once the engine has given the query up, before the DELETE's own answer.
+        let given_up =
+            ending == Ending::EngineError && self.runs.get(&at).is_some_and(|r| r.leaving.is_some());
+        self.end(cx, at, if given_up { Ending::GivenUp } else { ending });
     }
 
     /// An answer can't be read, or can't be this call's: its connection is of no use any more. The engine still
