--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod clock;
+pub mod listener;
 
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
--- a/src/config.rs
+++ b/src/config.rs
@@ -131,6 +131,8 @@
     pub postgres: Option<String>,
     /// The operator's file, where there is one.
     pub setup: Option<PathBuf>,
+    /// The clients' listening socket as the platform hands it down (`$ROUTER_FD`), in place of binding `listen`.
+    pub inherited: Option<String>,
 }
 
 impl Files {
@@ -139,7 +141,8 @@
         let config = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file".to_owned())?;
         let named = || std::env::var_os("MARLJUNCTION_SETUP").map(PathBuf::from);
         let postgres = std::env::var("MARLJUNCTION_POSTGRES").ok();
-        Ok(Files { config, postgres, setup: setup.or_else(named) })
+        let inherited = std::env::var("ROUTER_FD").ok().filter(|fd| !fd.trim().is_empty());
+        Ok(Files { config, postgres, setup: setup.or_else(named), inherited })
     }
 
     /// What the operator's file says; nothing where there is none.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -28,6 +28,7 @@
 use marljunction_front::Directory;
 use marljunction_language::value::{Value, What};
 use marljunction_net::clock::Clock;
+use marljunction_net::listener::Listen;
 use marljunction_net::{Net, Owner, Room};
 
 const MSGPACK: Token = Token(0);
@@ -73,6 +74,8 @@
     settings: Settings,
     directory: Directory,
     listeners: [Option<TcpListener>; 2],
+    /// The clients' listener is shared with whoever started this process: a successor takes from it.
+    shared: bool,
     signals: Signals,
     clients_most: usize,
     /// The listener is to be tried again: it may hold connections that no event tells of.
@@ -98,21 +101,22 @@
         let io = |what: &str, e: std::io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| io("poll", e))?;
         let registry = poll.registry().try_clone().map_err(|e| io("poll", e))?;
-        let listen = |at: &str, token| {
-            let address = at.parse().map_err(|e| format!("listen address {at}: {e}"))?;
-            let mut listener = TcpListener::bind(address).map_err(|e| io("listen", e))?;
+        let clients = Listen::of(&config.listen, files.inherited.as_deref())?;
+        let listen = |how: Listen, token| {
+            let mut listener = how.open().map_err(|e| io("listen", e))?;
             registry.register(&mut listener, token, Interest::READABLE).map_err(|e| io("listen", e))?;
             let local = listener.local_addr().map_err(|e| io("listen", e))?;
             info!(
-                "{} listens on {local}{}",
+                "{} listens on {local}{}{}",
                 config.name,
-                if token == POSTGRES { " for PostgreSQL" } else { "" }
+                if token == POSTGRES { " for PostgreSQL" } else { "" },
+                if how.is_shared() { ", on the socket handed down" } else { "" },
             );
             Ok::<_, String>(listener)
         };
-        let first = listen(&config.listen, MSGPACK)?;
-        let second =
-            postgres.as_ref().and_then(|p| p.listen.as_ref()).map(|at| listen(at, POSTGRES)).transpose()?;
+        let first = listen(clients, MSGPACK)?;
+        let second = postgres.as_ref().and_then(|p| p.listen.as_ref());
+        let second = second.map(|at| listen(Listen::of(at, None)?, POSTGRES)).transpose()?;
         let mut signals = Signals::new([SIGTERM, SIGUSR1, SIGHUP]).map_err(|e| io("signals", e))?;
         registry.register(&mut signals, SIGNALS, Interest::READABLE).map_err(|e| io("signals", e))?;
         let clock = Clock::start();
@@ -175,6 +179,7 @@
             settings: config.settings,
             directory,
             listeners: [Some(first), second],
+            shared: clients.is_shared(),
             signals,
             clients_most: sockets * 2 / 5,
             accept_at: None,
@@ -295,6 +300,10 @@
                 SIGTERM => {
                     info!("told to stop");
                     self.stopping.get_or_insert(now);
+                    // Guards against connections taken only to be closed: a successor accepts from the same socket.
+                    if self.shared {
+                        self.listeners[0] = None;
+                    }
                 }
                 SIGHUP => self.reload(now),
                 _ => self.tell_counters(),
--- a/tests/setup.rs
+++ b/tests/setup.rs
@@ -143,6 +143,7 @@
         config: "no such file".into(),
         postgres: Some(config.join("postgres.json").display().to_string()),
         setup: Some(shipped("deploy/operator.conf")),
+        inherited: None,
     };
     let fault = files.read().unwrap_err();
     assert!(fault.contains("keep one"), "{fault}");
