--- /dev/null
+++ b/crates/discovery/src/bans.rs
@@ -0,0 +1,160 @@
+//! Engines that operators took out, between the sources of membership and the module.
+//!
+//! A ban is membership news: while it holds, the module is told that the engine drains, whatever the lists say;
+//! at its end, that the engine has just started, since operators restart an engine that they took out. So the
+//! module's drain grace and its care of cold engines apply unchanged. Nothing here reads a clock or a file.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use marljunction_control::interface::{EngineId, EngineState, MembershipKind};
+
+use crate::{engine_id, Change, Target};
+
+/// Longest name of an engine that is taken (bytes).
+pub const NAME_MOST: usize = 128;
+/// Engines that may be banned at once (count). Guards against a file or callers that name engines without end;
+/// no fleet of the protocol holds so many.
+pub const BANNED_MOST: usize = 4096;
+
+/// Why a call about an engine is a no.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No list has named an engine by that id.
+    Unknown,
+    /// The id is empty, too long, or holds what no id holds.
+    Malformed,
+    /// As many engines are banned as may be.
+    Full,
+}
+
+/// Engines taken out, and what the lists said last of every engine that they name.
+#[derive(Debug, Default)]
+pub struct Bans {
+    /// Banned engines, with the name that they were banned by.
+    banned: BTreeMap<EngineId, String>,
+    /// The latest entry of each engine that a list names, to tell again where a ban ends. Bounded by the lists:
+    /// an engine that they call gone is dropped, unless it is banned.
+    latest: HashMap<EngineId, Target>,
+}
+
+/// Whether a text may be the id of an engine.
+fn well_formed(name: &str) -> bool {
+    !name.is_empty() && name.len() <= NAME_MOST && name.bytes().all(|b| b.is_ascii_graphic())
+}
+
+impl Bans {
+    /// No engine banned.
+    pub fn new() -> Self {
+        Bans::default()
+    }
+
+    /// Whether an engine is banned.
+    pub fn holds(&self, engine: EngineId) -> bool {
+        self.banned.contains_key(&engine)
+    }
+
+    /// Names of the banned engines, in the order of their ids.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.banned.values().map(String::as_str)
+    }
+
+    /// What a source said, as the module is to hear it: banned engines drain.
+    pub fn pass(&mut self, change: Change) -> Change {
+        if change.kind == MembershipKind::Full || change.kind == MembershipKind::Cached {
+            let named: BTreeSet<EngineId> = change.targets.iter().map(|t| t.entry.engine).collect();
+            let banned = &self.banned;
+            self.latest.retain(|id, _| named.contains(id) || banned.contains_key(id));
+        }
+        let mut change = change;
+        for target in &mut change.targets {
+            let id = target.entry.engine;
+            if target.entry.state == EngineState::Gone && !self.holds(id) {
+                self.latest.remove(&id);
+            } else {
+                self.latest.insert(id, *target);
+            }
+            if self.holds(id) && target.entry.state == EngineState::Ready {
+                target.entry.state = EngineState::Draining;
+            }
+        }
+        change
+    }
+
+    /// Takes an engine out: the module is told that it drains. Nothing to tell where it is out already, or no list
+    /// has named it yet.
+    ///
+    /// # Errors
+    /// [`Refusal::Unknown`] where no list names the engine and `known_or_not` is false: a no is owed for an id
+    /// that nobody has. [`Refusal::Malformed`], [`Refusal::Full`] as they say.
+    pub fn disable(&mut self, name: &str, known_or_not: bool) -> Result<Option<Change>, Refusal> {
+        let id = self.id(name)?;
+        if !known_or_not && !self.latest.contains_key(&id) && !self.holds(id) {
+            return Err(Refusal::Unknown);
+        }
+        if self.holds(id) {
+            return Ok(None);
+        }
+        if self.banned.len() >= BANNED_MOST {
+            return Err(Refusal::Full);
+        }
+        self.banned.insert(id, name.to_owned());
+        Ok(self.latest.get(&id).map(|target| {
+            let mut target = *target;
+            if target.entry.state == EngineState::Ready {
+                target.entry.state = EngineState::Draining;
+            }
+            Change { kind: MembershipKind::Delta, targets: vec![target] }
+        }))
+    }
+
+    /// Puts an engine back: the module is told what the lists say of it, as of an engine that started at `now_ns`.
+    /// Nothing to tell where it was not out, or no list names it.
+    ///
+    /// # Errors
+    /// [`Refusal::Unknown`] where neither a list nor a ban names the engine; [`Refusal::Malformed`].
+    pub fn enable(&mut self, name: &str, now_ns: u64) -> Result<Option<Change>, Refusal> {
+        let id = self.id(name)?;
+        if self.banned.remove(&id).is_none() {
+            return if self.latest.contains_key(&id) { Ok(None) } else { Err(Refusal::Unknown) };
+        }
+        Ok(self.latest.get(&id).map(|target| {
+            let mut target = *target;
+            // Operators restart an engine while it is out: it comes back cold, whatever the list last said.
+            target.entry.started_ns = Some(now_ns.max(target.entry.started_ns.unwrap_or(0)));
+            Change { kind: MembershipKind::Delta, targets: vec![target] }
+        }))
+    }
+
+    /// Makes the bans those of `names`, as another process wrote them: what the module is to be told.
+    pub fn adopt<'a>(&mut self, names: impl IntoIterator<Item = &'a str>, now_ns: u64) -> Vec<Change> {
+        let wanted: BTreeMap<EngineId, &str> =
+            names.into_iter().filter(|n| well_formed(n)).map(|n| (engine_id(n), n)).collect();
+        let ended: Vec<String> =
+            self.banned.iter().filter(|(id, _)| !wanted.contains_key(id)).map(|(_, n)| n.clone()).collect();
+        let ends = ended.iter().filter_map(|name| self.enable(name, now_ns).ok().flatten());
+        let mut changes: Vec<Change> = ends.collect();
+        for name in wanted.values() {
+            changes.extend(self.disable(name, true).ok().flatten());
+        }
+        changes
+    }
+
+    fn id(&self, name: &str) -> Result<EngineId, Refusal> {
+        if well_formed(name) {
+            Ok(engine_id(name))
+        } else {
+            Err(Refusal::Malformed)
+        }
+    }
+
+    /// The bans as a text: one name a line, in the order of their ids.
+    pub fn to_text(&self) -> String {
+        self.names().flat_map(|name| [name, "\n"]).collect()
+    }
+}
+
+/// The names in a text that [`Bans::to_text`] wrote; lines that can't be names are passed over, and no more than
+/// [`BANNED_MOST`] are read.
+pub fn read_text(text: &str) -> Vec<&str> {
+    text.lines().map(str::trim).filter(|n| well_formed(n)).take(BANNED_MOST).collect()
+}
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod bans;
 pub mod consul;
 pub mod stream;
 
--- /dev/null
+++ b/crates/discovery/tests/bans.rs
@@ -0,0 +1,99 @@
+//! Bans of engines between the sources of membership and the module.
+
+use marljunction_control::interface::{EngineEntry, EngineState, MembershipKind};
+use marljunction_discovery::bans::{read_text, Bans, Refusal, BANNED_MOST};
+use marljunction_discovery::{engine_id, Change, Target};
+
+fn target(name: &str, state: EngineState) -> Target {
+    let entry = EngineEntry { engine: engine_id(name), state, started_ns: Some(5), ..EngineEntry::default() };
+    Target { entry, address: "127.0.0.1:4100".parse().unwrap() }
+}
+
+fn list(kind: MembershipKind, all: &[(&str, EngineState)]) -> Change {
+    Change { kind, targets: all.iter().map(|(name, state)| target(name, *state)).collect() }
+}
+
+fn states(change: &Change) -> Vec<EngineState> {
+    change.targets.iter().map(|t| t.entry.state).collect()
+}
+
+#[test]
+fn a_banned_engine_drains_whatever_the_lists_say_until_it_is_put_back() {
+    let mut bans = Bans::new();
+    bans.pass(list(MembershipKind::Full, &[("s-1", EngineState::Ready), ("s-2", EngineState::Ready)]));
+    let told = bans.disable("s-1", false).unwrap().expect("the module is told");
+    assert_eq!((told.kind, states(&told)), (MembershipKind::Delta, vec![EngineState::Draining]));
+    let again = list(MembershipKind::Full, &[("s-1", EngineState::Ready), ("s-2", EngineState::Ready)]);
+    assert_eq!(states(&bans.pass(again)), [EngineState::Draining, EngineState::Ready]);
+    let delta = bans.pass(list(MembershipKind::Delta, &[("s-1", EngineState::Ready)]));
+    assert_eq!(states(&delta), [EngineState::Draining]);
+    // Two calls out, one back.
+    assert_eq!(bans.disable("s-1", false), Ok(None));
+    let back = bans.enable("s-1", 1_000).unwrap().expect("the module is told");
+    assert_eq!(states(&back), [EngineState::Ready]);
+    assert_eq!(back.targets[0].entry.started_ns, Some(1_000), "it comes back as just started: cold");
+    assert!(!bans.holds(engine_id("s-1")));
+    let delta = bans.pass(list(MembershipKind::Delta, &[("s-1", EngineState::Ready)]));
+    assert_eq!(states(&delta), [EngineState::Ready]);
+}
+
+#[test]
+fn an_id_that_nobody_has_is_a_no() {
+    let mut bans = Bans::new();
+    bans.pass(list(MembershipKind::Full, &[("s-1", EngineState::Ready)]));
+    assert_eq!(bans.disable("s-9", false), Err(Refusal::Unknown));
+    assert_eq!(bans.enable("s-9", 1), Err(Refusal::Unknown));
+    assert_eq!(bans.disable("s 1", false), Err(Refusal::Malformed));
+    assert_eq!(bans.disable(&"s".repeat(200), false), Err(Refusal::Malformed));
+    // Known and not out: putting it back is a yes with nothing to tell.
+    assert_eq!(bans.enable("s-1", 1), Ok(None));
+    // Gone from the lists: nobody has it any more.
+    bans.pass(list(MembershipKind::Full, &[]));
+    assert_eq!(bans.disable("s-1", false), Err(Refusal::Unknown));
+}
+
+#[test]
+fn a_ban_outlasts_the_engine_leaving_the_lists_and_holds_when_it_returns() {
+    let mut bans = Bans::new();
+    bans.pass(list(MembershipKind::Full, &[("s-1", EngineState::Ready)]));
+    bans.disable("s-1", false).unwrap();
+    bans.pass(list(MembershipKind::Delta, &[("s-1", EngineState::Gone)]));
+    bans.pass(list(MembershipKind::Full, &[]));
+    let returns = bans.pass(list(MembershipKind::Full, &[("s-1", EngineState::Ready)]));
+    assert_eq!(states(&returns), [EngineState::Draining]);
+    let gone = bans.pass(list(MembershipKind::Delta, &[("s-1", EngineState::Gone)]));
+    assert_eq!(states(&gone), [EngineState::Gone], "what has gone is told as gone");
+}
+
+#[test]
+fn bans_pass_to_a_successor_by_their_text() {
+    let mut bans = Bans::new();
+    bans.pass(list(MembershipKind::Full, &[("s-1", EngineState::Ready), ("s-2", EngineState::Ready)]));
+    bans.disable("s-2", false).unwrap();
+    bans.disable("s-1", false).unwrap();
+    let text = bans.to_text();
+    // The successor reads them before it hears any list.
+    let mut successor = Bans::new();
+    assert!(successor.adopt(read_text(&text), 7).is_empty(), "no list named them yet: nothing to tell");
+    let listed = successor
+        .pass(list(MembershipKind::Full, &[("s-1", EngineState::Ready), ("s-3", EngineState::Ready)]));
+    assert_eq!(states(&listed), [EngineState::Draining, EngineState::Ready]);
+    // The other process put s-1 back: the change is taken over.
+    let changes = successor.adopt(read_text("s-2\n"), 9);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(
+        (states(&changes[0]), changes[0].targets[0].entry.started_ns),
+        (vec![EngineState::Ready], Some(9))
+    );
+    assert!(successor.holds(engine_id("s-2")) && !successor.holds(engine_id("s-1")));
+    assert_eq!(read_text("s-1\n\nnot an id\n s-2 \n"), ["s-1", "s-2"]);
+}
+
+#[test]
+fn bans_are_bounded() {
+    let mut bans = Bans::new();
+    let names: Vec<String> = (0..BANNED_MOST + 10).map(|n| format!("s-{n}")).collect();
+    bans.adopt(names.iter().map(String::as_str), 1);
+    assert_eq!(bans.names().count(), BANNED_MOST);
+    assert_eq!(bans.disable("s-extra", true), Err(Refusal::Full));
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod msgpack;
+pub mod operator;
 pub mod postgres;
 
 use std::net::IpAddr;
--- a/crates/front/src/msgpack.rs
+++ b/crates/front/src/msgpack.rs
@@ -170,12 +170,20 @@
 pub struct MsgpackFront {
     directory: Directory,
     callers: HashMap<u64, Caller>,
+    /// What `isWell` answers: whether the process is ready to serve.
+    well: bool,
 }
 
 impl MsgpackFront {
     /// No clients yet.
     pub fn new(directory: Directory) -> Self {
-        MsgpackFront { directory, callers: HashMap::new() }
+        MsgpackFront { directory, callers: HashMap::new(), well: true }
+    }
+
+    /// Says from now on whether the process is ready to serve: a drained or stopping one is not, so that the front
+    /// sends new connections elsewhere.
+    pub fn set_well(&mut self, well: bool) {
+        self.well = well;
     }
 
     /// A client has connected.
@@ -211,6 +219,27 @@
         }
     }
 
+    /// Ends the connections of clients that have nothing open, nothing half-sent and nothing untaken, where
+    /// `closes` says so of the time when each was last busy: a drained or stopping router sends its clients
+    /// elsewhere so.
+    pub fn close_quiet(
+        &mut self,
+        now: u64,
+        net: &mut Net,
+        router: &mut Router,
+        closes: impl Fn(u64) -> bool,
+    ) {
+        let quiet = |c: &Caller| c.open.is_empty() && c.partial.is_none() && !c.more && closes(c.since_ns);
+        let mut over: Vec<u64> = self.callers.iter().filter(|(_, c)| quiet(c)).map(|(c, _)| *c).collect();
+        over.sort_unstable();
+        for conn in over {
+            if net.input(conn).is_empty() {
+                self.forget(router, conn, Ending::Idle);
+                net.finish(now, conn);
+            }
+        }
+    }
+
     /// Tells a client why and ends its connection.
     fn end(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64, why: &str) {
         debug!("a client's message: {why}");
@@ -290,7 +319,7 @@
             }
             Message::Call(id, method, _, _) if method == "isWell" => {
                 caller.rejected = rejected;
-                let well = Value::Array(vec![true.into(), Value::Map(Vec::new())]);
+                let well = Value::Array(vec![self.well.into(), Value::Map(Vec::new())]);
                 reply(id.into(), Value::Nil, well)
             }
             // A second call by an open call's number could only be answered in that one's place.
--- /dev/null
+++ b/crates/front/src/operator.rs
@@ -0,0 +1,270 @@
+//! The operators' door: HTTP/1.1, one call a connection, closed behind its answer. 2xx is yes, 4xx or 5xx no.
+//!
+//! | call | |
+//! | --- | --- |
+//! | `GET /ready` | whether this process is ready to serve |
+//! | `POST /engines/disable`, body `ID` | leave engine `ID` out |
+//! | `POST /engines/enable`, body `ID` | put engine `ID` back |
+//! | `POST /drain` | empty the router |
+//! | `POST /undrain` | end of the drain |
+//!
+//! Reading a call and writing its answer know nothing of sockets; [`OperatorFront`] holds the connections.
+
+use std::collections::BTreeMap;
+
+use log::{debug, info};
+
+use marljunction_net::Net;
+
+/// Longest head of a call (bytes).
+pub const HEAD_MOST: usize = 2 << 10;
+/// Longest body of a call (bytes): an engine's id and some room.
+pub const BODY_MOST: usize = 256;
+/// Time in which a caller must have sent its whole call (ns); then it gets 408 and is closed. The operators' page
+/// allows 3 s; a caller that is quicker than that waits no longer for it.
+pub const CALL_NS: u64 = 2_000_000_000;
+/// Part of the descriptor limit that callers at the door may hold at once: 12 of 384.
+pub const SHARE_OF_DESCRIPTORS: usize = 32;
+
+/// A call of the operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// `GET /ready`.
+    Ready,
+    /// `POST /engines/disable` with the engine's id.
+    Disable(String),
+    /// `POST /engines/enable` with the engine's id.
+    Enable(String),
+    /// `POST /drain`.
+    Drain,
+    /// `POST /undrain`.
+    Undrain,
+}
+
+impl Call {
+    /// Its name in counters and log lines.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Call::Ready => "ready",
+            Call::Disable(_) => "disable",
+            Call::Enable(_) => "enable",
+            Call::Drain => "drain",
+            Call::Undrain => "undrain",
+        }
+    }
+}
+
+/// An answer: its status and a line of text for whoever reads it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// The status code.
+    pub status: u16,
+    /// The body, one line.
+    pub text: String,
+}
+
+impl Reply {
+    /// An answer of this status.
+    pub fn new(status: u16, text: impl Into<String>) -> Self {
+        Reply { status, text: text.into() }
+    }
+
+    /// The bytes on the wire, with `Connection: close`.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let reason = match self.status {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            409 => "Conflict",
+            411 => "Length Required",
+            413 => "Content Too Large",
+            431 => "Request Header Fields Too Large",
+            503 => "Service Unavailable",
+            _ => "",
+        };
+        let allow = match self.status {
+            405 => "Allow: GET, POST\r\n",
+            _ => "",
+        };
+        let body = format!("{}\n", self.text);
+        format!(
+            "HTTP/1.1 {} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n{allow}Connection: close\r\n\r\n{body}",
+            self.status,
+            body.len()
+        )
+        .into_bytes()
+    }
+}
+
+/// Reads the call at the front of `input`: nothing where it has not come whole; a [`Reply`] that says why where
+/// it can never be one.
+pub fn read_call(input: &[u8]) -> Result<Option<Call>, Reply> {
+    let mut headers = [httparse::EMPTY_HEADER; 24];
+    let mut request = httparse::Request::new(&mut headers);
+    let size = match request.parse(input) {
+        Ok(httparse::Status::Complete(size)) if size <= HEAD_MOST => size,
+        Ok(httparse::Status::Partial) if input.len() <= HEAD_MOST => return Ok(None),
+        Ok(_) => return Err(Reply::new(431, "the head is too long")),
+        Err(httparse::Error::TooManyHeaders) => return Err(Reply::new(431, "too many headers")),
+        Err(e) => return Err(Reply::new(400, format!("not a call of HTTP/1.1: {e}"))),
+    };
+    let mut length = None;
+    for header in request.headers.iter() {
+        let value = std::str::from_utf8(header.value).map(str::trim).unwrap_or("\u{0}");
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+            let told = value.parse::<usize>().ok().filter(|_| digits);
+            let Some(told) = told else { return Err(Reply::new(400, "a bad Content-Length")) };
+            if length.replace(told).is_some_and(|before| before != told) {
+                return Err(Reply::new(400, "two lengths"));
+            }
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(Reply::new(411, "a body needs a Content-Length"));
+        }
+    }
+    let length = length.unwrap_or(0);
+    if length > BODY_MOST {
+        return Err(Reply::new(413, "the body is too long"));
+    }
+    if input.len() < size + length {
+        return Ok(None);
+    }
+    let body = std::str::from_utf8(&input[size..size + length]).map(str::trim);
+    let Ok(body) = body else { return Err(Reply::new(400, "the body is not text")) };
+    let path = request.path.unwrap_or("");
+    let path = path.split_once('?').map_or(path, |(path, _)| path);
+    let method = request.method.unwrap_or("");
+    // Whether the id is one that an engine may have is for the bans to say.
+    let engine = || match body {
+        "" => Err(Reply::new(400, "the body names no engine")),
+        id => Ok(id.to_owned()),
+    };
+    let call = match (method, path) {
+        ("GET" | "HEAD", "/ready") => Call::Ready,
+        ("POST", "/engines/disable") => Call::Disable(engine()?),
+        ("POST", "/engines/enable") => Call::Enable(engine()?),
+        ("POST", "/drain") => Call::Drain,
+        ("POST", "/undrain") => Call::Undrain,
+        (_, "/ready" | "/engines/disable" | "/engines/enable" | "/drain" | "/undrain") => {
+            return Err(Reply::new(405, format!("{method} is not for {path}")));
+        }
+        _ => return Err(Reply::new(404, format!("no call {path}"))),
+    };
+    Ok(Some(call))
+}
+
+/// What happened at the door since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OperatorCounters {
+    /// Calls answered, by name, and of them those answered yes.
+    pub calls: BTreeMap<&'static str, (u64, u64)>,
+    /// Calls that could not be read: a bad head, method, path or body.
+    pub bad: u64,
+    /// Callers that sent no whole call in time.
+    pub silent: u64,
+    /// Callers closed at once because as many were at the door as may be.
+    pub turned_away: u64,
+}
+
+impl OperatorCounters {
+    /// The counters as `name=value` fields of a log line.
+    pub fn line(&self) -> String {
+        let mut fields: Vec<String> = self
+            .calls
+            .iter()
+            .map(|(name, (all, yes))| format!("operator_{name}={all} operator_{name}_yes={yes}"))
+            .collect();
+        fields.push(format!("operator_bad={} operator_silent={}", self.bad, self.silent));
+        fields.push(format!("operator_turned_away={}", self.turned_away));
+        fields.join(" ")
+    }
+}
+
+/// The callers at the door: since when each has been there.
+pub struct OperatorFront {
+    callers: BTreeMap<u64, u64>,
+    most: usize,
+    /// What happened so far.
+    pub counters: OperatorCounters,
+}
+
+impl OperatorFront {
+    /// A door for at most a [`SHARE_OF_DESCRIPTORS`] part of `sockets`, and for two callers at least.
+    pub fn new(sockets: usize) -> Self {
+        let most = (sockets / SHARE_OF_DESCRIPTORS).max(2);
+        OperatorFront { callers: BTreeMap::new(), most, counters: OperatorCounters::default() }
+    }
+
+    /// Whether one more caller may come in; one that may not is to be closed at once.
+    pub fn has_room(&self) -> bool {
+        self.callers.len() < self.most
+    }
+
+    /// A caller has connected.
+    pub fn accept(&mut self, now: u64, net: &mut Net, conn: u64) {
+        if !self.has_room() {
+            self.counters.turned_away += 1;
+            debug!("the operators' door is full: a caller is closed at once");
+            return net.close(conn);
+        }
+        self.callers.insert(conn, now);
+    }
+
+    /// Reads what a caller sent: its call, where it is whole. What can't be a call is answered here.
+    pub fn ready(&mut self, now: u64, net: &mut Net, conn: u64) -> Option<Call> {
+        let look = net.service(conn);
+        if !self.callers.contains_key(&conn) {
+            return None;
+        }
+        match read_call(net.input(conn)) {
+            Ok(Some(call)) => Some(call),
+            Ok(None) if look.ended.is_some() => {
+                self.counters.silent += 1;
+                self.end(now, net, conn, None);
+                None
+            }
+            Ok(None) => None,
+            Err(reply) => {
+                self.counters.bad += 1;
+                debug!("the operators' door: {} {}", reply.status, reply.text);
+                self.end(now, net, conn, Some(reply));
+                None
+            }
+        }
+    }
+
+    /// Answers a call that [`OperatorFront::ready`] gave.
+    pub fn answer(&mut self, now: u64, net: &mut Net, conn: u64, call: &Call, reply: Reply) {
+        let counted = self.counters.calls.entry(call.name()).or_default();
+        counted.0 += 1;
+        counted.1 += u64::from((200..300).contains(&reply.status));
+        if !matches!(call, Call::Ready) {
+            info!("the operators' door: {} {:?}: {} {}", call.name(), call, reply.status, reply.text);
+        }
+        self.end(now, net, conn, Some(reply));
+    }
+
+    fn end(&mut self, now: u64, net: &mut Net, conn: u64, reply: Option<Reply>) {
+        self.callers.remove(&conn);
+        match reply {
+            Some(reply) if net.send(conn, &reply.to_bytes()) => net.finish(now, conn),
+            _ => net.close(conn),
+        }
+    }
+
+    /// Guards against callers that say nothing, or half of a call: they hold a place that others need.
+    pub fn tick(&mut self, now: u64, net: &mut Net) {
+        let late: Vec<u64> = self
+            .callers
+            .iter()
+            .filter(|(_, since)| now >= **since + CALL_NS)
+            .map(|(conn, _)| *conn)
+            .collect();
+        for conn in late {
+            self.counters.silent += 1;
+            self.end(now, net, conn, Some(Reply::new(408, "no whole call in time")));
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/tests/operator.rs
@@ -0,0 +1,40 @@
+//! Reading the operators' calls.
+
+use marljunction_front::operator::{read_call, Call, BODY_MOST, HEAD_MOST};
+
+fn status(input: &[u8]) -> u16 {
+    read_call(input).expect_err("a no").status
+}
+
+#[test]
+fn calls_are_read_whole_at_any_cut() {
+    let call = b"POST /engines/disable HTTP/1.1\r\nHost: r\r\nContent-Length: 10\r\n\r\ns-363daf7b";
+    for cut in 0..call.len() {
+        assert_eq!(read_call(&call[..cut]), Ok(None), "cut at {cut}");
+    }
+    assert_eq!(read_call(call), Ok(Some(Call::Disable("s-363daf7b".into()))));
+    assert_eq!(read_call(b"GET /ready HTTP/1.1\r\n\r\n"), Ok(Some(Call::Ready)));
+    assert_eq!(read_call(b"GET /ready?verbose=1 HTTP/1.0\r\n\r\n"), Ok(Some(Call::Ready)));
+    assert_eq!(read_call(b"POST /drain HTTP/1.1\r\n\r\n"), Ok(Some(Call::Drain)));
+    assert_eq!(read_call(b"POST /undrain HTTP/1.1\r\nContent-Length: 0\r\n\r\n"), Ok(Some(Call::Undrain)));
+    let enable = b"POST /engines/enable HTTP/1.1\r\nContent-Length: 5\r\n\r\n s-1\n";
+    assert_eq!(read_call(enable), Ok(Some(Call::Enable("s-1".into()))));
+}
+
+#[test]
+fn wrong_calls_get_a_clear_no() {
+    assert_eq!(status(b"PUT /ready HTTP/1.1\r\n\r\n"), 405);
+    assert_eq!(status(b"GET /drain HTTP/1.1\r\n\r\n"), 405);
+    assert_eq!(status(b"GET / HTTP/1.1\r\n\r\n"), 404);
+    assert_eq!(status(b"POST /engines/disable HTTP/1.1\r\n\r\n"), 400);
+    assert_eq!(status(b"POST /engines/disable HTTP/1.1\r\nContent-Length: -1\r\n\r\n"), 400);
+    assert_eq!(status(b"POST /drain HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx"), 400);
+    assert_eq!(status(b"POST /drain HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"), 411);
+    let long = format!("POST /drain HTTP/1.1\r\nContent-Length: {}\r\n\r\n", BODY_MOST + 1);
+    assert_eq!(status(long.as_bytes()), 413);
+    let head = format!("GET /ready HTTP/1.1\r\nX: {}\r\n", "a".repeat(HEAD_MOST));
+    assert_eq!(status(head.as_bytes()), 431);
+    assert_eq!(status(b"\x16\x03\x01\x00\x05hello"), 400);
+    let body = b"POST /engines/disable HTTP/1.1\r\nContent-Length: 2\r\n\r\n\xff\xfe";
+    assert_eq!(status(body), 400);
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod clock;
 pub mod listener;
+pub mod phase;
 
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
@@ -55,13 +56,15 @@
     Engine,
     /// The source of membership news.
     Discovery,
+    /// A caller at the operators' door.
+    Operator,
     /// A client whose connection is being ended: it may still read what was written to it.
     Leaver,
 }
 
 impl Owner {
     fn is_client(self) -> bool {
-        matches!(self, Owner::Msgpack | Owner::Postgres | Owner::Leaver)
+        matches!(self, Owner::Msgpack | Owner::Postgres | Owner::Operator | Owner::Leaver)
     }
 }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -37,6 +37,8 @@
     seed: String,
     limits: Limits,
     coordinator: Option<String>,
+    #[serde(default)]
+    operator: Option<String>,
     #[serde(borrow)]
     known: Known<'a>,
     #[serde(borrow)]
@@ -133,6 +135,10 @@
     pub setup: Option<PathBuf>,
     /// The clients' listening socket as the platform hands it down (`$ROUTER_FD`), in place of binding `listen`.
     pub inherited: Option<String>,
+    /// Where the operators' door listens where the configuration does not say (`$ROUTER_OPERATOR`).
+    pub operator: Option<String>,
+    /// Where what must outlast the process is kept for its successor (`$TMPDIR`); nothing is kept without it.
+    pub kept: Option<PathBuf>,
 }
 
 impl Files {
@@ -141,8 +147,10 @@
         let config = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file".to_owned())?;
         let named = || std::env::var_os("MARLJUNCTION_SETUP").map(PathBuf::from);
         let postgres = std::env::var("MARLJUNCTION_POSTGRES").ok();
-        let inherited = std::env::var("ROUTER_FD").ok().filter(|fd| !fd.trim().is_empty());
-        Ok(Files { config, postgres, setup: setup.or_else(named), inherited })
+        let set = |name: &str| std::env::var(name).ok().filter(|value| !value.trim().is_empty());
+        let (inherited, operator) = (set("ROUTER_FD"), set("ROUTER_OPERATOR"));
+        let kept = set("TMPDIR").map(PathBuf::from);
+        Ok(Files { config, postgres, setup: setup.or_else(named), inherited, operator, kept })
     }
 
     /// What the operator's file says; nothing where there is none.
@@ -188,6 +196,8 @@
     pub limits: Limits,
     /// Address of the coordinator, where there is one.
     pub coordinator: Option<String>,
+    /// Where the operators' door listens, where the configuration says.
+    pub operator: Option<String>,
     /// Number of the last event in `known`.
     pub known_index: u64,
     /// Membership events so far.
@@ -227,6 +237,7 @@
             seed: u64::from_str_radix(&raw.seed, 16).map_err(|e| format!("seed: {e}"))?,
             limits: raw.limits,
             coordinator: raw.coordinator.filter(|c| !c.is_empty()),
+            operator: raw.operator.filter(|o| !o.is_empty()),
             known_index: raw.known.index,
             known: known.collect::<Result<_, _>>()?,
             settings,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,6 +2,7 @@
 //! came back.
 
 use std::io::ErrorKind;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use log::{info, warn};
@@ -16,6 +17,7 @@
 use marljunction_control::interface::{Effect, Settings, TenantId};
 use marljunction_core::ending::Ending;
 use marljunction_core::{Command, Router};
+use marljunction_discovery::bans::{self, Bans, Refusal};
 use marljunction_discovery::consul::Consul;
 use marljunction_discovery::stream::Stream;
 use marljunction_discovery::{Change, Source};
@@ -24,16 +26,19 @@
 use marljunction_engine::postgres::PostgresEngines;
 use marljunction_engine::{Backend, Context, Start};
 use marljunction_front::msgpack::MsgpackFront;
+use marljunction_front::operator::{Call, OperatorFront, Reply};
 use marljunction_front::postgres::{PostgresFront, PostgresSetup};
 use marljunction_front::Directory;
 use marljunction_language::value::{Value, What};
 use marljunction_net::clock::Clock;
 use marljunction_net::listener::Listen;
+use marljunction_net::phase::Phase;
 use marljunction_net::{Net, Owner, Room};
 
 const MSGPACK: Token = Token(0);
 const POSTGRES: Token = Token(1);
 const SIGNALS: Token = Token(2);
+const OPERATOR: Token = Token(3);
 /// Numbers of connections start behind those of listeners.
 const FIRST_CONN: u64 = 15;
 /// Time after SIGTERM for which new connections are taken (ns): they go on coming for 400 ms.
@@ -52,6 +57,10 @@
 const ACCEPT_MOST: usize = 64;
 /// How often engines and discovery are looked after (ns).
 const TICK_NS: u64 = 20_000_000;
+/// How often the bans that the other process of an upgrade may have written are read (ns).
+const BANS_READ_NS: u64 = 200_000_000;
+/// The file of bans, in `$TMPDIR`.
+const BANS_FILE: &str = "marljunction-bans";
 
 /// What the configuration said of keys that only a restart applies.
 #[derive(PartialEq)]
@@ -73,20 +82,26 @@
     operator: Option<Value>,
     settings: Settings,
     directory: Directory,
-    listeners: [Option<TcpListener>; 2],
+    /// Clients of MessagePack, of PostgreSQL, and the operators' door.
+    listeners: [Option<TcpListener>; 3],
     /// The clients' listener is shared with whoever started this process: a successor takes from it.
     shared: bool,
     signals: Signals,
     clients_most: usize,
     /// The listener is to be tried again: it may hold connections that no event tells of.
     accept_at: Option<u64>,
-    stopping: Option<u64>,
+    phase: Phase,
     /// Since when all that was taken is answered and written, while stopping.
     quiet_since: Option<u64>,
     msgpack: MsgpackFront,
     postgres: Option<PostgresFront>,
     engines: Box<dyn Backend>,
     discovery: Option<Source>,
+    callers: OperatorFront,
+    bans: Bans,
+    /// The file of bans, and its text as last read or written.
+    bans_file: Option<(PathBuf, String)>,
+    bans_read_ns: u64,
     /// Connections with input that no event tells of.
     unread: Vec<u64>,
     ticked_ns: u64,
@@ -109,7 +124,11 @@
             info!(
                 "{} listens on {local}{}{}",
                 config.name,
-                if token == POSTGRES { " for PostgreSQL" } else { "" },
+                match token {
+                    POSTGRES => " for PostgreSQL",
+                    OPERATOR => " for the operators",
+                    _ => "",
+                },
                 if how.is_shared() { ", on the socket handed down" } else { "" },
             );
             Ok::<_, String>(listener)
@@ -117,6 +136,8 @@
         let first = listen(clients, MSGPACK)?;
         let second = postgres.as_ref().and_then(|p| p.listen.as_ref());
         let second = second.map(|at| listen(Listen::of(at, None)?, POSTGRES)).transpose()?;
+        let operator_at = config.operator.as_deref().or(files.operator.as_deref());
+        let door_for_operators = operator_at.map(|at| listen(Listen::of(at, None)?, OPERATOR)).transpose()?;
         let mut signals = Signals::new([SIGTERM, SIGUSR1, SIGHUP]).map_err(|e| io("signals", e))?;
         registry.register(&mut signals, SIGNALS, Interest::READABLE).map_err(|e| io("signals", e))?;
         let clock = Clock::start();
@@ -165,6 +186,7 @@
         };
         // Clients hold at most a third of the descriptors; the rest, less a few, is for engines.
         let sockets = config.limits.sockets.max(64);
+        let bans_file = files.kept.as_ref().map(|dir| (dir.join(BANS_FILE), String::new()));
         let mut daemon = Daemon {
             poll,
             clock,
@@ -178,26 +200,37 @@
             operator,
             settings: config.settings,
             directory,
-            listeners: [Some(first), second],
+            listeners: [Some(first), second, door_for_operators],
             shared: clients.is_shared(),
             signals,
             clients_most: sockets * 2 / 5,
             accept_at: None,
-            stopping: None,
+            phase: Phase::Serving,
             quiet_since: None,
             engines,
             discovery,
+            callers: OperatorFront::new(config.limits.sockets),
+            bans: Bans::new(),
+            bans_file,
+            bans_read_ns: 0,
             unread: Vec::new(),
             ticked_ns: 0,
             commands: Vec::new(),
         };
+        daemon.read_bans(daemon.clock.now_ns());
         for update in config.known {
             daemon.change(update.change);
         }
         Ok(daemon)
     }
 
+    /// Membership news, as the module is to hear it: through the bans.
     fn change(&mut self, change: Change) {
+        let change = self.bans.pass(change);
+        self.tell(change);
+    }
+
+    fn tell(&mut self, change: Change) {
         self.engines.change(&change);
         let entries = change.targets.iter().map(|t| t.entry).collect();
         self.router.membership(change.kind, entries);
@@ -218,6 +251,7 @@
             for token in tokens {
                 match Token(token) {
                     MSGPACK | POSTGRES => self.accept(now),
+                    OPERATOR => self.accept_operators(now),
                     SIGNALS => self.signal(now),
                     Token(conn) => self.ready(now, conn as u64),
                 }
@@ -233,7 +267,7 @@
             self.end_all(now);
             if self.finished(now) {
                 self.tell_counters();
-                info!("ends; {}", self.router.counters.line());
+                info!("ends; {} {}", self.router.counters.line(), self.callers.counters.line());
                 return Ok(());
             }
         }
@@ -294,12 +328,100 @@
         }
     }
 
+    /// Callers at the operators' door: taken at once, however busy the router is, within the door's bound.
+    fn accept_operators(&mut self, now: u64) {
+        for _ in 0..ACCEPT_MOST {
+            let Some(listener) = &self.listeners[2] else { return };
+            match listener.accept() {
+                Ok((stream, _)) => match self.net.adopt(stream, Owner::Operator) {
+                    Ok(conn) => self.callers.accept(now, &mut self.net, conn),
+                    Err(_) => self.router.counters.short_of_descriptors += 1,
+                },
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    warn!("accept at the operators' door: {e}");
+                    self.router.counters.short_of_descriptors += 1;
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Carries out one call of the operators and answers it.
+    fn call(&mut self, now: u64, conn: u64, call: Call) {
+        let refused = |refusal: Refusal, id: &str| match refusal {
+            Refusal::Unknown => Reply::new(404, format!("no engine {id}")),
+            Refusal::Malformed => Reply::new(400, "the body is not an engine's id"),
+            Refusal::Full => Reply::new(409, "as many engines are out as may be"),
+        };
+        let reply = match &call {
+            Call::Ready if self.phase.is_ready() => Reply::new(200, "ready"),
+            Call::Ready => Reply::new(503, format!("not ready: {}", self.phase.name())),
+            Call::Disable(id) => match self.bans.disable(id, false) {
+                Ok(change) => {
+                    change.into_iter().for_each(|change| self.tell(change));
+                    self.write_bans();
+                    Reply::new(200, format!("{id} is out"))
+                }
+                Err(refusal) => refused(refusal, id),
+            },
+            Call::Enable(id) => match self.bans.enable(id, now) {
+                Ok(change) => {
+                    change.into_iter().for_each(|change| self.tell(change));
+                    self.write_bans();
+                    Reply::new(200, format!("{id} is back"))
+                }
+                Err(refusal) => refused(refusal, id),
+            },
+            Call::Drain if self.phase.stopping_since().is_some() => Reply::new(409, "stopping"),
+            Call::Drain => {
+                self.phase.drain(now);
+                Reply::new(200, "drained")
+            }
+            Call::Undrain if self.phase.stopping_since().is_some() => Reply::new(409, "stopping"),
+            Call::Undrain => {
+                self.phase.undrain();
+                Reply::new(200, "serving")
+            }
+        };
+        self.msgpack.set_well(self.phase.is_well());
+        self.callers.answer(now, &mut self.net, conn, &call, reply);
+    }
+
+    /// Reads the bans that the other process of an upgrade may have written, where they changed.
+    fn read_bans(&mut self, now: u64) {
+        self.bans_read_ns = now;
+        let Some((path, seen)) = &self.bans_file else { return };
+        let Ok(text) = std::fs::read_to_string(path) else { return };
+        if text == *seen {
+            return;
+        }
+        let changes = self.bans.adopt(bans::read_text(&text), now);
+        info!("bans read from {}: {}", path.display(), self.bans.names().collect::<Vec<_>>().join(" "));
+        self.bans_file = Some((path.clone(), text));
+        changes.into_iter().for_each(|change| self.tell(change));
+    }
+
+    /// Keeps the bans for a successor. Guards against a successor that reads half a file: it is written aside and
+    /// renamed.
+    fn write_bans(&mut self) {
+        let Some((path, seen)) = &mut self.bans_file else { return };
+        let text = self.bans.to_text();
+        let aside = path.with_extension("new");
+        match std::fs::write(&aside, &text).and_then(|()| std::fs::rename(&aside, &*path)) {
+            Ok(()) => *seen = text,
+            Err(e) => warn!("the bans could not be kept in {}: {e}", path.display()),
+        }
+    }
+
     fn signal(&mut self, now: u64) {
         for signal in self.signals.pending().collect::<Vec<_>>() {
             match signal {
                 SIGTERM => {
                     info!("told to stop");
-                    self.stopping.get_or_insert(now);
+                    self.phase.stop(now, self.shared);
+                    self.msgpack.set_well(self.phase.is_well());
                     // Guards against connections taken only to be closed: a successor accepts from the same socket.
                     if self.shared {
                         self.listeners[0] = None;
@@ -313,7 +435,7 @@
 
     /// Logs all counters, and the door's by tenant where there is one.
     fn tell_counters(&mut self) {
-        info!("{}", self.router.counters.line());
+        info!("{} {}", self.router.counters.line(), self.callers.counters.line());
         let Some(door) = self.router.door() else { return };
         let room = door.room();
         info!("door queued={} used={:.1} served={:.1}", door.queued(), room.used(), room.served());
@@ -395,6 +517,11 @@
                 let mut cx = Context { now, net: &mut self.net, router: &mut self.router };
                 self.engines.ready(&mut cx, conn);
             }
+            Some(Owner::Operator) => {
+                if let Some(call) = self.callers.ready(now, &mut self.net, conn) {
+                    self.call(now, conn, call);
+                }
+            }
             Some(Owner::Discovery) => {
                 let found = self.discovery.as_mut().map(|d| d.ready(now, &mut self.net, conn));
                 found.into_iter().flatten().for_each(|change| self.change(change));
@@ -409,7 +536,13 @@
         let mut cx = Context { now, net: &mut self.net, router: &mut self.router };
         self.engines.tick(&mut cx);
         self.net.tick(now);
+        self.callers.tick(now, &mut self.net);
         self.msgpack.tick(now, &mut self.net, &mut self.router);
+        let phase = self.phase;
+        self.msgpack.close_quiet(now, &mut self.net, &mut self.router, |busy| phase.closes(now, busy));
+        if now >= self.bans_read_ns + BANS_READ_NS {
+            self.read_bans(now);
+        }
         if let Some(front) = &mut self.postgres {
             front.tick(now, &mut self.net, &mut self.router);
         }
@@ -462,7 +595,7 @@
     fn end_all(&mut self, now: u64) {
         let longest = self.settings.classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0);
         let end_ns = longest.min(END_DEADLINE_NS) + END_NS;
-        if self.stopping.is_some_and(|since| now >= since + end_ns) && self.router.owed() > 0 {
+        if self.phase.stopping_since().is_some_and(|since| now >= since + end_ns) && self.router.owed() > 0 {
             let mut commands = Vec::new();
             self.router.end_all(&mut commands, now);
             commands.into_iter().for_each(|command| self.carry_out(now, command));
@@ -471,9 +604,10 @@
 
     /// After SIGTERM: takes nothing new past a while, and ends once all is answered and written.
     fn finished(&mut self, now: u64) -> bool {
-        let Some(since) = self.stopping else { return false };
+        let Some(since) = self.phase.stopping_since() else { return false };
         if now >= since + ACCEPT_ON_NS {
-            self.listeners = [None, None];
+            // The operators' door stays open to the end: it tells that the process is not ready.
+            (self.listeners[0], self.listeners[1]) = (None, None);
         }
         if self.router.owed() > 0 || !self.net.all_written() {
             self.quiet_since = None;
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -180,6 +180,9 @@
         if with("coordinator") {
             config["coordinator"] = json!(coordinator);
         }
+        if with("operators' door") {
+            config["operator"] = json!("127.0.0.1:0");
+        }
         let mut file = json!({"class": "lookup", "columns": ["c1", "c2", "c3"], "sessions": 8});
         if with("postgres front") {
             file["listen"] = json!("127.0.0.1:0");
@@ -200,16 +203,21 @@
             .env("ROUTER_CONFIG", dir.join("config.json"))
             .env("MARLJUNCTION_POSTGRES", dir.join("postgres.json"))
             .envs(with("door").then(|| ("MARLJUNCTION_SETUP", dir.join("door.conf"))))
+            .env("TMPDIR", &dir)
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut fronts = Vec::new();
-        while fronts.len() < 1 + usize::from(with("postgres front")) {
+        // By kind: MessagePack, PostgreSQL, the operators' door.
+        let mut fronts = vec![String::new(); 3];
+        let wanted = 1 + usize::from(with("postgres front")) + usize::from(with("operators' door"));
+        for _ in 0..wanted {
             let mut line = String::new();
             assert!(log.read_line(&mut line).unwrap() > 0, "the program ended at its start");
             let at = line.split("listens on ").nth(1).and_then(|l| l.split_whitespace().next());
-            fronts.extend(at.map(str::to_owned));
+            let kind =
+                usize::from(line.contains("for PostgreSQL")) + 2 * usize::from(line.contains("operators"));
+            fronts[kind] = at.expect("a line of where the program listens").trim_end_matches(',').to_owned();
         }
         let port = |l: &TcpListener| l.local_addr().unwrap().port().to_string().into_bytes();
         let kept = listeners.iter().map(|(name, l)| (format!("address of {name}"), port(l))).collect();
@@ -224,7 +232,11 @@
             [] | ["with", ..] => {}
             [word, ..] if word.starts_with('#') => {}
             ["open", name, front] => {
-                let at = &self.fronts[usize::from(front == "postgres")];
+                let at = &self.fronts[match front {
+                    "postgres" => 1,
+                    "operator" => 2,
+                    _ => 0,
+                }];
                 self.add(name, TcpStream::connect(at).unwrap());
             }
             // So many clients connect before any of them goes on.
--- a/tests/setup.rs
+++ b/tests/setup.rs
@@ -144,6 +144,8 @@
         postgres: Some(config.join("postgres.json").display().to_string()),
         setup: Some(shipped("deploy/operator.conf")),
         inherited: None,
+        operator: None,
+        kept: None,
     };
     let fault = files.read().unwrap_err();
     assert!(fault.contains("keep one"), "{fault}");
