--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -20,7 +20,7 @@
 use marljunction_discovery::bans::{self, Bans, Refusal};
 use marljunction_discovery::consul::Consul;
 use marljunction_discovery::stream::Stream;
-use marljunction_discovery::{Change, Source};
+use marljunction_discovery::{engine_id, Change, Source};
 use marljunction_door::{Door, Site};
 use marljunction_engine::http::HttpEngines;
 use marljunction_engine::postgres::PostgresEngines;
@@ -366,13 +366,14 @@
                 }
                 Err(refusal) => refused(refusal, id),
             },
-            Call::Enable(id) => match self.bans.enable(id, now) {
-                Ok(change) => {
+            Call::Enable(id) => match (self.bans.holds(engine_id(id)), self.bans.enable(id, now)) {
+                (true, Ok(change)) => {
                     change.into_iter().for_each(|change| self.tell(change));
                     self.write_bans();
                     Reply::new(200, format!("{id} is back"))
                 }
-                Err(refusal) => refused(refusal, id),
+                (false, Ok(_)) => Reply::new(200, format!("{id} was not out")),
+                (_, Err(refusal)) => refused(refusal, id),
             },
             Call::Drain if self.phase.stopping_since().is_some() => Reply::new(409, "stopping"),
             Call::Drain => {
