Tell quiet PostgreSQL sessions 57P01 and close them when the router drains

Need: a drained router closed its MessagePack clients as they fell quiet, but PostgreSQL sessions stayed open until their clients closed them, so a pool kept sending to a router that said no.

Change: the PostgreSQL front keeps when each session was last busy and, where the phase says so, ends those with nothing running, half-sent, unread or half-fetched by FATAL 57P01, as PostgreSQL does at shutdown. tests/exchanges/postgres_drained.txt fails without it (an idle and a busy session; the busy one finishes its statement first).

--- a/crates/front/src/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -62,6 +62,8 @@
     started: bool,
     /// When its client connected.
     since_ns: u64,
+    /// When it last sent a message or was answered.
+    busy_ns: u64,
     key: i32,
     settings: Settings,
     start: Settings,
@@ -140,7 +142,7 @@
     /// A client has connected.
     pub fn accept(&mut self, now: u64, conn: u64, peer: IpAddr) {
         let peer = self.directory.peer(peer);
-        self.sessions.insert(conn, Session { peer, since_ns: now, ..Session::default() });
+        self.sessions.insert(conn, Session { peer, since_ns: now, busy_ns: now, ..Session::default() });
     }
 
     /// Sessions that are open.
@@ -185,6 +187,30 @@
         }
     }
 
+    /// Ends the sessions that have nothing running, half-sent, unread or half-fetched, where `closes` says so of
+    /// the time when each was last busy: a drained or stopping router sends its clients elsewhere so. Each is told
+    /// `57P01` first, as PostgreSQL tells its sessions when it shuts down.
+    pub fn close_quiet(
+        &mut self,
+        now: u64,
+        net: &mut Net,
+        router: &mut Router,
+        closes: impl Fn(u64) -> bool,
+    ) {
+        let quiet = |s: &Session| {
+            s.started && s.running.is_none() && s.partial_ns.is_none() && !s.skipping && s.suspended == 0
+        };
+        let quiet = |(conn, s): (&u64, &Session)| (quiet(s) && closes(s.busy_ns)).then_some(*conn);
+        let mut over: Vec<u64> =
+            self.sessions.iter().filter_map(quiet).filter(|c| net.input(*c).is_empty()).collect();
+        over.sort_unstable();
+        for conn in over {
+            let mut reply = Reply::default();
+            reply.error(&fault("57P01", "terminating connection: the router is drained or stops"), true);
+            self.write(now, net, router, conn, reply, Some(Ending::Idle));
+        }
+    }
+
     /// Takes what a client has sent.
     pub fn ready(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
         // Guards against running what a client sent that has gone since: nobody waits for it.
@@ -211,7 +237,7 @@
                 }
                 Ok(Some((message, size))) => {
                     net.consume(conn, size);
-                    self.sessions.entry(conn).and_modify(|s| s.partial_ns = None);
+                    self.sessions.entry(conn).and_modify(|s| (s.partial_ns, s.busy_ns) = (None, now));
                     over = self.message(now, router, conn, message, &mut reply);
                 }
                 Err(why) => {
@@ -543,6 +569,7 @@
     pub fn answer(&mut self, now: u64, net: &mut Net, router: &mut Router, client: Client, answer: Answer) {
         let Some(session) = self.sessions.get_mut(&client.conn) else { return };
         let Some(running) = session.running.take_if(|r| r.call == client.call) else { return };
+        session.busy_ns = now;
         let mut reply = Reply::default();
         match (answer, running.portal) {
             (Answer::Served(rows), portal) => {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -546,6 +546,7 @@
         }
         if let Some(front) = &mut self.postgres {
             front.tick(now, &mut self.net, &mut self.router);
+            front.close_quiet(now, &mut self.net, &mut self.router, |busy| phase.closes(now, busy));
         }
         if let Some(discovery) = &mut self.discovery {
             discovery.tick(now, &mut self.net);
