--- a/crates/discovery/src/consul.rs
+++ b/crates/discovery/src/consul.rs
@@ -7,19 +7,19 @@
 use log::{info, warn};
 use serde::Deserialize;
 
-use super::{engine_id, Change, Target};
+use super::age::Age;
+use super::{engine_id, Change, Pacing, Target};
 use marljunction_control::interface::*;
 use marljunction_http1::chunks::Chunks;
 use marljunction_http1::head::{read_head, Head};
 use marljunction_net::{Net, Owner};
+use marljunction_pacing::{Failure, Pace, Pacer};
 use marljunction_settings::{index_of, Names};
 
 /// How long a blocking query may wait for a change.
 const WAIT_S: u64 = 10;
 /// Silence after which a query is taken for lost (ns): Consul adds up to a sixteenth to the wait.
 const SILENT_NS: u64 = (WAIT_S + 2) * 1_000_000_000;
-/// Wait after a failed query (ns).
-const AGAIN_NS: u64 = 500_000_000;
 /// Largest answer (bytes).
 const ANSWER_MOST: usize = 1 << 20;
 
@@ -78,7 +78,11 @@
     head: Option<Head>,
     chunks: Chunks,
     body: Vec<u8>,
-    heard_ns: u64,
+    /// When the present query was asked.
+    asked_ns: u64,
+    /// A query is out; else the connection, where there is one, waits for the next.
+    asking: bool,
+    pacer: Pacer,
 }
 
 /// The two watches on one service.
@@ -89,19 +93,50 @@
     watches: [Watch; 2],
     catalog: Option<Vec<CatalogEntry>>,
     health: Option<BTreeMap<String, EngineState>>,
+    age: Age,
+}
+
+/// Why a query came to nothing.
+enum Fault {
+    TurnedAway(Option<u64>),
+    Broken(String),
+}
+
+impl From<String> for Fault {
+    fn from(why: String) -> Fault {
+        Fault::Broken(why)
+    }
+}
+
+/// Each router is two callers.
+fn for_watches(pace: Pace) -> [Pace; 2] {
+    let callers = pace.callers.map(|n| n.saturating_mul(2));
+    [0, 1].map(|watch| Pace { callers, me: pace.me.saturating_mul(2).saturating_add(watch), ..pace })
 }
 
 impl Watch {
-    fn new(path: &'static str) -> Self {
+    fn new(path: &'static str, pacer: Pacer) -> Self {
         #[rustfmt::skip]
         let watch = Watch {
-            path, index: 0, conn: None, head: None, chunks: Chunks::default(), body: Vec::new(), heard_ns: 0,
+            path, index: 0, conn: None, head: None, chunks: Chunks::default(), body: Vec::new(), asked_ns: 0,
+            asking: false, pacer,
         };
         watch
     }
 
+    /// The query came to nothing, and its connection is over.
+    fn fail(&mut self, now: u64, net: &mut Net, failure: Failure) {
+        self.drop_conn(net);
+        self.pacer.failed(now, failure);
+    }
+
+    fn drop_conn(&mut self, net: &mut Net) {
+        self.conn.take().into_iter().for_each(|conn| net.close(conn));
+        self.asking = false;
+    }
+
     fn ask(&mut self, now: u64, net: &mut Net, conn: u64, to: SocketAddr, service: &str) {
-        (self.heard_ns, self.head, self.chunks) = (now, None, Chunks::default());
+        (self.asked_ns, self.asking, self.head, self.chunks) = (now, true, None, Chunks::default());
         self.body.clear();
         let call = format!(
             "GET {}{service}?index={}&wait={WAIT_S}s HTTP/1.1\r\nHost: {to}\r\nAccept: application/json\r\n\r\n",
@@ -111,13 +146,16 @@
     }
 
     /// The body of the answer, once it has come whole.
-    fn read(&mut self, net: &mut Net, conn: u64) -> Result<Option<Vec<u8>>, String> {
+    fn read(&mut self, now: u64, net: &mut Net, conn: u64) -> Result<Option<Vec<u8>>, Fault> {
         if self.head.is_none() {
             let Some((head, size)) = read_head(net.input(conn))? else { return Ok(None) };
             net.consume(conn, size);
-            if head.status != 200 {
-                return Err(format!("status {}", head.status));
+            match head.status {
+                200 => {}
+                429 | 503 => return Err(Fault::TurnedAway(head.retry_after.map(|r| r.from(now)))),
+                status => return Err(Fault::Broken(format!("status {status}"))),
             }
+            self.pacer.taken(now);
             self.head = Some(head);
         }
         let Some(head) = &self.head else { return Ok(None) };
@@ -129,11 +167,11 @@
                 self.body.extend_from_slice(&input[..part]);
                 (part, self.body.len() >= length)
             }
-            (false, None) => return Err("the body's length is not told".into()),
+            (false, None) => return Err(Fault::Broken("the body's length is not told".into())),
         };
         net.consume(conn, taken);
         if self.body.len() > ANSWER_MOST {
-            return Err("the answer is too long".into());
+            return Err(Fault::Broken("the answer is too long".into()));
         }
         if !whole {
             return Ok(None);
@@ -147,29 +185,48 @@
 
 impl Consul {
     /// Watches on a service's engines.
-    pub fn new(address: SocketAddr, service: String, names: Names) -> Self {
-        let watches = [Watch::new("/v1/catalog/service/"), Watch::new("/v1/health/service/")];
-        Consul { address, service, names, watches, catalog: None, health: None }
+    pub fn new(now: u64, address: SocketAddr, service: String, names: Names, pacing: Pacing) -> Self {
+        let [catalog, health] = for_watches(pacing.pace);
+        let watches = [
+            Watch::new("/v1/catalog/service/", Pacer::new(catalog, pacing.seed, now)),
+            Watch::new("/v1/health/service/", Pacer::new(health, !pacing.seed, now)),
+        ];
+        let age = Age::new(now, pacing.stale_ns + SILENT_NS);
+        Consul { address, service, names, watches, catalog: None, health: None, age }
     }
 
-    /// Asks where nothing is being asked; gives up a query that is silent for too long.
+    /// Paces calls so from the next one on.
+    pub fn set_pace(&mut self, pace: Pace, stale_ns: u64) {
+        for (watch, pace) in self.watches.iter_mut().zip(for_watches(pace)) {
+            watch.pacer.set_pace(pace);
+        }
+        self.age.set_stale(stale_ns + SILENT_NS);
+    }
+
+    /// Calls made and turned away, and how old the news is.
+    pub fn view(&self) -> ((u64, u64), &Age) {
+        let [a, b] = [0, 1].map(|i| self.watches[i].pacer.calls());
+        ((a.0 + b.0, a.1 + b.1), &self.age)
+    }
+
+    /// Asks where nothing is being asked and a query is due; gives up a query that is silent for too long.
     pub fn tick(&mut self, now: u64, net: &mut Net) {
         for watch in &mut self.watches {
-            match watch.conn {
-                Some(conn) if now > watch.heard_ns + SILENT_NS => {
-                    net.close(conn);
-                    watch.conn = None;
-                }
-                None if now >= watch.heard_ns => {
-                    watch.heard_ns = now + AGAIN_NS;
-                    if let Ok(conn) = net.connect(self.address, Owner::Discovery) {
-                        watch.conn = Some(conn);
-                        watch.ask(now, net, conn, self.address, &self.service);
-                    }
+            if watch.asking && now > watch.asked_ns + SILENT_NS {
+                watch.fail(now, net, Failure::Away);
+            }
+            if watch.asking || !watch.pacer.call(now) {
+                continue;
+            }
+            match watch.conn.map_or_else(|| net.connect(self.address, Owner::Discovery), Ok) {
+                Ok(conn) => {
+                    watch.conn = Some(conn);
+                    watch.ask(now, net, conn, self.address, &self.service);
                 }
-                _ => {}
+                Err(_) => watch.pacer.failed(now, Failure::Away),
             }
         }
+        self.age.tick(now);
     }
 
     /// Asks at another address. Its indexes are its own: both watches start anew there.
@@ -181,10 +238,9 @@
         self.address = address;
         (self.catalog, self.health) = (None, None);
         for watch in &mut self.watches {
-            if let Some(conn) = watch.conn.take() {
-                net.close(conn);
-            }
-            (watch.index, watch.heard_ns) = (0, now);
+            watch.drop_conn(net);
+            watch.index = 0;
+            watch.pacer.restart(now);
         }
         self.tick(now, net);
     }
@@ -193,22 +249,37 @@
     pub fn ready(&mut self, now: u64, net: &mut Net, conn: u64) -> Option<Change> {
         let at = self.watches.iter().position(|w| w.conn == Some(conn))?;
         let ended = net.service(conn).ended.is_some();
-        let body = self.watches[at].read(net, conn);
-        let taken = match body {
-            Ok(Some(body)) => self.take(at, &body).map(|()| true),
+        if !self.watches[at].asking {
+            // Nothing is asked: it has closed, or says what nobody asked for.
+            self.watches[at].drop_conn(net);
+            return None;
+        }
+        let taken = match self.watches[at].read(now, net, conn) {
+            Ok(Some(body)) => self.take(at, &body).map(|()| true).map_err(Fault::Broken),
             Ok(None) => Ok(false),
             Err(fault) => Err(fault),
         };
-        if let Err(fault) = &taken {
-            info!("consul: {fault}");
-        }
-        if ended || taken.is_err() {
-            net.close(conn);
-            (self.watches[at].conn, self.watches[at].heard_ns) = (None, now + AGAIN_NS);
-        } else if taken == Ok(true) {
-            self.watches[at].ask(now, net, conn, self.address, &self.service);
+        let watch = &mut self.watches[at];
+        match taken {
+            Ok(true) => {
+                (watch.asking, watch.head) = (false, None);
+                watch.pacer.answered(now);
+                if ended {
+                    watch.drop_conn(net);
+                }
+                self.age.heard(now);
+                self.tick(now, net);
+                return self.list();
+            }
+            Ok(false) if ended => watch.fail(now, net, Failure::Away),
+            Ok(false) => {}
+            Err(Fault::TurnedAway(after_ns)) => watch.fail(now, net, Failure::TurnedAway { after_ns }),
+            Err(Fault::Broken(why)) => {
+                info!("consul: {why}");
+                watch.fail(now, net, Failure::Away);
+            }
         }
-        (taken == Ok(true)).then(|| self.list()).flatten()
+        None
     }
 
     fn take(&mut self, at: usize, body: &[u8]) -> Result<(), String> {
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod age;
 pub mod bans;
 pub mod consul;
 pub mod stream;
@@ -10,6 +11,18 @@
 
 use marljunction_control::interface::{EngineEntry, EngineId, MembershipKind};
 use marljunction_net::Net;
+use marljunction_pacing::Pace;
+
+/// How calls for news are paced.
+#[derive(Clone, Copy, Debug)]
+pub struct Pacing {
+    /// What the fleet may ask of the service.
+    pub pace: Pace,
+    /// Seed of this router's draws: no other router's.
+    pub seed: u64,
+    /// Age from which news counts as too old (ns).
+    pub stale_ns: u64,
+}
 
 /// Where membership news comes from.
 pub enum Source {
@@ -28,6 +41,29 @@
         }
     }
 
+    /// Paces calls so from the next one on.
+    pub fn set_pace(&mut self, pace: Pace, stale_ns: u64) {
+        match self {
+            Source::Stream(stream) => stream.set_pace(pace, stale_ns),
+            Source::Consul(consul) => consul.set_pace(pace, stale_ns),
+        }
+    }
+
+    /// What calls for news came to, and how old the news is, as counters.
+    pub fn line(&self, now: u64) -> String {
+        let ((calls, turned_away), age) = match self {
+            Source::Stream(stream) => stream.view(),
+            Source::Consul(consul) => consul.view(),
+        };
+        let ms = |ns: u64| ns / 1_000_000;
+        format!(
+            "list_calls={calls} list_turned_away={turned_away} list_age_ms={} list_age_most_ms={} list_stale={}",
+            ms(age.age_ns(now)),
+            ms(age.longest_ns),
+            age.times
+        )
+    }
+
     /// Asks at another address from here on; gives what of `known` is news. The old connection is dropped at
     /// once: guards against an old source that still talks behind a new one.
     pub fn reload(
--- a/crates/discovery/src/stream.rs
+++ b/crates/discovery/src/stream.rs
@@ -2,20 +2,20 @@
 
 use std::net::SocketAddr;
 
-use log::{info, warn};
+use log::{debug, info, warn};
 use serde::Deserialize;
 
-use super::{engine_id, Change, Target};
+use super::age::Age;
+use super::{engine_id, Change, Pacing, Target};
 use marljunction_control::interface::*;
 use marljunction_http1::chunks::Chunks;
 use marljunction_http1::head::{read_head, Head};
 use marljunction_net::{Net, Owner};
+use marljunction_pacing::{Failure, Pace, Pacer};
 use marljunction_settings::{index_of, Names};
 
 /// Silence after which the stream is taken for dead (ns): a comment comes each second.
-const SILENT_NS: u64 = 2_200_000_000;
-/// Wait before the stream is opened again (ns).
-const AGAIN_NS: u64 = 100_000_000;
+pub const SILENT_NS: u64 = 2_200_000_000;
 /// Longest line of the stream (bytes): a list of a thousand engines takes less.
 const LINE_MOST: usize = 200 << 10;
 
@@ -139,6 +139,20 @@
     }
 }
 
+/// Why a stream is of no use.
+enum Fault {
+    /// The coordinator is there and takes no more calls for now; for how long it wants none (ns).
+    TurnedAway(Option<u64>),
+    /// It has ended, or can't be read.
+    Broken(String),
+}
+
+impl From<String> for Fault {
+    fn from(why: String) -> Fault {
+        Fault::Broken(why)
+    }
+}
+
 /// The subscription to the coordinator.
 pub struct Stream {
     address: SocketAddr,
@@ -146,38 +160,60 @@
     last: u64,
     conn: Option<u64>,
     reader: Option<EventReader>,
-    /// When it was last heard, or when it is to be opened.
+    /// When the present connection was last heard, or opened.
     heard_ns: u64,
     /// The last event that could not be read.
     spoilt: Option<u64>,
+    /// No event has come on this connection yet.
+    fresh: bool,
+    pacer: Pacer,
+    age: Age,
 }
 
 impl Stream {
     /// A subscription that starts behind event `last`.
-    pub fn new(address: SocketAddr, names: Names, last: u64) -> Self {
-        Stream { address, names, last, conn: None, reader: None, heard_ns: 0, spoilt: None }
+    pub fn new(now: u64, address: SocketAddr, names: Names, last: u64, pacing: Pacing) -> Self {
+        let pacer = Pacer::new(pacing.pace, pacing.seed, now);
+        let age = Age::new(now, pacing.stale_ns);
+        #[rustfmt::skip]
+        let stream = Stream {
+            address, names, last, conn: None, reader: None, heard_ns: 0, spoilt: None, fresh: true, pacer, age,
+        };
+        stream
     }
 
-    /// Opens the stream where it is closed, and closes it where it is silent.
+    /// Calls made and turned away, and how old the news is.
+    pub fn view(&self) -> ((u64, u64), &Age) {
+        (self.pacer.calls(), &self.age)
+    }
+
+    /// Paces calls so from the next one on.
+    pub fn set_pace(&mut self, pace: Pace, stale_ns: u64) {
+        self.pacer.set_pace(pace);
+        self.age.set_stale(stale_ns);
+    }
+
+    /// Opens the stream where it is closed and a call is due, and closes it where it is silent.
     pub fn tick(&mut self, now: u64, net: &mut Net) {
         match self.conn {
             Some(_) if now > self.heard_ns + SILENT_NS => {
                 warn!("the coordinator's stream is silent");
-                self.drop_conn(now, net);
+                self.drop_conn(now, net, Failure::Away);
             }
-            None if now >= self.heard_ns => {
-                self.heard_ns = now + AGAIN_NS;
-                if let Ok(conn) = net.connect(self.address, Owner::Discovery) {
-                    (self.conn, self.reader, self.heard_ns) = (Some(conn), None, now);
+            None if self.pacer.call(now) => match net.connect(self.address, Owner::Discovery) {
+                Ok(conn) => {
+                    (self.conn, self.reader, self.heard_ns, self.fresh) = (Some(conn), None, now, true);
                     let call = format!(
                         "GET /v2/stream HTTP/1.1\r\nHost: {}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
                         self.address, self.last
                     );
                     net.send(conn, call.as_bytes());
                 }
-            }
+                Err(_) => self.pacer.failed(now, Failure::Away),
+            },
             _ => {}
         }
+        self.age.tick(now);
     }
 
     /// Goes on at another address behind the last event, and takes what of `known` is new.
@@ -193,18 +229,25 @@
         if address != self.address {
             info!("membership news come from {address} now, behind event {}", self.last);
             self.address = address;
-            self.drop_conn(now, net);
-            self.heard_ns = now;
+            if let Some(conn) = self.conn.take() {
+                net.close(conn);
+            }
+            // All routers may be told of another address at one moment.
+            self.pacer.restart(now);
             self.tick(now, net);
         }
         news.into_iter().map(|u| u.change).collect()
     }
 
-    fn drop_conn(&mut self, now: u64, net: &mut Net) {
+    /// Ends the connection; a stream that was up has ended, a call that never was has failed.
+    fn drop_conn(&mut self, now: u64, net: &mut Net, failure: Failure) {
         if let Some(conn) = self.conn.take() {
             net.close(conn);
         }
-        (self.reader, self.heard_ns) = (None, now + AGAIN_NS);
+        match self.reader.take() {
+            Some(_) => self.pacer.ended(now),
+            None => self.pacer.failed(now, failure),
+        }
     }
 
     /// Takes what has come in; gives the changes in order.
@@ -214,29 +257,42 @@
             return changes;
         }
         let look = net.service(conn);
-        let result = self.read(now, net, conn, &mut changes);
-        if let Err(fault) = &result {
-            info!("the coordinator's stream: {fault}");
-        }
-        if look.ended.is_some() || result.is_err() {
-            self.drop_conn(now, net);
-        }
+        let failure = match self.read(now, net, conn, &mut changes) {
+            Ok(()) if look.ended.is_some() => Failure::Away,
+            Ok(()) => return changes,
+            Err(Fault::TurnedAway(after_ns)) => {
+                debug!("the coordinator takes no more calls for now; it asks for {after_ns:?} ns");
+                Failure::TurnedAway { after_ns }
+            }
+            Err(Fault::Broken(why)) => {
+                info!("the coordinator's stream: {why}");
+                Failure::Away
+            }
+        };
+        self.drop_conn(now, net, failure);
         changes
     }
 
-    fn read(&mut self, now: u64, net: &mut Net, conn: u64, changes: &mut Vec<Change>) -> Result<(), String> {
-        if !net.input(conn).is_empty() {
+    fn read(&mut self, now: u64, net: &mut Net, conn: u64, changes: &mut Vec<Change>) -> Result<(), Fault> {
+        let silent = net.input(conn).is_empty();
+        if !silent {
             self.heard_ns = now;
         }
         if self.reader.is_none() {
-            let Some((Head { status, chunked, .. }, size)) = read_head(net.input(conn))? else {
+            let Some((Head { status, chunked, retry_after, .. }, size)) = read_head(net.input(conn))? else {
                 return Ok(());
             };
             net.consume(conn, size);
-            if status != 200 {
-                return Err(format!("status {status}"));
+            match status {
+                200 => {}
+                429 | 503 => return Err(Fault::TurnedAway(retry_after.map(|r| r.from(now)))),
+                _ => return Err(Fault::Broken(format!("status {status}"))),
             }
             self.reader = Some(EventReader::new(chunked));
+            self.pacer.taken(now);
+        }
+        if !silent {
+            self.age.heard(now);
         }
         let (mut events, Some(reader)) = (Vec::new(), &mut self.reader) else { return Ok(()) };
         let taken = reader.take(net.input(conn), &mut events);
@@ -248,7 +304,7 @@
                 // more. One that can't be read then costs itself only, never the stream.
                 Err(fault) if number > Some(self.last) && number != self.spoilt => {
                     self.spoilt = number;
-                    return Err(fault);
+                    return Err(fault.into());
                 }
                 Err(fault) => {
                     warn!("{fault}");
@@ -256,11 +312,19 @@
                 }
             };
             let index = number.unwrap_or(update.index);
-            if index > self.last {
+            // Guards against a coordinator that started anew, whose news would be passed over until its numbers have
+            // grown past the last: a whole list that opens a connection, below the number asked behind, is no repeat.
+            let anew = std::mem::take(&mut self.fresh)
+                && index < self.last
+                && update.change.kind == MembershipKind::Full;
+            if anew {
+                info!("the coordinator counts anew: event {index} behind {}", self.last);
+            }
+            if anew || index > self.last {
                 self.last = index;
                 changes.push(update.change);
             }
         }
-        taken.map(drop)
+        Ok(taken.map(drop)?)
     }
 }
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -32,6 +32,38 @@
     pub report: Option<LoadReport>,
     /// Consul's index of the answer.
     pub consul_index: Option<u64>,
+    /// `Retry-After`, where it can be read.
+    pub retry_after: Option<RetryAfter>,
+}
+
+/// When a service that turned a call away wants to be asked again (RFC 9110, 10.2.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryAfter {
+    /// After so long (ns).
+    Wait(u64),
+    /// At this Unix time (ns).
+    At(u64),
+}
+
+impl RetryAfter {
+    /// Reads the field's value: seconds, or a date; nothing else.
+    pub fn read(value: &str) -> Option<RetryAfter> {
+        if !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit()) {
+            // More digits than fit are a long time too.
+            let seconds: u64 = value.parse().unwrap_or(u64::MAX);
+            return Some(RetryAfter::Wait(seconds.saturating_mul(1_000_000_000)));
+        }
+        let at = httpdate::parse_http_date(value).ok()?.duration_since(std::time::UNIX_EPOCH).ok()?;
+        Some(RetryAfter::At(at.as_secs().saturating_mul(1_000_000_000)))
+    }
+
+    /// How long to stay away for, from Unix time `now` on (ns): a date that has passed asks for nothing.
+    pub fn from(self, now: u64) -> u64 {
+        match self {
+            RetryAfter::Wait(wait) => wait,
+            RetryAfter::At(at) => at.saturating_sub(now),
+        }
+    }
 }
 
 /// Reads a load report such as `inflight:7;util:0.61`; unknown fields are passed over.
@@ -93,6 +125,7 @@
             "outcome" => outcome = Some(value.to_owned()),
             "reading" => reading = Some(value.to_owned()),
             "load-report" => head.report = read_report(value),
+            "retry-after" => head.retry_after = RetryAfter::read(value),
             "x-consul-index" => head.consul_index = value.parse().ok(),
             _ => {}
         }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod disciplines;
 mod door;
 mod memory;
+mod start;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -41,6 +42,30 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// A whole fleet starts at once, loses its list service, and gets it back.
+    Start {
+        /// A hundred routers instead of three hundred: under 45 s in all.
+        #[arg(long)]
+        quick: bool,
+        /// Where to write the figures.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// The router's program; the one beside this one, if not given.
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+        /// Another build of it, measured in the same run.
+        #[arg(long, value_name = "FILE")]
+        against: Option<PathBuf>,
+        /// Seed of all draws.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Routers.
+        #[arg(long)]
+        routers: Option<usize>,
+        /// Calls a second that the list service takes.
+        #[arg(long)]
+        capacity: Option<f64>,
+    },
     /// Disciplines and orders of service compared in stepped time, without any socket.
     Disciplines {
         /// Where to write the figures.
@@ -63,13 +88,21 @@
     }
 }
 
+/// The router's program that was named, or the one beside this one.
+fn named_or_beside(program: Option<PathBuf>) -> Result<PathBuf, String> {
+    let beside = marljunction_rig::stage::program_beside;
+    program.or_else(beside).ok_or_else(|| "no program beside this one: build it, or name it".into())
+}
+
 fn run() -> Result<(), String> {
     match Arguments::parse().experiment {
         Experiment::Door { quick, json, program, seed } => {
-            let beside = marljunction_rig::stage::program_beside;
-            let program =
-                program.or_else(beside).ok_or("no program beside this one: build it, or name it")?;
-            write(json, &door::run(quick, &program, seed)?)
+            write(json, &door::run(quick, &named_or_beside(program)?, seed)?)
+        }
+        Experiment::Start { quick, json, program, against, seed, routers, capacity } => {
+            let program = named_or_beside(program)?;
+            let (program, against) = (program.as_path(), against.as_deref());
+            write(json, &start::run(&start::Run { program, against, quick, seed, routers, capacity })?)
         }
         Experiment::Disciplines { json, seed } => write(json, &disciplines::run(seed)),
     }
--- /dev/null
+++ b/crates/pacing/src/pace.rs
@@ -0,0 +1,117 @@
+//! What a fleet may ask of a service, and what follows from it by arithmetic.
+
+/// Part of the budget that a fleet plans to use (share): draws are uneven, and a service that is asked for just all it
+/// takes turns some away.
+const USED: f64 = 0.95;
+/// Waits grow to this multiple of a router's share of the budget, or to [`AWAY_NS`] where that is more (ratio).
+const GROWN: f64 = 1.4;
+/// Wait to which a small fleet's waits grow while a service is away (ns): half a call a second for each router.
+const AWAY_NS: u64 = 2_500_000_000;
+/// Window over which a fleet of unknown size spreads what it does in step (ns).
+const UNKNOWN_NS: u64 = 2_000_000_000;
+/// Callers that a fleet of unknown size is taken to have at most where a part too large does harm (count).
+const SHARERS: u32 = 500;
+/// News is told at most so late, connected or not, in the platform's count (ns); see [`Pace::longest_for`].
+pub const TOLD_NS: u64 = 7_000_000_000;
+/// Left of that for a connection to come up and its first answer to come (ns).
+const ANSWER_NS: u64 = 500_000_000;
+
+/// Settings of a pacer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// Shortest wait between a failure and the next call (ns).
+    pub shortest_ns: u64,
+    /// Longest wait between calls, whatever the service says (ns): news that a router waits for is no later for it.
+    pub longest_ns: u64,
+    /// Calls a second that the service takes from all callers together.
+    pub budget_per_s: f64,
+    /// Callers that share the budget; none where their count is not known.
+    pub callers: Option<u32>,
+    /// This caller's number among them, from 0.
+    pub me: u32,
+}
+
+/// What is wrong with settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unfit {
+    /// The longest wait is below the shortest.
+    LongestBelowShortest,
+    /// The budget is no positive number.
+    Budget,
+    /// All callers can't be served within the longest wait: the fleet goes over the budget rather than be told late.
+    /// Holds the time that the budget asks for (ns).
+    ShareOverLongest(u64),
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace {
+            shortest_ns: 100_000_000,
+            longest_ns: Pace::longest_for(2_200_000_000),
+            budget_per_s: 200.0,
+            callers: None,
+            me: 0,
+        }
+    }
+}
+
+impl Pace {
+    /// The longest wait under which news comes within [`TOLD_NS`] of the service's having it, though the connection went
+    /// silent just before: silence is noticed after `silent_ns`, then comes the wait, then the answer.
+    pub const fn longest_for(silent_ns: u64) -> u64 {
+        TOLD_NS - silent_ns - ANSWER_NS
+    }
+
+    /// The longest time for which a router hears nothing of a service that takes and answers its calls (ns), where silence
+    /// is noticed after `silent_ns`: a connection that has just gone silent, the longest wait, and the answer.
+    pub const fn blind_at_most_ns(&self, silent_ns: u64) -> u64 {
+        silent_ns + self.longest_ns + ANSWER_NS
+    }
+
+    /// Time between one caller's calls at which all callers together keep to the budget (ns); none where their count is
+    /// not known.
+    pub fn share_ns(&self) -> Option<u64> {
+        self.callers.map(|n| (f64::from(n.max(1)) / (self.budget_per_s * USED) * 1e9) as u64)
+    }
+
+    /// Window over which callers spread what they would all do at one moment (ns): the time in which the service takes them
+    /// all, no longer than the longest wait.
+    pub fn window_ns(&self) -> u64 {
+        self.share_ns().unwrap_or(UNKNOWN_NS).min(self.longest_ns)
+    }
+
+    /// Callers that a part of what all share is reckoned by: the count where it is known, else the most that a fleet is taken
+    /// to have, so that the parts of all stay within the whole.
+    pub fn sharers(&self) -> u32 {
+        self.callers.unwrap_or(SHARERS)
+    }
+
+    /// Where in the window this caller's part is (share of the window); none where the count of callers is not known.
+    pub fn slot(&self) -> Option<f64> {
+        self.callers.map(|n| f64::from(self.me % n.max(1)) / f64::from(n.max(1)))
+    }
+
+    /// What waits grow to while a service is away (ns): no longer than its budget asks for, as each further second is one
+    /// more that the fleet takes to come back.
+    pub fn grown_ns(&self) -> u64 {
+        let share = self.share_ns().unwrap_or(0) as f64 * GROWN;
+        (share as u64).max(AWAY_NS).min(self.longest_ns)
+    }
+
+    /// The least time in which the service can take all callers once (ns); none where their count is not known.
+    pub fn ideal_ns(&self) -> Option<u64> {
+        self.callers.map(|n| (f64::from(n) / self.budget_per_s * 1e9) as u64)
+    }
+
+    /// What is wrong with the settings, worst first; none where nothing is. Only [`Unfit::ShareOverLongest`] can be
+    /// worked with.
+    pub fn unfit(&self) -> Option<Unfit> {
+        if !(self.budget_per_s.is_finite() && self.budget_per_s > 0.0) {
+            return Some(Unfit::Budget);
+        }
+        if self.longest_ns < self.shortest_ns {
+            return Some(Unfit::LongestBelowShortest);
+        }
+        self.share_ns().filter(|share| *share > self.longest_ns).map(Unfit::ShareOverLongest)
+    }
+}
--- a/crates/rig/src/engine.rs
+++ b/crates/rig/src/engine.rs
@@ -1,6 +1,6 @@
 //! An engine's inside: queries that share its cores. Pure; time is passed in.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Parts of short cores that the four priorities get.
 const RANKS: [f64; 4] = [1.0, 4.0, 8.0, 16.0];
@@ -52,6 +52,11 @@
         Cores { cores, now, ..Cores::default() }
     }
 
+    /// It has so many cores from here on.
+    pub fn set_cores(&mut self, cores: f64) {
+        self.cores = cores;
+    }
+
     /// Queries that it holds.
     pub fn held(&self) -> usize {
         self.jobs.len()
@@ -196,3 +201,54 @@
         rates.into_iter().map(|r| r * speed).collect()
     }
 }
+
+/// What a cold engine bears: sent more than a multiple of what it can do at the moment, for a while, it falls over.
+#[derive(Clone, Debug)]
+pub struct Cold {
+    /// When it started (ns).
+    pub since_ns: u64,
+    /// Its cores once it is warm.
+    pub cores: f64,
+    /// Part of its capacity that it starts with (share), and when it has all of it (ns).
+    pub start: f64,
+    /// Time until it is warm (ns).
+    pub warm_ns: u64,
+    /// The multiple of its capacity that tips it over (ratio), sent within this time (ns).
+    pub tip: f64,
+    /// Window of that (ns).
+    pub fall_ns: u64,
+    window: VecDeque<(u64, f64)>,
+    sum: f64,
+    /// Most work sent in one window over what tips it (ratio).
+    pub peak: f64,
+}
+
+impl Cold {
+    /// An engine that started at `since_ns`, with the figures that its routers' settings hold too.
+    pub fn new(since_ns: u64, cores: f64, start: f64, warm_ns: u64, tip: f64, fall_ns: u64) -> Cold {
+        let window = VecDeque::new();
+        Cold { since_ns, cores, start, warm_ns, tip, fall_ns, window, sum: 0.0, peak: 0.0 }
+    }
+
+    /// Cores that it is worth now.
+    pub fn capacity(&self, now: u64) -> f64 {
+        let age = now.saturating_sub(self.since_ns) as f64 / self.warm_ns as f64;
+        self.cores * (self.start + (1.0 - self.start) * age.min(1.0))
+    }
+
+    /// Takes work (core-ns); false where it falls over by it.
+    pub fn push(&mut self, now: u64, work: f64) -> bool {
+        if now >= self.since_ns + self.warm_ns {
+            return true;
+        }
+        self.window.push_back((now, work));
+        self.sum += work;
+        while let Some((_, old)) = self.window.front().copied().filter(|(at, _)| at + self.fall_ns < now) {
+            self.window.pop_front();
+            self.sum -= old;
+        }
+        let limit = self.tip * self.capacity(now) * self.fall_ns as f64;
+        self.peak = self.peak.max(self.sum / limit);
+        self.sum <= limit
+    }
+}
--- /dev/null
+++ b/crates/rig/src/fleet.rs
@@ -0,0 +1,539 @@
+//! A whole fleet on loopback: router programs as processes of their own, a list service, engines and clients, all in one
+//! loop. Every wait is on a condition, with a limit.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use marljunction_net::clock::Clock;
+use marljunction_net::{Net, Room};
+use mio::{Events, Poll, Token};
+use nix::sys::signal::Signal;
+use serde_json::{json, Value};
+
+use crate::audit::Audit;
+use crate::engine::Cold;
+use crate::list::{ListService, Manner};
+use crate::load::{Class, Load, Source, Tally};
+use crate::process::Process;
+use crate::server::Engine;
+use crate::stage::{settings, target, Site, COLD};
+
+/// Listeners of engines have the first numbers, then those of the list service; connections follow.
+const LIST_TOKEN: usize = 10_000;
+const FIRST_CONN: u64 = 1_000_000;
+/// Longest wait of the loop (ns).
+const STEP_NS: u64 = 10_000_000;
+/// Longest advice to clients (ms).
+const LONGEST_MS: u64 = 1_000;
+
+/// The counters of one router by name.
+pub type Counters = Vec<(String, u64)>;
+
+/// What a fleet is set up with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The routers' program.
+    pub program: PathBuf,
+    /// A name that no other fleet of this process has now.
+    pub name: String,
+    /// Routers.
+    pub routers: usize,
+    /// The count of routers that their settings say; the true one, if none.
+    pub told_routers: Option<u32>,
+    /// All routers have the first one's seed and number.
+    pub same_identity: bool,
+    /// Engines, and cores of each.
+    pub engines: usize,
+    /// Cores of an engine.
+    pub cores: f64,
+    /// Engines are cold as the fleet starts.
+    pub cold: bool,
+    /// Routers know the list as they start.
+    pub known: bool,
+    /// Calls a second that the list service takes.
+    pub capacity: f64,
+    /// The operator's file; none for none.
+    pub operator: Option<String>,
+    /// Classes of requests.
+    pub classes: Vec<Class>,
+    /// Requests a second that each router's clients ask for.
+    pub rate: f64,
+    /// Seed of all draws.
+    pub seed: u64,
+}
+
+impl Setup {
+    /// A small fleet with defaults for all but its size.
+    pub fn new(program: &Path, name: &str, routers: usize) -> Setup {
+        Setup {
+            program: program.to_owned(),
+            name: name.to_owned(),
+            routers,
+            told_routers: None,
+            same_identity: false,
+            engines: 4,
+            cores: 8.0,
+            cold: false,
+            known: true,
+            capacity: routers as f64,
+            operator: None,
+            classes: classes(),
+            rate: 1.0,
+            seed: 1,
+        }
+    }
+}
+
+/// A light class, a heavy one, and one that must not run twice.
+pub fn classes() -> Vec<Class> {
+    let lookup = Class {
+        name: "lookup",
+        share: 0.85,
+        work_ms: 60.0,
+        spread: 0.6,
+        threads: 1.0,
+        aim_ms: 1_200.0,
+        stretch: 1.5,
+        deadline_ms: 4_000.0,
+        worth: 1.0,
+        late: 0.0,
+        load: false,
+    };
+    let report = Class {
+        name: "report",
+        share: 0.1,
+        work_ms: 400.0,
+        threads: 4.0,
+        aim_ms: 2_000.0,
+        stretch: 2.5,
+        deadline_ms: 6_000.0,
+        worth: 7.5,
+        late: 0.3,
+        ..lookup.clone()
+    };
+    let load = Class {
+        name: "service-load",
+        share: 0.05,
+        work_ms: 200.0,
+        threads: 2.0,
+        aim_ms: 3_000.0,
+        stretch: 3.0,
+        worth: 4.0,
+        late: 0.6,
+        load: true,
+        ..report.clone()
+    };
+    vec![lookup, report, load]
+}
+
+/// One router, as the fleet's owner sees it.
+#[derive(Debug)]
+pub struct Router {
+    /// Its process; none while it is not there.
+    pub process: Option<Process>,
+    /// When its process was started (ns).
+    pub started_ns: u64,
+    /// Where its clients connect, once it has said so.
+    pub listens: Option<SocketAddr>,
+    /// Since when it has no stream though the service takes calls, and the longest such time so far (ns).
+    blind_since_ns: Option<u64>,
+    /// The longest time without a stream while the service took calls (ns).
+    pub blind_ns: u64,
+    frozen: bool,
+}
+
+/// A fleet.
+pub struct Fleet {
+    setup: Setup,
+    poll: Poll,
+    clock: Clock,
+    net: Net,
+    /// The engines.
+    pub engines: Vec<Engine>,
+    /// The list service.
+    pub list: ListService,
+    serving: bool,
+    /// The routers.
+    pub routers: Vec<Router>,
+    /// Their clients.
+    pub loads: Vec<Load>,
+    states: Vec<&'static str>,
+    /// When each engine was told to leave, as the service had it (ns).
+    pub left_ns: Vec<Option<u64>>,
+    dir: PathBuf,
+    again: Vec<u64>,
+}
+
+impl Fleet {
+    /// Stand-ins, and no router yet.
+    ///
+    /// # Errors
+    /// Where sockets or files can't be had.
+    pub fn new(setup: Setup) -> Result<Fleet, String> {
+        let fault = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+        let poll = Poll::new().map_err(fault("poll"))?;
+        let registry = poll.registry().try_clone().map_err(fault("poll"))?;
+        let clock = Clock::start();
+        let now = clock.now_ns();
+        let mut engines = Vec::new();
+        for i in 0..setup.engines {
+            let uid = format!("e{i}");
+            let mut engine = Engine::new(&registry, i, &uid, now, setup.cores).map_err(fault("engine"))?;
+            engine.sends = Some(Vec::new());
+            engines.push(engine);
+        }
+        let list =
+            ListService::new(&registry, LIST_TOKEN, setup.routers, setup.capacity).map_err(fault("list"))?;
+        let net = Net::new(registry, FIRST_CONN, Room { engines: 1 << 20, output: 1 << 30 });
+        let dir = std::env::temp_dir().join(format!("marljunction-{}-{}", std::process::id(), setup.name));
+        std::fs::create_dir_all(&dir).map_err(fault("folder"))?;
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+        let routers = || Router {
+            process: None,
+            started_ns: 0,
+            listens: None,
+            blind_since_ns: None,
+            blind_ns: 0,
+            frozen: false,
+        };
+        let load = |i: usize| {
+            let seed = setup.seed.wrapping_mul(7_919).wrapping_add(i as u64);
+            let mut load = Load::new(nowhere, setup.classes.clone(), LONGEST_MS, 0.0, seed);
+            load.router = i;
+            load.gone(&mut Net::new(poll.registry().try_clone()?, 0, Room { engines: 0, output: 0 }));
+            Ok::<_, std::io::Error>(load)
+        };
+        let loads = (0..setup.routers).map(load).collect::<Result<_, _>>().map_err(fault("clients"))?;
+        let mut fleet = Fleet {
+            states: vec!["in_service"; setup.engines],
+            left_ns: vec![None; setup.engines],
+            routers: (0..setup.routers).map(|_| routers()).collect(),
+            loads,
+            poll,
+            clock,
+            net,
+            engines,
+            list,
+            serving: true,
+            dir,
+            again: Vec::new(),
+            setup,
+        };
+        if fleet.setup.cold {
+            let (start, warm_ns, tip, fall_ns) = COLD;
+            for engine in &mut fleet.engines {
+                engine.cold = Some(Cold::new(now, fleet.setup.cores, start, warm_ns, tip, fall_ns));
+            }
+        }
+        let whole = fleet.whole_list();
+        fleet.list.tell(now, &mut fleet.net, &whole, &[]);
+        Ok(fleet)
+    }
+
+    /// The time (ns).
+    pub fn now(&self) -> u64 {
+        self.clock.now_ns()
+    }
+
+    fn whole_list(&self) -> Value {
+        let all = self.engines.iter().zip(&self.states).map(|(engine, state)| target(engine, state));
+        json!({"rev": 1, "all": true, "targets": all.collect::<Vec<Value>>()})
+    }
+
+    /// Starts a router's process, as a first start or after its end.
+    ///
+    /// # Errors
+    /// Where its files or its process can't be made.
+    pub fn start(&mut self, router: usize) -> Result<(), String> {
+        let setup = &self.setup;
+        let me = if setup.same_identity { 0 } else { router };
+        let site = Site {
+            classes: &setup.classes,
+            tenants: &[("all", 100.0)],
+            cores: setup.cores,
+            longest_ms: LONGEST_MS,
+            routers: setup.told_routers.unwrap_or(setup.routers as u32),
+            me: me as u32,
+            cold: setup.cold,
+        };
+        let now = self.clock.now_ns();
+        let seed = if setup.same_identity { setup.seed } else { setup.seed ^ now ^ (router as u64) << 48 };
+        let known = match setup.known {
+            true => json!({"index": 1, "updates": [{"index": 1, "endpoints": self.whole_list()}]}),
+            false => json!({"index": 0, "updates": []}),
+        };
+        let config = json!({
+            "name": format!("r{router}"), "listen": "127.0.0.1:0", "seed": format!("{seed:016x}"),
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "coordinator": self.list.address(router).to_string(), "known": known, "settings": settings(&site),
+        });
+        let path = |name: &str| self.dir.join(format!("{name}-{router}"));
+        let write = |name: &str, text: &str| {
+            let at = path(name);
+            std::fs::write(&at, text).map(|()| at.clone()).map_err(|e| format!("{}: {e}", at.display()))
+        };
+        let mut environment = vec![("ROUTER_CONFIG", write("config", &config.to_string())?)];
+        if let Some(operator) = &setup.operator {
+            environment.push(("MARLJUNCTION_SETUP", write("operator", operator)?));
+        }
+        let process = Process::start(&setup.program, &environment, &path("log"))?;
+        let to = &mut self.routers[router];
+        (to.process, to.started_ns, to.listens, to.frozen) = (Some(process), now, None, false);
+        to.blind_since_ns = Some(now);
+        Ok(())
+    }
+
+    /// Starts all routers that are not there.
+    ///
+    /// # Errors
+    /// Where one can't be started.
+    pub fn start_all(&mut self) -> Result<(), String> {
+        for router in 0..self.routers.len() {
+            if self.routers[router].process.is_none() {
+                self.start(router)?;
+                // Guards against stand-ins that stand still while hundreds are started.
+                self.step(Duration::ZERO)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends a router at once (SIGKILL): what its clients had open is excused.
+    pub fn kill(&mut self, router: usize) {
+        let to = &mut self.routers[router];
+        to.process = None;
+        (to.listens, to.blind_since_ns) = (None, None);
+        self.loads[router].gone(&mut self.net);
+    }
+
+    /// Stops a router's process where it stands (SIGSTOP), or lets it go on (SIGCONT). What its clients had open as it was
+    /// stopped is excused.
+    pub fn freeze(&mut self, router: usize, frozen: bool) {
+        let now = self.clock.now_ns();
+        let to = &mut self.routers[router];
+        if let Some(process) = &mut to.process {
+            process.signal(if frozen { Signal::SIGSTOP } else { Signal::SIGCONT });
+        }
+        to.frozen = frozen;
+        // Time for which it stood still is not time for which it waited.
+        to.blind_since_ns = to.blind_since_ns.map(|_| now);
+        match (frozen, to.listens) {
+            (true, _) => self.loads[router].gone(&mut self.net),
+            (false, Some(at)) => self.loads[router].back(now, at),
+            _ => {}
+        }
+    }
+
+    /// How the list service behaves from here on.
+    pub fn set_list(&mut self, manner: Manner) {
+        let now = self.clock.now_ns();
+        self.serving = manner == Manner::Well;
+        for router in &mut self.routers {
+            router.blind_since_ns = self.serving.then_some(now).filter(|_| router.process.is_some());
+        }
+        self.list.set_manner(&mut self.net, manner);
+    }
+
+    /// Closes all streams at once.
+    pub fn drop_streams(&mut self) {
+        self.list.drop_all(&mut self.net);
+    }
+
+    /// The list service starts anew, with numbers from 1.
+    pub fn restart_list(&mut self) {
+        let whole = self.whole_list();
+        self.list.restart(&mut self.net, &whole);
+    }
+
+    /// Cuts or mends a router's link to the list service.
+    pub fn cut(&mut self, router: usize, cut: bool) {
+        let now = self.clock.now_ns();
+        self.list.cut(router, cut);
+        self.routers[router].blind_since_ns = Some(now).filter(|_| !cut);
+        if !cut {
+            self.list.mended(now, &mut self.net, router);
+        }
+    }
+
+    /// Tells that an engine drains; it answers on.
+    pub fn drain(&mut self, engine: usize) {
+        let now = self.clock.now_ns();
+        self.states[engine] = "terminating";
+        self.left_ns[engine].get_or_insert(now);
+        let uid = self.engines[engine].uid.clone();
+        let part = json!({"rev": 2, "all": false, "targets": [target(&self.engines[engine], "terminating")]});
+        self.list.tell(now, &mut self.net, &part, &[uid]);
+    }
+
+    /// All clients ask from here on, as often as the setup says.
+    pub fn ask(&mut self) {
+        let now = self.clock.now_ns();
+        let source = Source { tenant: "all", rate: self.setup.rate, clients: 8, says: 1.0 };
+        self.loads.iter_mut().for_each(|load| load.begin(now, vec![source.clone()]));
+    }
+
+    /// Clients ask nothing more; what is open is waited for until `limit`. Whether all was answered.
+    ///
+    /// # Errors
+    /// Where the loop fails.
+    pub fn quiet(&mut self, limit: Duration) -> Result<bool, String> {
+        self.loads.iter_mut().for_each(Load::end);
+        self.run_until(limit, |fleet| fleet.loads.iter().all(|load| load.open() == 0))
+    }
+
+    /// Routers that take clients.
+    pub fn ready(&self) -> usize {
+        self.routers.iter().filter(|r| r.listens.is_some()).count()
+    }
+
+    /// Routers whose stream is up.
+    pub fn live(&self) -> usize {
+        self.list.live()
+    }
+
+    /// Runs until `condition` holds, for no longer than `limit`; whether it holds.
+    ///
+    /// # Errors
+    /// Where the loop fails.
+    pub fn run_until(&mut self, limit: Duration, condition: impl Fn(&Fleet) -> bool) -> Result<bool, String> {
+        let end = self.clock.now_ns() + limit.as_nanos() as u64;
+        loop {
+            if condition(self) {
+                return Ok(true);
+            }
+            let now = self.clock.now_ns();
+            if now >= end {
+                return Ok(false);
+            }
+            self.step(Duration::from_nanos((end - now).min(STEP_NS)))?;
+        }
+    }
+
+    /// Runs for a time.
+    ///
+    /// # Errors
+    /// Where the loop fails.
+    pub fn run(&mut self, time: Duration) -> Result<(), String> {
+        self.run_until(time, |_| false).map(drop)
+    }
+
+    /// One round: waits for `most` at most.
+    fn step(&mut self, most: Duration) -> Result<(), String> {
+        let mut events = Events::with_capacity(4_096);
+        let now = self.clock.now_ns();
+        let engines = self.engines.iter().filter_map(Engine::next_due_ns).min().unwrap_or(u64::MAX);
+        let loads = self.loads.iter().map(Load::next_due_ns).min().unwrap_or(u64::MAX);
+        let due = Duration::from_nanos(engines.min(loads).saturating_sub(now));
+        let wait = if self.again.is_empty() { due.min(most) } else { Duration::ZERO };
+        match self.poll.poll(&mut events, Some(wait)) {
+            Err(e) if e.kind() != std::io::ErrorKind::Interrupted => return Err(format!("poll: {e}")),
+            _ => {}
+        }
+        let now = self.clock.now_ns();
+        let mut conns: Vec<u64> = std::mem::take(&mut self.again);
+        for event in &events {
+            let Token(token) = event.token();
+            if token < self.engines.len() {
+                self.engines[token].accept(&mut self.net);
+            } else if self.list.has_token(token) {
+                self.list.accept(now, &mut self.net, token);
+            } else {
+                conns.push(token as u64);
+            }
+        }
+        for conn in conns {
+            if self.list.owns(conn) {
+                self.list.ready(now, &mut self.net, conn);
+            } else if let Some(engine) = self.engines.iter_mut().find(|e| e.owns(conn)) {
+                engine.ready(now, &mut self.net, conn);
+            } else if let Some(load) = self.loads.iter_mut().find(|l| l.owns(conn)) {
+                load.ready(now, &mut self.net, conn);
+            }
+            if self.net.has_more(conn) {
+                self.again.push(conn);
+            }
+        }
+        self.engines.iter_mut().for_each(|e| e.tick(now, &mut self.net));
+        self.list.tick(now, &mut self.net);
+        for (router, load) in self.routers.iter_mut().zip(&mut self.loads) {
+            if router.listens.is_none() {
+                router.listens = router.process.as_mut().and_then(Process::listens);
+                if let Some(at) = router.listens {
+                    load.back(now, at);
+                }
+            }
+            load.tick(now, &mut self.net);
+        }
+        for (at, router) in self.routers.iter_mut().enumerate() {
+            match (router.blind_since_ns, self.list.live_since(at)) {
+                (Some(since), Some(live)) => {
+                    router.blind_ns = router.blind_ns.max(live.saturating_sub(since));
+                    router.blind_since_ns = None;
+                }
+                (Some(since), None) if !router.frozen => {
+                    router.blind_ns = router.blind_ns.max(now.saturating_sub(since));
+                }
+                (None, None) if self.serving && router.process.is_some() => router.blind_since_ns = Some(now),
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// What was seen so far, held against the rules.
+    pub fn audit(&self) -> Audit {
+        let left = self.engines.iter().zip(&self.left_ns);
+        let left = left.filter_map(|(engine, left)| Some((engine.uid.clone(), (*left)?))).collect();
+        let sends = self.engines.iter().map(|e| (e.uid.as_str(), e.sends.as_deref().unwrap_or_default()));
+        Audit::of(&sends.collect::<Vec<_>>(), &left, &self.list.told)
+    }
+
+    /// The sum over all clients.
+    pub fn sum(&self, of: impl Fn(&Tally) -> f64) -> f64 {
+        self.loads.iter().flat_map(|load| load.tallies.iter().flatten()).map(of).sum()
+    }
+
+    /// What one router says now.
+    pub fn said(&self, router: usize) -> String {
+        self.routers[router].process.as_ref().map(Process::said).unwrap_or_default()
+    }
+
+    /// Ends all routers as planned stops; gives each one's last counters, and whether all ended well and in time.
+    ///
+    /// # Errors
+    /// Where the loop fails.
+    pub fn stop(&mut self, limit: Duration) -> Result<(Vec<Counters>, bool), String> {
+        for process in self.routers.iter_mut().filter_map(|r| r.process.as_mut()) {
+            process.signal(Signal::SIGCONT);
+            process.signal(Signal::SIGTERM);
+        }
+        let end = self.clock.now_ns() + limit.as_nanos() as u64;
+        let mut running = usize::MAX;
+        while running > 0 && self.clock.now_ns() < end {
+            self.step(Duration::from_nanos(STEP_NS))?;
+            running = self
+                .routers
+                .iter_mut()
+                .filter_map(|r| r.process.as_mut())
+                .filter_map(|p| p.runs().then_some(()))
+                .count();
+        }
+        let mut all = Vec::new();
+        let mut well = running == 0;
+        for router in &mut self.routers {
+            let Some(mut process) = router.process.take() else { continue };
+            well &= process.ended_well() == Some(true);
+            all.push(process.counters());
+        }
+        Ok((all, well))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // Processes first: their logs lie in the folder.
+        self.routers.clear();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/herd.rs
@@ -0,0 +1,171 @@
+//! A herd of callers and one service, in stepped time without sockets: thousands of seeds in a second. Pure.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use marljunction_pacing::{Failure, Pacer};
+
+/// A way to pace calls, as one caller uses it.
+pub trait Way {
+    /// When the next call may be made (ns); none while one is out or up.
+    fn due_ns(&self) -> Option<u64>;
+    /// Makes the call that is due; whether it may be made.
+    fn call(&mut self, now: u64) -> bool;
+    /// The service took it.
+    fn taken(&mut self, now: u64);
+    /// It came to nothing.
+    fn failed(&mut self, now: u64, failure: Failure);
+    /// What was up has ended.
+    fn ended(&mut self, now: u64);
+}
+
+impl Way for Pacer {
+    fn due_ns(&self) -> Option<u64> {
+        Pacer::due_ns(self)
+    }
+
+    fn call(&mut self, now: u64) -> bool {
+        Pacer::call(self, now)
+    }
+
+    fn taken(&mut self, now: u64) {
+        Pacer::taken(self, now);
+    }
+
+    fn failed(&mut self, now: u64, failure: Failure) {
+        Pacer::failed(self, now, failure);
+    }
+
+    fn ended(&mut self, now: u64) {
+        Pacer::ended(self, now);
+    }
+}
+
+/// A service that takes `capacity` calls a second, as many at once as in a second after a rest.
+#[derive(Clone, Copy, Debug)]
+pub struct Service {
+    /// Calls a second that it takes.
+    pub capacity: f64,
+    /// What it asks those for that it turns away (ns).
+    pub after_ns: Option<u64>,
+    /// It is away.
+    pub away: bool,
+    tokens: f64,
+    refilled_ns: u64,
+}
+
+impl Service {
+    /// A rested one.
+    pub fn new(capacity: f64) -> Service {
+        let after_ns = Some(1_000_000_000);
+        Service { capacity, after_ns, away: false, tokens: capacity, refilled_ns: 0 }
+    }
+
+    fn answer(&mut self, now: u64) -> Result<(), Failure> {
+        let passed = now.saturating_sub(self.refilled_ns) as f64 / 1e9;
+        (self.tokens, self.refilled_ns) = ((self.tokens + passed * self.capacity).min(self.capacity), now);
+        if self.away {
+            return Err(Failure::Away);
+        }
+        if self.tokens < 1.0 {
+            return Err(Failure::TurnedAway { after_ns: self.after_ns });
+        }
+        self.tokens -= 1.0;
+        Ok(())
+    }
+}
+
+/// Callers and their service.
+pub struct Herd<W> {
+    /// The callers.
+    pub callers: Vec<W>,
+    /// The service.
+    pub service: Service,
+    up: Vec<bool>,
+    /// The time (ns).
+    pub now: u64,
+}
+
+/// What a while of it came to.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Passed {
+    /// Calls.
+    pub calls: u64,
+    /// Most calls within a second, and within 100 ms.
+    pub worst_second: usize,
+    /// Most calls within 100 ms.
+    pub worst_100ms: usize,
+    /// When the last caller that came up did so, since the while began (ns); nothing where some are not up.
+    pub settled_ns: Option<u64>,
+}
+
+/// Counts the most calls within a window that moves on.
+#[derive(Default)]
+struct Worst {
+    window: VecDeque<u64>,
+    most: usize,
+}
+
+impl Worst {
+    fn add(&mut self, at: u64, span_ns: u64) {
+        while self.window.front().is_some_and(|first| first + span_ns <= at) {
+            self.window.pop_front();
+        }
+        self.window.push_back(at);
+        self.most = self.most.max(self.window.len());
+    }
+}
+
+impl<W: Way> Herd<W> {
+    /// Callers that all start now.
+    pub fn new(callers: Vec<W>, service: Service) -> Herd<W> {
+        Herd { up: vec![false; callers.len()], callers, service, now: 0 }
+    }
+
+    /// Passes time until all callers are up or `limit_ns` has passed. An answer takes a millisecond.
+    pub fn pass(&mut self, limit_ns: u64) -> Passed {
+        let (began, end) = (self.now, self.now + limit_ns);
+        let mut passed = Passed::default();
+        let (mut second, mut tenth) = (Worst::default(), Worst::default());
+        let due = |at: usize, way: &W| way.due_ns().map(|due| Reverse((due, at)));
+        let mut queue: BinaryHeap<Reverse<(u64, usize)>> =
+            self.callers.iter().enumerate().filter_map(|(at, way)| due(at, way)).collect();
+        while self.up.iter().any(|up| !up) || self.service.away {
+            let Some(Reverse((at_ns, at))) = queue.pop().filter(|Reverse((due, _))| *due < end) else {
+                break;
+            };
+            let way = &mut self.callers[at];
+            self.now = self.now.max(at_ns);
+            if !way.call(self.now) {
+                continue;
+            }
+            passed.calls += 1;
+            second.add(self.now, 1_000_000_000);
+            tenth.add(self.now, 100_000_000);
+            match self.service.answer(self.now) {
+                Ok(()) => {
+                    way.taken(self.now + 1_000_000);
+                    self.up[at] = true;
+                }
+                Err(failure) => way.failed(self.now + 1_000_000, failure),
+            }
+            queue.extend(due(at, &self.callers[at]));
+        }
+        if self.up.iter().all(|up| *up) {
+            passed.settled_ns = Some(self.now - began);
+        } else {
+            self.now = end;
+        }
+        (passed.worst_second, passed.worst_100ms) = (second.most, tenth.most);
+        passed
+    }
+
+    /// All that are up end at this moment.
+    pub fn drop_all(&mut self) {
+        for (way, up) in self.callers.iter_mut().zip(&mut self.up) {
+            if std::mem::take(up) {
+                way.ended(self.now);
+            }
+        }
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,7 +3,12 @@
 
 #![forbid(unsafe_code)]
 
+pub mod audit;
 pub mod engine;
+pub mod fleet;
+pub mod herd;
+pub mod list;
 pub mod load;
+pub mod process;
 pub mod server;
 pub mod stage;
--- /dev/null
+++ b/crates/rig/src/list.rs
@@ -0,0 +1,308 @@
+//! A stand-in list service: the coordinator's stream for a whole fleet, one door for each router, that takes only so many
+//! calls a second and can be made to behave badly.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use marljunction_net::{Net, Owner};
+use mio::net::TcpListener;
+use mio::Registry;
+use serde_json::Value;
+
+use crate::server::{listen, read_call};
+
+const COMMENT_NS: u64 = 1_000_000_000;
+
+/// How the service behaves.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Manner {
+    /// Well, within its capacity.
+    Well,
+    /// It is away: each connection is reset as it comes.
+    Away,
+    /// It takes connections and says nothing.
+    Silent,
+    /// It turns all calls away, with this `Retry-After`.
+    TurnsAway(String),
+    /// It closes each stream so long after it opened (ns).
+    ClosesAfter(u64),
+    /// It answers what nobody can read.
+    Garbage,
+    /// It answers the first half of a head, and closes.
+    Half,
+}
+
+/// A call that was seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// When (ns).
+    pub at_ns: u64,
+    /// By which router.
+    pub router: usize,
+    /// It was taken.
+    pub taken: bool,
+}
+
+/// A router's stream.
+#[derive(Debug)]
+struct Follower {
+    router: usize,
+    follows_ns: Option<u64>,
+}
+
+/// What one router's door is like, and what its router was told.
+#[derive(Debug)]
+struct Door {
+    listener: TcpListener,
+    address: SocketAddr,
+    /// Nothing passes, in either direction; connections stay.
+    cut: bool,
+}
+
+/// The service.
+#[derive(Debug)]
+pub struct ListService {
+    doors: Vec<Door>,
+    first_token: usize,
+    manner: Manner,
+    /// Calls a second that it takes, and calls that it takes at once after a rest.
+    capacity: f64,
+    tokens: f64,
+    refilled_ns: u64,
+    followers: HashMap<u64, Follower>,
+    events: Vec<(u64, String, Vec<String>)>,
+    commented_ns: u64,
+    /// All calls, in order.
+    pub calls: Vec<Seen>,
+    /// By router and engine, when the router was first told that the engine drains or is gone (ns).
+    pub told: BTreeMap<(usize, String), u64>,
+    /// When each router's present stream was opened; none without one.
+    live: Vec<Option<u64>>,
+}
+
+impl ListService {
+    /// A service with a door for each of `routers`, whose tokens start at `first_token`. It takes `capacity` calls a second,
+    /// as many of them at once as it takes in a second.
+    ///
+    /// # Errors
+    /// Where no port is to be had.
+    pub fn new(
+        registry: &Registry,
+        first_token: usize,
+        routers: usize,
+        capacity: f64,
+    ) -> std::io::Result<ListService> {
+        let mut doors = Vec::new();
+        for i in 0..routers {
+            let (listener, address) = listen(registry, first_token + i)?;
+            doors.push(Door { listener, address, cut: false });
+        }
+        Ok(ListService {
+            doors,
+            first_token,
+            manner: Manner::Well,
+            capacity,
+            tokens: capacity,
+            refilled_ns: 0,
+            followers: HashMap::new(),
+            events: Vec::new(),
+            commented_ns: 0,
+            calls: Vec::new(),
+            told: BTreeMap::new(),
+            live: vec![None; routers],
+        })
+    }
+
+    /// Where a router finds it.
+    pub fn address(&self, router: usize) -> SocketAddr {
+        self.doors[router].address
+    }
+
+    /// Whether a listener's token is of one of its doors.
+    pub fn has_token(&self, token: usize) -> bool {
+        (self.first_token..self.first_token + self.doors.len()).contains(&token)
+    }
+
+    /// Whether a connection is one of its own.
+    pub fn owns(&self, conn: u64) -> bool {
+        self.followers.contains_key(&conn)
+    }
+
+    /// Routers with a stream that is up.
+    pub fn live(&self) -> usize {
+        self.live.iter().flatten().count()
+    }
+
+    /// Since when a router's stream is up; none without one (ns).
+    pub fn live_since(&self, router: usize) -> Option<u64> {
+        self.live[router]
+    }
+
+    /// It takes so many calls a second from here on.
+    pub fn set_capacity(&mut self, capacity: f64) {
+        (self.capacity, self.tokens) = (capacity, self.tokens.min(capacity));
+    }
+
+    /// Behaves so from here on. Away and back, it begins rested and with no connection.
+    pub fn set_manner(&mut self, net: &mut Net, manner: Manner) {
+        if manner == Manner::Away {
+            self.drop_all(net);
+            self.tokens = self.capacity;
+        }
+        self.manner = manner;
+    }
+
+    /// Closes all streams at once.
+    pub fn drop_all(&mut self, net: &mut Net) {
+        let conns: Vec<u64> = self.followers.keys().copied().collect();
+        conns.into_iter().for_each(|conn| self.close(net, conn));
+    }
+
+    /// Starts anew: its numbers begin at 1 with what the list is now.
+    pub fn restart(&mut self, net: &mut Net, list: &Value) {
+        self.drop_all(net);
+        self.events.clear();
+        self.tell(0, net, list, &[]);
+    }
+
+    /// Cuts a router's link, or mends it. What was on its way comes when it is mended.
+    pub fn cut(&mut self, router: usize, cut: bool) {
+        self.doors[router].cut = cut;
+    }
+
+    fn close(&mut self, net: &mut Net, conn: u64) {
+        if let Some(follower) = self.followers.remove(&conn) {
+            let others =
+                self.followers.values().any(|f| f.router == follower.router && f.follows_ns.is_some());
+            if follower.follows_ns.is_some() && !others {
+                self.live[follower.router] = None;
+            }
+        }
+        net.close(conn);
+    }
+
+    /// Takes new connections at a door.
+    pub fn accept(&mut self, now: u64, net: &mut Net, token: usize) {
+        let router = token - self.first_token;
+        while let Ok((stream, _)) = self.doors[router].listener.accept() {
+            // Those of a service that is away are reset, as the owner of the number tells the sockets.
+            let owner = if self.manner == Manner::Away { Owner::Engine } else { Owner::Discovery };
+            let Ok(conn) = net.adopt(stream, owner) else { continue };
+            if self.manner == Manner::Away {
+                self.calls.push(Seen { at_ns: now, router, taken: false });
+                net.close(conn);
+            } else {
+                self.followers.insert(conn, Follower { router, follows_ns: None });
+            }
+        }
+    }
+
+    fn takes(&mut self, now: u64) -> bool {
+        let passed = now.saturating_sub(self.refilled_ns) as f64 / 1e9;
+        self.tokens = (self.tokens + passed * self.capacity).min(self.capacity);
+        self.refilled_ns = now;
+        let takes = self.tokens >= 1.0;
+        self.tokens -= if takes { 1.0 } else { 0.0 };
+        takes
+    }
+
+    /// Tells the fleet an event of this list; `leaving` are the engines that drain or are gone by it. Gives its number.
+    pub fn tell(&mut self, now: u64, net: &mut Net, list: &Value, leaving: &[String]) -> u64 {
+        let index = self.events.last().map_or(1, |(index, ..)| index + 1);
+        let data = serde_json::json!({"index": index, "endpoints": list});
+        let text = format!("id: {index}\ndata: {data}\n\n");
+        for (conn, follower) in &self.followers {
+            if follower.follows_ns.is_some() && !self.doors[follower.router].cut {
+                net.send(*conn, text.as_bytes());
+                note_told(&mut self.told, now, follower.router, leaving);
+            }
+        }
+        self.events.push((index, text, leaving.to_vec()));
+        index
+    }
+
+    /// Takes what has come in on one of its connections.
+    pub fn ready(&mut self, now: u64, net: &mut Net, conn: u64) {
+        let Some(follower) = self.followers.get(&conn) else { return };
+        let router = follower.router;
+        if self.doors[router].cut {
+            return;
+        }
+        if net.service(conn).ended.is_some() {
+            return self.close(net, conn);
+        }
+        let Ok(Some(call)) = read_call(net.input(conn)) else { return };
+        net.consume(conn, call.size);
+        let takes = matches!(self.manner, Manner::Well | Manner::ClosesAfter(_)) && self.takes(now);
+        self.calls.push(Seen { at_ns: now, router, taken: takes });
+        let turned = |after: &str| {
+            format!(
+                "HTTP/1.1 503 Busy\r\nRetry-After: {after}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+            )
+        };
+        match &self.manner {
+            Manner::Silent => return,
+            Manner::Garbage => {
+                net.send(conn, b"\x00\xff\xfe\r\nnonsense\r\n\r\n");
+                return self.close(net, conn);
+            }
+            Manner::Half => {
+                net.send(conn, b"HTTP/1.1 200 OK\r\nContent-Ty");
+                return self.close(net, conn);
+            }
+            Manner::TurnsAway(after) => {
+                net.send(conn, turned(after).as_bytes());
+                return self.close(net, conn);
+            }
+            _ if !takes => {
+                net.send(conn, turned("1").as_bytes());
+                return self.close(net, conn);
+            }
+            _ => {}
+        }
+        let last: u64 = call.fields.get("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
+        // Who asks behind a number that it never gave hears the whole list.
+        let newest = self.events.last().map_or(0, |(index, ..)| *index);
+        let behind = if last > newest { 0 } else { last };
+        net.send(conn, b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:hi\n\n");
+        for (_, text, leaving) in self.events.iter().filter(|(index, ..)| *index > behind) {
+            net.send(conn, text.as_bytes());
+            note_told(&mut self.told, now, router, leaving);
+        }
+        if let Some(follower) = self.followers.get_mut(&conn) {
+            follower.follows_ns = Some(now);
+        }
+        self.live[router] = Some(now);
+    }
+
+    /// Passes time: a comment each second, and the end of streams that are closed after a while.
+    pub fn tick(&mut self, now: u64, net: &mut Net) {
+        if let Manner::ClosesAfter(after) = self.manner {
+            let over = |f: &Follower| f.follows_ns.is_some_and(|since| now >= since + after);
+            let over: Vec<u64> = self.followers.iter().filter(|(_, f)| over(f)).map(|(c, _)| *c).collect();
+            over.into_iter().for_each(|conn| self.close(net, conn));
+        }
+        if now < self.commented_ns + COMMENT_NS || self.manner == Manner::Silent {
+            return;
+        }
+        self.commented_ns = now;
+        for (conn, follower) in &self.followers {
+            if follower.follows_ns.is_some() && !self.doors[follower.router].cut {
+                net.send(*conn, b":\n\n");
+            }
+        }
+    }
+
+    /// Looks again at what waited at a link that was cut.
+    pub fn mended(&mut self, now: u64, net: &mut Net, router: usize) {
+        let conns: Vec<u64> =
+            self.followers.iter().filter(|(_, f)| f.router == router).map(|(c, _)| *c).collect();
+        conns.into_iter().for_each(|conn| self.ready(now, net, conn));
+    }
+}
+
+fn note_told(told: &mut BTreeMap<(usize, String), u64>, now: u64, router: usize, leaving: &[String]) {
+    for uid in leaving {
+        told.entry((router, uid.clone())).or_insert(now);
+    }
+}
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -159,6 +159,14 @@
     phase: usize,
     /// Tallies by phase and source.
     pub tallies: Vec<Vec<Tally>>,
+    /// The number that statements name as their router's.
+    pub router: usize,
+    /// When the first answer came (ns).
+    pub first_answer_ns: Option<u64>,
+    /// Calls that were open when their router was killed, or asked of one that was not there.
+    pub excused: u64,
+    /// The router is there to be asked.
+    up: bool,
 }
 
 impl Load {
@@ -179,6 +187,10 @@
             serial: 0,
             phase: 0,
             tallies: Vec::new(),
+            router: 0,
+            first_answer_ns: None,
+            excused: 0,
+            up: true,
         }
     }
 
@@ -192,6 +204,22 @@
         self.next_ns = (0..self.sources.len()).map(|i| now + self.gap_ns(i)).collect();
     }
 
+    /// The router is gone: what was open is excused, and nothing is asked until it is [`Load::back`].
+    pub fn gone(&mut self, net: &mut Net) {
+        self.up = false;
+        for (conn, calls) in std::mem::take(&mut self.conns) {
+            net.close(conn);
+            self.excused += calls.open.len() as u64;
+        }
+        self.returns.clear();
+    }
+
+    /// The router is there, at this address.
+    pub fn back(&mut self, now: u64, to: SocketAddr) {
+        (self.to, self.up, self.first_answer_ns) = (to, true, None);
+        self.next_ns = (0..self.sources.len()).map(|i| now + self.gap_ns(i)).collect();
+    }
+
     /// Stops asking; returns that were told are still made.
     pub fn end(&mut self) {
         self.next_ns = vec![u64::MAX; self.sources.len()];
@@ -215,7 +243,7 @@
 
     /// When it has something to do next (ns).
     pub fn next_due_ns(&self) -> u64 {
-        let first = self.next_ns.iter().copied().min().unwrap_or(u64::MAX);
+        let first = self.next_ns.iter().copied().min().filter(|_| self.up).unwrap_or(u64::MAX);
         first.min(self.returns.keys().next().map_or(u64::MAX, |(at, _)| *at))
     }
 
@@ -240,6 +268,9 @@
 
     /// Makes the calls that are due.
     pub fn tick(&mut self, now: u64, net: &mut Net) {
+        if !self.up {
+            return;
+        }
         for source in 0..self.sources.len() {
             while self.next_ns[source] <= now {
                 let want = self.draw(source);
@@ -285,10 +316,12 @@
         self.serial += 1;
         let holds = if class.load { format!(" holds={}", want.set) } else { String::new() };
         let statement = format!(
-            "select a, b, c from sales_{}.orders /* work={:.3} threads={:.0}{holds} */",
-            want.set, want.work_ms, class.threads
+            "select a, b, c from sales_{}.orders /* work={:.3} threads={:.0} router={}{holds} */",
+            want.set, want.work_ms, class.threads, self.router
         );
-        let rid = format!("{:016x}", self.serial.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+        // Ids are unique over the clients of all routers.
+        let serial = (self.router as u64) << 40 | self.serial;
+        let rid = format!("{:016x}", serial.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let fields = [
             ("rid", rid),
             ("budget", format!("{:.0}", class.deadline_ms)),
@@ -342,6 +375,7 @@
             }
             return;
         };
+        self.first_answer_ns.get_or_insert(now);
         let want = call.want;
         let class = &self.classes[want.class];
         let took_ms = (now - call.asked_ns) as f64 / MS;
--- /dev/null
+++ b/crates/rig/src/process.rs
@@ -0,0 +1,128 @@
+//! One program as a process of its own: started with its files, told by signals, and ended with whoever started it.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+
+/// What ends a process with its parent, whatever becomes of that: of util-linux, part of every Debian.
+const SETPRIV: &str = "/usr/bin/setpriv";
+
+/// A running program. It does not outlive this value, nor the thread that started it.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    log: PathBuf,
+    /// What of the log was looked through for the address.
+    listens: Option<SocketAddr>,
+    frozen: bool,
+}
+
+impl Process {
+    /// Starts `program` with this environment and no other variable of its own kind; what it says goes to the file `log`.
+    ///
+    /// # Errors
+    /// Where the file can't be made or the program can't be started.
+    pub fn start(program: &Path, environment: &[(&str, PathBuf)], log: &Path) -> Result<Process, String> {
+        let file = File::create(log).map_err(|e| format!("{}: {e}", log.display()))?;
+        let mut command = if Path::new(SETPRIV).exists() {
+            let mut command = Command::new(SETPRIV);
+            command.args(["--pdeathsig", "KILL"]).arg(program);
+            command
+        } else {
+            Command::new(program)
+        };
+        let own =
+            |name: &str| name.starts_with("ROUTER_") || name.starts_with("MARLJUNCTION_") || name == "TMPDIR";
+        for (name, _) in std::env::vars_os().filter(|(name, _)| name.to_str().is_some_and(own)) {
+            command.env_remove(name);
+        }
+        command.envs(environment.iter().map(|(k, v)| (k, v)));
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(file);
+        let child = command.spawn().map_err(|e| format!("{}: {e}", program.display()))?;
+        Ok(Process { child, log: log.to_owned(), listens: None, frozen: false })
+    }
+
+    /// Its number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether it runs.
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// How it ended; nothing while it runs.
+    pub fn ended_well(&mut self) -> Option<bool> {
+        self.child.try_wait().ok().flatten().map(|status| status.success())
+    }
+
+    /// What it has said so far.
+    pub fn said(&self) -> String {
+        // What could be read of a log says what it can.
+        std::fs::read(&self.log).map(|text| String::from_utf8_lossy(&text).into_owned()).unwrap_or_default()
+    }
+
+    /// Where clients connect, once it has said so.
+    pub fn listens(&mut self) -> Option<SocketAddr> {
+        if self.listens.is_none() {
+            let said = self.said();
+            let lines = said.lines().filter_map(|line| line.split_once("listens on "));
+            let plain = lines.map(|(_, at)| at.trim()).find_map(|at| at.parse().ok());
+            self.listens = plain;
+        }
+        self.listens
+    }
+
+    /// Sends a signal; one that has ended hears nothing.
+    pub fn signal(&mut self, signal: Signal) {
+        if self.runs() {
+            let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
+            self.frozen = match signal {
+                Signal::SIGSTOP => true,
+                Signal::SIGCONT => false,
+                _ => self.frozen,
+            };
+        }
+    }
+
+    /// Ends it at once, and waits for that.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Most memory that it had (KB) and processor time that it used (us) so far.
+    pub fn used(&self) -> (u64, u64) {
+        let of =
+            |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", self.id())).unwrap_or_default();
+        let status = of("status");
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let peak_kb = peak.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0);
+        // The first field of the scheduler's figures is the time spent on a core (ns).
+        let time = of("schedstat").split_whitespace().next().and_then(|ns| ns.parse::<u64>().ok());
+        (peak_kb, time.unwrap_or(0) / 1_000)
+    }
+
+    /// Counters of the last line that holds them.
+    pub fn counters(&self) -> Vec<(String, u64)> {
+        let said = self.said();
+        said.lines().rev().find(|line| line.contains(" taken=")).map(counters).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The counters of a line.
+pub fn counters(line: &str) -> Vec<(String, u64)> {
+    let pairs = line.split_whitespace().filter_map(|word| word.split_once('='));
+    pairs.filter_map(|(k, v)| Some((k.to_owned(), v.parse().ok()?))).collect()
+}
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -7,7 +7,7 @@
 use mio::net::TcpListener;
 use mio::{Interest, Registry, Token};
 
-use crate::engine::{Cores, News};
+use crate::engine::{Cold, Cores, News};
 
 /// Longest wait for a query's end before a note is given (ns).
 const WAIT_NS: u64 = 250_000_000;
@@ -25,15 +25,15 @@
 }
 
 /// A call that has come whole.
-struct Call {
+pub(crate) struct Call {
     method: String,
     path: String,
-    fields: HashMap<String, String>,
+    pub(crate) fields: HashMap<String, String>,
     body: String,
-    size: usize,
+    pub(crate) size: usize,
 }
 
-fn read_call(input: &[u8]) -> Result<Option<Call>, ()> {
+pub(crate) fn read_call(input: &[u8]) -> Result<Option<Call>, ()> {
     let mut headers = [httparse::EMPTY_HEADER; 32];
     let mut request = httparse::Request::new(&mut headers);
     let head = match request.parse(input) {
@@ -72,6 +72,27 @@
     pub loads: BTreeMap<String, u32>,
     /// Queries started.
     pub started: u64,
+    /// Connections taken.
+    pub accepted: u64,
+    /// Connections that it holds at most; others are closed as they come.
+    pub conns_most: usize,
+    /// What came while it was told to be watched: all calls that start a query.
+    pub sends: Option<Vec<Sent>>,
+    /// How cold it is; none for an engine that is warm.
+    pub cold: Option<Cold>,
+}
+
+/// A call that starts a query, as it came.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// When (ns).
+    pub at_ns: u64,
+    /// The router that its statement names.
+    pub router: Option<usize>,
+    /// The client's id.
+    pub name: String,
+    /// It must not run twice.
+    pub once: bool,
 }
 
 impl Engine {
@@ -94,6 +115,10 @@
             report: (0, String::new()),
             loads: BTreeMap::new(),
             started: 0,
+            accepted: 0,
+            conns_most: usize::MAX,
+            sends: None,
+            cold: None,
         })
     }
 
@@ -110,7 +135,11 @@
     /// Takes new connections.
     pub fn accept(&mut self, net: &mut Net) {
         while let Some(Ok((stream, _))) = self.listener.as_ref().map(TcpListener::accept) {
+            if self.conns.len() >= self.conns_most {
+                continue;
+            }
             if let Ok(conn) = net.adopt(stream, Owner::Engine) {
+                self.accepted += 1;
                 self.conns.insert(conn);
             }
         }
@@ -164,17 +193,24 @@
         match (call.method.as_str(), &parts[..]) {
             ("POST", ["o"]) => {
                 let name = call.fields.get("request-id").cloned().unwrap_or_default();
-                if self.cores.is_full() {
-                    return self.answer(now, net, conn, "503 Full", "Never-Ran: 1\r\n", "");
-                }
                 let said = |key: &str| {
                     let rest = call.body.split_once(key)?.1;
                     rest.split_whitespace().next()?.parse::<f64>().ok()
                 };
-                let rank = call.fields.get("pool-rank").and_then(|r| r.parse().ok()).unwrap_or(1);
                 let work = said("work=").unwrap_or(1.0) * 1e6;
-                let threads = said("threads=").unwrap_or(1.0);
                 let holds = said("holds=").map(|set| set as u64);
+                if let Some(sends) = &mut self.sends {
+                    let router = said("router=").map(|at| at as usize);
+                    sends.push(Sent { at_ns: now, router, name: name.clone(), once: holds.is_some() });
+                }
+                if self.cold.as_mut().is_some_and(|cold| !cold.push(now, work)) {
+                    return self.die(net);
+                }
+                if self.cores.is_full() {
+                    return self.answer(now, net, conn, "503 Full", "Never-Ran: 1\r\n", "");
+                }
+                let rank = call.fields.get("pool-rank").and_then(|r| r.parse().ok()).unwrap_or(1);
+                let threads = said("threads=").unwrap_or(1.0);
                 if holds.is_some() {
                     *self.loads.entry(name.clone()).or_default() += 1;
                 }
@@ -202,6 +238,9 @@
             return;
         }
         self.cores.pass(now);
+        if let Some(cold) = &self.cold {
+            self.cores.set_cores(cold.capacity(now));
+        }
         for (conn, name, until) in std::mem::take(&mut self.waiting) {
             match self.cores.ask(now, &name) {
                 News::Done => self.answer(now, net, conn, "200 OK", "Chunks: 1\r\n", ROWS),
--- a/crates/rig/src/stage.rs
+++ b/crates/rig/src/stage.rs
@@ -12,6 +12,7 @@
 use serde_json::{json, Value};
 
 use crate::load::{Class, Load, Source};
+use crate::process;
 use crate::server::{Coordinator, Engine};
 
 const FIRST_CONN: u64 = 1_000;
@@ -85,14 +86,33 @@
     }
 }
 
-fn pairs(line: &str) -> Vec<(String, u64)> {
-    let pairs = line.split_whitespace().filter_map(|word| word.split_once('='));
-    pairs.filter_map(|(k, v)| Some((k.to_owned(), v.parse().ok()?))).collect()
+/// What the settings of a fleet's routers follow from.
+#[derive(Clone, Copy, Debug)]
+pub struct Site<'a> {
+    /// Classes of requests.
+    pub classes: &'a [Class],
+    /// Tenants by name and weight.
+    pub tenants: &'a [(&'static str, f64)],
+    /// Cores of an engine.
+    pub cores: f64,
+    /// Longest advice to clients (ms).
+    pub longest_ms: u64,
+    /// Routers that the settings say there are, and this one's number.
+    pub routers: u32,
+    /// Its number among them.
+    pub me: u32,
+    /// Engines start cold, by [`COLD`].
+    pub cold: bool,
 }
 
-fn settings(setup: &Setup) -> Value {
+/// How cold engines start: part of their capacity (share), time until warm (ns), the multiple of their capacity that tips
+/// them over (ratio) and its window (ns).
+pub const COLD: (f64, u64, f64, u64) = (0.32, 15_000_000_000, 2.5, 1_000_000_000);
+
+/// The settings object of one router.
+pub fn settings(site: &Site) -> Value {
     let ns = |ms: f64| (ms * 1e6) as u64;
-    let classes: Vec<Value> = setup
+    let classes: Vec<Value> = site
         .classes
         .iter()
         .map(|c| {
@@ -102,17 +122,23 @@
         })
         .collect();
     let tenants: Vec<Value> =
-        setup.tenants.iter().map(|(name, weight)| json!({"name": name, "allowance_per_s": weight})).collect();
-    let of = |f: fn(&Class) -> Value| setup.classes.iter().map(f).collect::<Vec<Value>>();
+        site.tenants.iter().map(|(name, weight)| json!({"name": name, "allowance_per_s": weight})).collect();
+    let of = |f: fn(&Class) -> Value| site.classes.iter().map(f).collect::<Vec<Value>>();
+    let mut guarantees = json!({"drain_grace_ns": 500_000_000u64});
+    if site.cold {
+        let (start, warm_ns, tip, fall_ns) = COLD;
+        guarantees = json!({"drain_grace_ns": 500_000_000u64, "start_capacity": start, "cold_ns": warm_ns,
+                            "tip_multiple": tip, "fall_ns": fall_ns});
+    }
     json!({
-        "azs": ["a"], "balancers": 1, "me": 0, "zone": "a", "kinds": ["std"], "membership_mode": "automatic",
+        "azs": ["a"], "balancers": site.routers, "me": site.me, "zone": "a", "kinds": ["std"], "membership_mode": "automatic",
         "load_report": {"fields": ["busy", "rif"], "how": "answers"}, "realms": tenants, "over_share_worth": 0.1,
-        "family_info": {"cores_by_kind": [setup.cores], "dop": of(|c| json!(c.threads)), "lanes_count": true,
+        "family_info": {"cores_by_kind": [site.cores], "dop": of(|c| json!(c.threads)), "lanes_count": true,
             "out_of_memory": "swap", "progress_pace_ns": 500_000_000u64, "ram_of_kind_mb": [1e6],
             "takes_grants": false, "waits_for_loads": of(|_| json!(false)), "writes_tables": of(|c| json!(c.load))},
-        "guarantees": {"drain_grace_ns": 500_000_000u64},
+        "guarantees": guarantees,
         "limits": {"cancelling": true, "conn_idle_ns": 30_000_000_000u64, "connect_timeout_ns": 250_000_000u64,
-            "max_retry_after_ns": setup.longest_ms * 1_000_000, "retry_after": true, "send_cap": 4},
+            "max_retry_after_ns": site.longest_ms * 1_000_000, "retry_after": true, "send_cap": 4},
         "request_classes": classes,
     })
 }
@@ -133,12 +159,21 @@
         let coordinator = Coordinator::new(&registry, COORDINATOR).map_err(fault("coordinator"))?;
         let net = Net::new(registry, FIRST_CONN, Room { engines: 100_000, output: 256 << 20 });
         let all: Vec<Value> = engines.iter().map(|e| target(e, "in_service")).collect();
+        let site = Site {
+            classes: &setup.classes,
+            tenants: &setup.tenants,
+            cores: setup.cores,
+            longest_ms: setup.longest_ms,
+            routers: 1,
+            me: 0,
+            cold: false,
+        };
         let config = json!({
             "name": setup.name, "listen": "127.0.0.1:0", "seed": format!("{:016x}", setup.seed),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "coordinator": coordinator.address.to_string(),
             "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"all": true, "targets": all}}]},
-            "settings": settings(setup),
+            "settings": settings(&site),
         });
         let dir = std::env::temp_dir().join(format!("marljunction-{}-{}", std::process::id(), setup.name));
         std::fs::create_dir_all(&dir).map_err(fault("folder"))?;
@@ -274,10 +309,11 @@
         }
         let ended_well = self.child.wait().is_ok_and(|status| status.success());
         let text = reader.join().map_err(|_| "the log's reader failed")?;
-        let counters = text.lines().rev().find(|l| l.contains("ends; ")).map(pairs).unwrap_or_default();
+        let counters =
+            text.lines().rev().find(|l| l.contains("ends; ")).map(process::counters).unwrap_or_default();
         let tenants = text.lines().filter_map(|l| {
             let (name, fields) = l.split_once("door tenant=")?.1.split_once(' ')?;
-            Some((name.to_owned(), pairs(fields)))
+            Some((name.to_owned(), process::counters(fields)))
         });
         Ok(Told { counters, door: tenants.collect(), peak_kb, ended_well })
     }
@@ -292,9 +328,10 @@
     }
 }
 
-fn target(engine: &Engine, state: &str) -> Value {
+pub(crate) fn target(engine: &Engine, state: &str) -> Value {
+    let boot_ms = engine.cold.as_ref().map_or(0, |cold| cold.since_ns / 1_000_000);
     json!({"uid": engine.uid, "endpoint": engine.address.to_string(), "az": "a", "model": "std", "state": state,
-           "capacity_hint": 1, "boot_ms": 0})
+           "capacity_hint": 1, "boot_ms": boot_ms})
 }
 
 /// The router's program beside the one that runs.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -73,6 +73,9 @@
     match setup::read_file(path).map(|outcome| setup::faults(&outcome)) {
         Ok(None) => {
             println!("{}: right", path.display());
+            if let Ok(setup) = Setup::of_file(path) {
+                println!("  {}", setup.start.bounds(None));
+            }
             true
         }
         Ok(Some(told)) | Err(told) => {
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration: where to listen, the limits, the settings of the module and the engines known so far.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::path::PathBuf;
 
 use log::LevelFilter;
@@ -10,8 +11,9 @@
 use serde_json::value::RawValue;
 
 use marljunction_control::interface::Settings;
-use marljunction_discovery::stream::Update;
+use marljunction_discovery::stream::{Update, SILENT_NS};
 use marljunction_door::settings::DoorSettings;
+use marljunction_pacing::pace::{Pace, Unfit, TOLD_NS};
 use marljunction_settings::{read_settings, Names};
 
 /// Limits of the machine.
@@ -90,6 +92,84 @@
     pub service: String,
 }
 
+/// How many routers the fleet has, as the operator's file says.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Count {
+    /// As many as the settings say.
+    #[default]
+    AsInSettings,
+    /// Nobody knows.
+    Unknown,
+    /// So many.
+    Of(u32),
+}
+
+/// How a router starts and comes back, as the operator's file says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StartFile {
+    /// Calls a second that the list service takes from the whole fleet.
+    pub budget_per_s: f64,
+    /// Routers of the fleet.
+    pub routers: Count,
+    /// Longest wait before the list service is called again (ns).
+    pub longest_ns: u64,
+    /// Age from which news of the engines counts as too old (ns).
+    pub stale_ns: u64,
+}
+
+impl Default for StartFile {
+    fn default() -> Self {
+        let pace = Pace::default();
+        StartFile {
+            budget_per_s: pace.budget_per_s,
+            routers: Count::AsInSettings,
+            longest_ns: pace.longest_ns,
+            stale_ns: TOLD_NS,
+        }
+    }
+}
+
+impl StartFile {
+    /// The pace of router `me` of a fleet that the settings say has `gateways` routers.
+    pub fn pace(&self, gateways: u32, me: u32) -> Pace {
+        let callers = match self.routers {
+            Count::AsInSettings => Some(gateways),
+            Count::Unknown => None,
+            Count::Of(count) => Some(count),
+        };
+        let (budget_per_s, longest_ns) = (self.budget_per_s, self.longest_ns);
+        Pace { budget_per_s, callers, me, longest_ns, ..Pace::default() }
+    }
+
+    /// What follows from it for news of the engines, as operators read it; nothing is said of the budget's share where the
+    /// count of routers is not known here.
+    pub fn bounds(&self, gateways: Option<u32>) -> String {
+        let pace = self.pace(gateways.unwrap_or(0), 0);
+        let callers = pace.callers.filter(|n| *n > 0);
+        let seconds = |ns: u64| ns as f64 / 1e9;
+        let mut told = format!(
+            "news of the engines is at most {:.1} s late while the list service answers",
+            seconds(pace.blind_at_most_ns(SILENT_NS))
+        );
+        if let (Some(count), Some(ideal)) = (callers, pace.ideal_ns()) {
+            told.push_str(&format!(
+                "; {count} routers at {} calls/s start within {:.1} s, at best {:.1} s",
+                pace.budget_per_s,
+                seconds(pace.window_ns()),
+                seconds(ideal)
+            ));
+            if let Some(Unfit::ShareOverLongest(share)) = pace.unfit() {
+                told.push_str(&format!(
+                    "; the longest wait of {:.1} s goes before the budget, which asks for {:.1} s",
+                    seconds(pace.longest_ns),
+                    seconds(share)
+                ));
+            }
+        }
+        told
+    }
+}
+
 impl PostgresFile {
     /// Reads the JSON text.
     pub fn read(text: &str) -> Result<PostgresFile, String> {
@@ -118,6 +198,8 @@
     pub postgres: Option<PostgresFile>,
     /// The door, where it is on.
     pub door: Option<DoorSettings>,
+    /// How the router starts and comes back.
+    pub start: StartFile,
     /// All that the operator's file says, and the level of the log that it names.
     pub operator: Option<Value>,
     /// The level of the log.
@@ -178,7 +260,10 @@
             Some(name) => {
                 Err(format!("door: the weight of {name} is of no tenant: name one of the settings'"))
             }
-            None => Ok(Read { config, postgres, door, operator: setup.value, level: setup.level }),
+            None => {
+                let (start, operator, level) = (setup.start, setup.value, setup.level);
+                Ok(Read { config, postgres, door, start, operator, level })
+            }
         }
     }
 }
@@ -224,6 +309,14 @@
         self.names.tenants.iter().zip(allowances).map(by_name).collect()
     }
 
+    /// The seed of this router's own draws. Guards against routers that were given one seed by mistake and would all
+    /// do the same at the same moment: their names or addresses differ.
+    pub fn own_seed(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (self.seed, &self.name, &self.listen).hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// Reads the JSON text.
     pub fn read(text: &str) -> Result<Config, String> {
         let raw: RawConfig = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -20,7 +20,7 @@
 use marljunction_discovery::bans::{self, Bans, Refusal};
 use marljunction_discovery::consul::Consul;
 use marljunction_discovery::stream::Stream;
-use marljunction_discovery::{engine_id, Change, Source};
+use marljunction_discovery::{engine_id, Change, Pacing, Source};
 use marljunction_door::{Door, Site};
 use marljunction_engine::http::HttpEngines;
 use marljunction_engine::postgres::PostgresEngines;
@@ -111,7 +111,7 @@
 impl Daemon {
     /// Starts listening.
     pub fn start(files: Files) -> Result<Daemon, String> {
-        let Read { config, postgres, door, operator, level } = files.read()?;
+        let Read { mut config, postgres, door, start, operator, level } = files.read()?;
         logger::set_level(level);
         let io = |what: &str, e: std::io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| io("poll", e))?;
@@ -155,17 +155,27 @@
             Door::new(clock.now_ns(), settings, site)
         });
         let address = |at: &str| at.parse().map_err(|e| format!("address {at}: {e}"));
+        let (gateways, me) = (config.settings.gateways, config.settings.gateway_index);
+        let (seed, now) = (config.own_seed(), clock.now_ns());
+        let pacing = Pacing { pace: start.pace(gateways, me), seed, stale_ns: start.stale_ns };
+        // Cold engines' budgets are divided by the same count as the list service's.
+        config.settings.gateways = pacing.pace.sharers();
         let names = config.names.clone();
         let discovery = match (postgres.as_ref().and_then(|p| p.consul.as_ref()), &config.coordinator) {
             (Some(consul), _) => {
-                let consul = Consul::new(address(&consul.address)?, consul.service.clone(), names);
+                let consul =
+                    Consul::new(now, address(&consul.address)?, consul.service.clone(), names, pacing);
                 Some(Source::Consul(Box::new(consul)))
             }
             (None, Some(at)) => {
-                Some(Source::Stream(Box::new(Stream::new(address(at)?, names, config.known_index))))
+                let stream = Stream::new(now, address(at)?, names, config.known_index, pacing);
+                Some(Source::Stream(Box::new(stream)))
             }
             (None, None) => None,
         };
+        if discovery.is_some() {
+            info!("{}", start.bounds(Some(gateways)));
+        }
         let http = || HttpEngines::new(config.engine_idle_ns, config.connect_timeout_ns);
         let (engines, inlines): (Box<dyn Backend>, bool) = match postgres.as_ref().map(|p| p.engines.clone())
         {
@@ -191,8 +201,7 @@
             poll,
             clock,
             net: Net::new(registry, FIRST_CONN, Room::of(sockets, config.limits.memory_mb)),
-            router: Router::new(config.settings.clone(), config.seed, config.limits.memory_mb)
-                .with_door(door),
+            router: Router::new(config.settings.clone(), seed, config.limits.memory_mb).with_door(door),
             msgpack: MsgpackFront::new(directory.clone()),
             postgres: front,
             files,
@@ -267,7 +276,7 @@
             self.end_all(now);
             if self.finished(now) {
                 self.tell_counters();
-                info!("ends; {} {}", self.router.counters.line(), self.callers.counters.line());
+                info!("ends; {}", self.counters_line());
                 return Ok(());
             }
         }
@@ -434,9 +443,17 @@
         }
     }
 
+    /// All counters in one line.
+    fn counters_line(&self) -> String {
+        let list = self.discovery.as_ref().map(|d| d.line(self.clock.now_ns())).unwrap_or_default();
+        format!("{} {} {list}", self.router.counters.line(), self.callers.counters.line())
+            .trim_end()
+            .to_owned()
+    }
+
     /// Logs all counters, and the door's by tenant where there is one.
     fn tell_counters(&mut self) {
-        info!("{} {}", self.router.counters.line(), self.callers.counters.line());
+        info!("{}", self.counters_line());
         let Some(door) = self.router.door() else { return };
         let room = door.room();
         info!("door queued={} used={:.1} served={:.1}", door.queued(), room.used(), room.served());
@@ -454,7 +471,7 @@
     /// engines comes from, and news that the file holds. Guards against a file that is replaced badly: one that
     /// can't be read leaves all as it is.
     fn reload(&mut self, now: u64) {
-        let Read { config, postgres, door, operator, level } = match self.files.read() {
+        let Read { config, postgres, door, start, operator, level } = match self.files.read() {
             Ok(read) => read,
             Err(fault) => {
                 self.router.counters.reloads_failed += 1;
@@ -482,6 +499,10 @@
         effects(before, now_says).iter().for_each(|effect| info!("the operator's file: {effect}"));
         logger::set_level(level);
         self.operator = operator;
+        if let Some(discovery) = &mut self.discovery {
+            let (gateways, me) = (config.settings.gateways, config.settings.gateway_index);
+            discovery.set_pace(start.pace(gateways, me), start.stale_ns);
+        }
         let changes = match (&mut self.discovery, address) {
             (Some(discovery), Some(address)) => discovery.reload(now, &mut self.net, address, config.known),
             _ => Vec::new(),
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -10,7 +10,7 @@
 use marljunction_language::value::{Quantity, RecordValue, Value, What};
 use marljunction_language::{read, Outcome};
 
-use crate::config::{ConsulFile, EngineFile, PostgresFile};
+use crate::config::{ConsulFile, Count, EngineFile, PostgresFile, StartFile};
 
 /// What an operator's file may say.
 pub const DEFINITIONS: &str = include_str!("definitions.conf");
@@ -22,6 +22,8 @@
     pub door: Option<DoorSettings>,
     /// The PostgreSQL side, where it is on.
     pub postgres: Option<PostgresFile>,
+    /// How the router starts and comes back.
+    pub start: StartFile,
     /// What is logged.
     pub level: Option<LevelFilter>,
     /// All that the file says, with defaults; none where there is no file.
@@ -79,7 +81,8 @@
         let consul = main.fields.get("consul").map(|f| consul(&f.value));
         let postgres = main.fields.get("postgres").map(|f| postgres(&f.value, consul.clone().flatten()));
         let level = text(record(field(main, "log")?)?, "level")?.parse().ok();
-        Some(Setup { door: flat(door)?, postgres: flat(postgres)?, level, value: Some(value.clone()) })
+        let start = start(field(main, "start")?)?;
+        Some(Setup { door: flat(door)?, postgres: flat(postgres)?, start, level, value: Some(value.clone()) })
     }
 }
 
@@ -147,6 +150,21 @@
     })
 }
 
+fn start(value: &Value) -> Option<StartFile> {
+    let start = record(value)?;
+    let nanoseconds = |name: &str| number(start, name).map(|ns| ns as u64);
+    Some(StartFile {
+        budget_per_s: number(start, "budget")?,
+        routers: match number(start, "routers") {
+            Some(count) => Count::Of(count as u32),
+            None if field(start, "routers").is_some() => Count::Unknown,
+            None => Count::AsInSettings,
+        },
+        longest_ns: nanoseconds("longest")?,
+        stale_ns: nanoseconds("stale")?,
+    })
+}
+
 fn consul(value: &Value) -> Option<ConsulFile> {
     let consul = record(value)?;
     Some(ConsulFile { address: text(consul, "address")?, service: text(consul, "service")? })
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -173,7 +173,8 @@
         let (coordinator, consul) = (listen("coordinator"), listen("consul"));
         listen("coordinator2");
         listen("consul2");
-        let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        // The exchanges name the engine that is picked first, which this seed draws.
+        let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "00000000000000aa",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": if with("few sockets") { 64 } else { 1024 }},
             "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"all": true, "targets": targets[..count]}}]},
             "settings": serde_json::from_str::<serde_json::Value>(SETTINGS).unwrap()});
