Test a fleet of processes through twelve ways to lose its list service

Need: each bound of the pacing has to hold with real programs, whatever breaks between them. Change: tests/fleet_start.rs starts eight routers by crates/rig and lets the service be away, silent, busy, short of capacity, closing, counting anew or cut off, kills and freezes routers, tells drains meanwhile; Pace::calls_at_most computes the bound on calls.

--- a/crates/pacing/src/pace.rs
+++ b/crates/pacing/src/pace.rs
@@ -1,5 +1,12 @@
 //! What a fleet may ask of a service, and what follows from it by arithmetic.
 
+/// Growth of the wait from one failure to the next at most (ratio): decorrelated jitter's usual one.
+pub(crate) const GROWTH: f64 = 3.0;
+/// Least part of a wait that chance leaves (share): waits near nothing are calls that come to nothing.
+pub(crate) const LEAST: f64 = 0.5;
+/// Least part of a caller's window that a wait is (share): callers that lost the service at one moment were spread over the
+/// window by their first wait, and need only stay so.
+pub(crate) const SHARE_LEAST: f64 = 0.95;
 /// Part of the budget that a fleet plans to use (share): draws are uneven, and a service that is asked for just all it
 /// takes turns some away.
 const USED: f64 = 0.95;
@@ -98,6 +105,22 @@
         (share as u64).max(AWAY_NS).min(self.longest_ns)
     }
 
+    /// The most calls that one caller makes within `span_ns` while the service is away: each wait is at least half of what
+    /// growth has come to, and at least the caller's part of the window less chance's part.
+    pub fn calls_at_most(&self, span_ns: u64) -> u64 {
+        let floor = (self.window_ns() as f64 * SHARE_LEAST) as u64;
+        let (mut at, mut calls, mut grown) = (0u64, 1, self.shortest_ns as f64);
+        loop {
+            let high = (grown * GROWTH).min(self.grown_ns().max(self.shortest_ns) as f64);
+            grown = (high * LEAST).max(self.shortest_ns as f64);
+            at = at.saturating_add((grown as u64).max(floor));
+            if at > span_ns {
+                return calls;
+            }
+            calls += 1;
+        }
+    }
+
     /// The least time in which the service can take all callers once (ns); none where their count is not known.
     pub fn ideal_ns(&self) -> Option<u64> {
         self.callers.map(|n| (f64::from(n) / self.budget_per_s * 1e9) as u64)
--- a/crates/pacing/src/pacer.rs
+++ b/crates/pacing/src/pacer.rs
@@ -4,15 +4,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::pace::Pace;
-
-/// Growth of the wait from one failure to the next at most (ratio): decorrelated jitter's usual one.
-const GROWTH: f64 = 3.0;
-/// Least part of a wait that chance leaves (share): waits near nothing are calls that come to nothing.
-const LEAST: f64 = 0.5;
-/// Least part of a router's share that a wait is (share): routers that lost the service at one moment were spread over the
-/// window by their first wait, and need only stay so.
-const SHARE_LEAST: f64 = 0.95;
+use crate::pace::{Pace, GROWTH, LEAST, SHARE_LEAST};
+
 /// Time up after which half of what was learned from failures is forgotten (ns).
 const EASE_NS: f64 = 10_000_000_000.0;
 /// Part of the window that chance moves a caller from its place by (share): callers that were given one number by mistake
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -366,6 +366,12 @@
         self.list.tell(now, &mut self.net, &part, &[uid]);
     }
 
+    /// Tells the list as it is once more, under a number of its own.
+    pub fn tell_again(&mut self) {
+        let (now, whole) = (self.clock.now_ns(), self.whole_list());
+        self.list.tell(now, &mut self.net, &whole, &[]);
+    }
+
     /// All clients ask from here on, as often as the setup says.
     pub fn ask(&mut self) {
         let now = self.clock.now_ns();
--- /dev/null
+++ b/tests/fleet_start.rs
@@ -0,0 +1,310 @@
+//! A fleet of real processes starts, loses its list service and comes back: what must hold whatever breaks. Verdicts are on
+//! rules and on bounds that the settings give.
+
+use std::path::Path;
+use std::time::Duration;
+
+use marljunction::config::StartFile;
+use marljunction_pacing::Pace;
+use marljunction_rig::audit::calls_within;
+use marljunction_rig::fleet::{Fleet, Setup};
+use marljunction_rig::list::Manner;
+
+const ROUTERS: usize = 8;
+const S: u64 = 1_000_000_000;
+/// The coordinator's stream counts as silent after this (ns).
+const SILENT_NS: u64 = marljunction_discovery::stream::SILENT_NS;
+/// What a loaded machine may add to any bound (ns).
+const MACHINE_NS: u64 = 2 * S;
+/// Longer than anything that must happen takes.
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn setup(name: &str) -> Setup {
+    Setup {
+        operator: Some("start: { budget: 40, longest: 1s }\n".into()),
+        capacity: 40.0,
+        rate: 5.0,
+        ..Setup::new(Path::new(env!("CARGO_BIN_EXE_marljunction")), name, ROUTERS)
+    }
+}
+
+/// The pace that follows from the operator's file above.
+fn pace() -> Pace {
+    StartFile { budget_per_s: 40.0, longest_ns: S, ..StartFile::default() }.pace(ROUTERS as u32, 0)
+}
+
+fn all_live(fleet: &Fleet) -> bool {
+    fleet.live() == ROUTERS
+}
+
+/// A fleet whose routers are all there and hear the list service.
+fn settled(setup: Setup) -> Fleet {
+    let mut fleet = Fleet::new(setup).unwrap();
+    fleet.ask();
+    fleet.start_all().unwrap();
+    until(&mut fleet, "all routers have their streams", all_live);
+    fleet
+}
+
+#[track_caller]
+fn until(fleet: &mut Fleet, what: &str, condition: impl Fn(&Fleet) -> bool) {
+    assert!(fleet.run_until(LIMIT, condition).unwrap(), "not within {LIMIT:?}: {what}");
+}
+
+fn run(fleet: &mut Fleet, ms: u64) {
+    fleet.run(Duration::from_millis(ms)).unwrap();
+}
+
+/// Nobody may be blind for longer than the settings say while the service takes calls.
+#[track_caller]
+fn blind_within_bound(fleet: &Fleet) {
+    let bound = pace().blind_at_most_ns(SILENT_NS) + MACHINE_NS;
+    let worst = fleet.routers.iter().map(|r| r.blind_ns).max().unwrap();
+    assert!(worst <= bound, "{worst} ns without a stream, {bound} at most");
+}
+
+/// Each router's calls since `from` are within what the settings allow while the service is away.
+#[track_caller]
+fn calls_within_bound(fleet: &Fleet, from: u64) {
+    let span = fleet.now() - from;
+    let bound = pace().calls_at_most(span) as usize;
+    for router in 0..ROUTERS {
+        let of_router: Vec<_> = fleet.list.calls.iter().filter(|c| c.router == router).copied().collect();
+        let (calls, _) = calls_within(&of_router, from, fleet.now(), S);
+        assert!(calls <= bound, "router {router} made {calls} calls in {span} ns, {bound} at most");
+    }
+}
+
+/// What holds at the end of every play.
+#[track_caller]
+fn end(mut fleet: Fleet) {
+    assert!(fleet.quiet(LIMIT).unwrap(), "all that was asked is answered");
+    let audit = fleet.audit();
+    assert_eq!((audit.late_sends, audit.double_runs), (0, 0), "{audit:?}");
+    assert!(audit.sends > 0, "nothing was sent");
+    assert_eq!((fleet.sum(|t| t.unanswered as f64), fleet.sum(|t| t.twice as f64)), (0.0, 0.0));
+    let (counters, well) = fleet.stop(LIMIT).unwrap();
+    assert!(well, "all end by themselves, and well");
+    assert_eq!(counters.len(), ROUTERS);
+}
+
+#[test]
+fn routers_serve_what_they_know_while_the_list_service_is_away_from_the_start() {
+    let mut fleet = Fleet::new(setup("away-at-start")).unwrap();
+    fleet.set_list(Manner::Away);
+    fleet.ask();
+    let from = fleet.now();
+    fleet.start_all().unwrap();
+    until(&mut fleet, "all serve", |f| f.loads.iter().all(|load| load.first_answer_ns.is_some()));
+    run(&mut fleet, 2_000);
+    assert_eq!(fleet.live(), 0);
+    calls_within_bound(&fleet, from);
+    fleet.set_list(Manner::Well);
+    until(&mut fleet, "all have their streams", all_live);
+    blind_within_bound(&fleet);
+    end(fleet);
+}
+
+#[test]
+fn a_service_that_is_away_under_load_is_called_within_the_bound_and_taken_back_at_a_tenth_of_its_capacity() {
+    let mut fleet = settled(setup("away-and-back"));
+    let from = fleet.now();
+    fleet.set_list(Manner::Away);
+    run(&mut fleet, 4_000);
+    calls_within_bound(&fleet, from);
+    fleet.list.set_capacity(4.0);
+    let back = fleet.now();
+    fleet.set_list(Manner::Well);
+    until(&mut fleet, "all have their streams", all_live);
+    let (calls, _) = calls_within(&fleet.list.calls, back, fleet.now(), S);
+    assert!(calls <= 4 * ROUTERS, "{calls} calls for {ROUTERS} streams");
+    end(fleet);
+}
+
+#[test]
+fn a_service_that_says_nothing_or_nonsense_is_called_within_the_bound() {
+    let mut fleet = settled(setup("nonsense"));
+    for manner in [Manner::Silent, Manner::Garbage, Manner::Half] {
+        fleet.drop_streams();
+        let from = fleet.now();
+        fleet.set_list(manner);
+        run(&mut fleet, 2_500);
+        assert_eq!(fleet.live(), 0);
+        calls_within_bound(&fleet, from);
+        fleet.set_list(Manner::Well);
+        until(&mut fleet, "all have their streams", all_live);
+    }
+    blind_within_bound(&fleet);
+    end(fleet);
+}
+
+#[test]
+fn what_a_service_asks_for_as_it_turns_calls_away_is_kept_within_the_longest_wait() {
+    let mut fleet = settled(setup("retry-after"));
+    // The last is a date an hour ahead: the clock of a service may be any.
+    let date = httpdate::fmt_http_date(std::time::SystemTime::now() + Duration::from_secs(3_600));
+    for (after, least_ms) in [("0", 100), ("1", 950), ("86400", 950), ("soon", 100), (date.as_str(), 950)] {
+        fleet.drop_streams();
+        let from = fleet.now();
+        fleet.set_list(Manner::TurnsAway(after.into()));
+        run(&mut fleet, 2_200);
+        for router in 0..ROUTERS {
+            let of_router: Vec<u64> =
+                fleet.list.calls.iter().filter(|c| c.router == router).map(|c| c.at_ns).collect();
+            let times: Vec<u64> = of_router.into_iter().filter(|at| *at >= from).collect();
+            let waits: Vec<u64> = times.windows(2).map(|w| (w[1] - w[0]) / 1_000_000).collect();
+            assert!(!waits.is_empty(), "{after}: it asks again");
+            assert!(waits.iter().all(|ms| *ms + 25 >= least_ms), "{after}: waits of {waits:?} ms");
+        }
+        fleet.set_list(Manner::Well);
+        until(&mut fleet, "all have their streams", all_live);
+    }
+    blind_within_bound(&fleet);
+    end(fleet);
+}
+
+#[test]
+fn streams_that_are_closed_after_a_second_each_or_all_at_once_come_back_out_of_step() {
+    let mut fleet = settled(setup("closed"));
+    let from = fleet.now();
+    fleet.set_list(Manner::ClosesAfter(S));
+    run(&mut fleet, 6_000);
+    // Each call is up for a second: fewer than one of them a second, and ever longer waits between.
+    for router in 0..ROUTERS {
+        let calls = fleet.list.calls.iter().filter(|c| c.router == router && c.at_ns >= from).count();
+        assert!((1..=5).contains(&calls), "router {router} made {calls} calls");
+    }
+    fleet.set_list(Manner::Well);
+    until(&mut fleet, "all have their streams", all_live);
+    run(&mut fleet, 1_000);
+    let from = fleet.now();
+    fleet.drop_streams();
+    until(&mut fleet, "all have their streams", all_live);
+    let (calls, _) = calls_within(&fleet.list.calls, from, fleet.now(), S);
+    assert_eq!(calls, ROUTERS, "one call each");
+    let (_, together) = calls_within(&fleet.list.calls, from, fleet.now(), 20_000_000);
+    assert!(together < ROUTERS, "not all in one round");
+    blind_within_bound(&fleet);
+    end(fleet);
+}
+
+#[test]
+fn a_service_that_starts_anew_with_its_numbers_at_1_is_followed() {
+    let mut fleet = settled(setup("numbers"));
+    // Numbers that no router can fall behind by chance.
+    (0..5).for_each(|_| fleet.tell_again());
+    fleet.drain(1);
+    run(&mut fleet, 300);
+    fleet.restart_list();
+    until(&mut fleet, "all have their streams", all_live);
+    fleet.drain(0);
+    run(&mut fleet, 1_500);
+    for router in 0..ROUTERS {
+        assert!(fleet.said(router).contains("counts anew"), "router {router} follows the new numbers");
+    }
+    let sent_late = |f: &Fleet| f.audit().late_sends;
+    assert_eq!(sent_late(&fleet), 0, "a drain told under the new numbers binds");
+    end(fleet);
+}
+
+#[test]
+fn half_of_the_fleet_cut_off_hears_of_a_drain_once_its_links_are_mended() {
+    let mut fleet = settled(setup("cut"));
+    (0..ROUTERS / 2).for_each(|router| fleet.cut(router, true));
+    run(&mut fleet, 500);
+    fleet.drain(0);
+    // Till they have noticed the silence and wait or call in vain.
+    run(&mut fleet, 3_000);
+    (0..ROUTERS / 2).for_each(|router| fleet.cut(router, false));
+    until(&mut fleet, "all were told", |f| {
+        (0..ROUTERS).all(|router| f.list.told.contains_key(&(router, "e0".to_owned())))
+    });
+    run(&mut fleet, 1_500);
+    blind_within_bound(&fleet);
+    end(fleet);
+}
+
+#[test]
+fn a_drain_told_while_half_of_the_fleet_waits_to_reconnect_binds_all() {
+    let mut fleet = settled(setup("drain-waiting"));
+    fleet.drop_streams();
+    until(&mut fleet, "half are back", |f| f.live() >= ROUTERS / 2);
+    fleet.drain(2);
+    until(&mut fleet, "all were told", |f| {
+        (0..ROUTERS).all(|router| f.list.told.contains_key(&(router, "e2".to_owned())))
+    });
+    run(&mut fleet, 1_500);
+    blind_within_bound(&fleet);
+    end(fleet);
+}
+
+#[test]
+fn the_whole_fleet_killed_and_started_at_once_twice_makes_one_call_each() {
+    let mut fleet = settled(setup("killed"));
+    for _ in 0..2 {
+        (0..ROUTERS).for_each(|router| fleet.kill(router));
+        until(&mut fleet, "the service has seen them go", |f| f.live() == 0);
+        let from = fleet.now();
+        fleet.start_all().unwrap();
+        until(&mut fleet, "all have their streams", all_live);
+        let (calls, _) = calls_within(&fleet.list.calls, from, fleet.now(), S);
+        assert_eq!(calls, ROUTERS);
+        until(&mut fleet, "all serve", |f| f.loads.iter().all(|load| load.first_answer_ns.is_some()));
+    }
+    blind_within_bound(&fleet);
+    end(fleet);
+}
+
+#[test]
+fn a_router_that_stood_still_past_its_timers_makes_one_call() {
+    let mut fleet = settled(setup("frozen"));
+    fleet.set_list(Manner::Away);
+    until(&mut fleet, "it has tried in vain", |f| f.list.calls.iter().filter(|c| c.router == 3).count() >= 3);
+    fleet.freeze(3, true);
+    run(&mut fleet, 5_000);
+    fleet.set_list(Manner::Well);
+    let woken = fleet.now();
+    fleet.freeze(3, false);
+    until(&mut fleet, "all have their streams", all_live);
+    run(&mut fleet, 1_000);
+    let calls = fleet.list.calls.iter().filter(|c| c.router == 3 && c.at_ns >= woken).count();
+    assert_eq!(calls, 1, "one call, not one for each that it missed");
+    end(fleet);
+}
+
+#[test]
+fn routers_with_one_seed_and_number_by_mistake_come_up_and_out_of_step() {
+    let operator = Some("start: { budget: 8, longest: 1s }\n".into());
+    let mut fleet = settled(Setup { same_identity: true, operator, ..setup("same") });
+    let from = fleet.now();
+    fleet.drop_streams();
+    until(&mut fleet, "all have their streams", all_live);
+    let (calls, _) = calls_within(&fleet.list.calls, from, fleet.now(), S);
+    assert_eq!(calls, ROUTERS, "one call each");
+    // With one number all have the same place, which chance moves by an eighth of the window of 1 s.
+    let (_, together) = calls_within(&fleet.list.calls, from, fleet.now(), 20_000_000);
+    assert!(together < ROUTERS, "all called within one round");
+    blind_within_bound(&fleet);
+    end(fleet);
+}
+
+#[test]
+fn a_fleet_that_knows_no_engine_serves_once_the_service_has_told_it() {
+    let mut fleet = settled(Setup { known: false, ..setup("nothing-known") });
+    let before = fleet.audit().sends;
+    until(&mut fleet, "work reaches the engines", |f| f.audit().sends > before + 20);
+    blind_within_bound(&fleet);
+    end(fleet);
+}
+
+#[test]
+fn no_process_survives_its_fleet() {
+    let mut fleet = settled(setup("survivors"));
+    let ids: Vec<u32> = fleet.routers.iter().filter_map(|r| r.process.as_ref()).map(|p| p.id()).collect();
+    fleet.freeze(0, true);
+    drop(fleet);
+    assert_eq!(ids.len(), ROUTERS);
+    for id in ids {
+        assert!(!Path::new(&format!("/proc/{id}")).exists(), "process {id} is still there");
+    }
+}
