Keep the last list of engines on disk for a start without the list service

Need: a router that is started while the list service is away and is told of no engine serves nobody until it returns. Change: start.keep in the operator's file names a file; crates/discovery/src/kept.rs (pure) says when it is written and what of it can be believed: version, blake3 sum, age, size. It is written aside and renamed, used only where the configuration names no engine, and replaced whole by what the list service tells; its age is told in log and counters. Off without the key.

--- a/crates/discovery/src/age.rs
+++ b/crates/discovery/src/age.rs
@@ -20,6 +20,11 @@
         Age { stale_ns, heard_ns: now, told: false, times: 0, longest_ns: 0 }
     }
 
+    /// What is known was last right then (ns), as of a list that was kept.
+    pub fn set_heard(&mut self, heard_ns: u64) {
+        self.heard_ns = heard_ns;
+    }
+
     /// News counts as too old from another age on.
     pub fn set_stale(&mut self, stale_ns: u64) {
         self.stale_ns = stale_ns;
--- a/crates/discovery/src/consul.rs
+++ b/crates/discovery/src/consul.rs
@@ -203,6 +203,11 @@
         self.age.set_stale(stale_ns + SILENT_NS);
     }
 
+    /// How old the news is, to be told.
+    pub fn age_mut(&mut self) -> &mut Age {
+        &mut self.age
+    }
+
     /// Calls made and turned away, and how old the news is.
     pub fn view(&self) -> ((u64, u64), &Age) {
         let [a, b] = [0, 1].map(|i| self.watches[i].pacer.calls());
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod age;
 pub mod bans;
 pub mod consul;
+pub mod kept;
 pub mod stream;
 
 use std::net::SocketAddr;
@@ -49,6 +50,22 @@
         }
     }
 
+    /// What is known was last right then (ns), as of a list that was kept.
+    pub fn set_heard(&mut self, heard_ns: u64) {
+        match self {
+            Source::Stream(stream) => stream.age_mut().set_heard(heard_ns),
+            Source::Consul(consul) => consul.age_mut().set_heard(heard_ns),
+        }
+    }
+
+    /// How old the news is (ns).
+    pub fn age_ns(&self, now: u64) -> u64 {
+        match self {
+            Source::Stream(stream) => stream.view().1.age_ns(now),
+            Source::Consul(consul) => consul.view().1.age_ns(now),
+        }
+    }
+
     /// What calls for news came to, and how old the news is, as counters.
     pub fn line(&self, now: u64) -> String {
         let ((calls, turned_away), age) = match self {
--- a/crates/discovery/src/stream.rs
+++ b/crates/discovery/src/stream.rs
@@ -193,6 +193,11 @@
         self.age.set_stale(stale_ns);
     }
 
+    /// How old the news is, to be told.
+    pub fn age_mut(&mut self) -> &mut Age {
+        &mut self.age
+    }
+
     /// Opens the stream where it is closed and a call is due, and closes it where it is silent.
     pub fn tick(&mut self, now: u64, net: &mut Net) {
         match self.conn {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -34,6 +34,11 @@
         Directory { names, deadlines_ns, ..Directory::default() }
     }
 
+    /// The names behind the module's numbers.
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
     /// What names a client, and the key of clients' numbers.
     pub fn with_clients(self, who: Who, seed: u64) -> Self {
         Directory { who, identity: Identity::new(seed), ..self }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -53,7 +53,7 @@
     pub known: bool,
     /// Calls a second that the list service takes.
     pub capacity: f64,
-    /// The operator's file; none for none.
+    /// The operator's file; none for none. `{own}` in it becomes a path of the router's own.
     pub operator: Option<String>,
     /// Classes of requests.
     pub classes: Vec<Class>,
@@ -241,6 +241,21 @@
         json!({"rev": 1, "all": true, "targets": all.collect::<Vec<Value>>()})
     }
 
+    /// A path of a router's own, the same in each of its starts.
+    pub fn own(&self, router: usize) -> PathBuf {
+        self.dir.join(format!("own-{router}"))
+    }
+
+    /// Whether routers know the list as they start from here on.
+    pub fn set_known(&mut self, known: bool) {
+        self.setup.known = known;
+    }
+
+    /// An engine's process is gone, and nobody is told.
+    pub fn lose(&mut self, engine: usize) {
+        self.engines[engine].die(&mut self.net);
+    }
+
     /// Starts a router's process, as a first start or after its end.
     ///
     /// # Errors
@@ -275,7 +290,8 @@
         };
         let mut environment = vec![("ROUTER_CONFIG", write("config", &config.to_string())?)];
         if let Some(operator) = &setup.operator {
-            environment.push(("MARLJUNCTION_SETUP", write("operator", operator)?));
+            let own = self.own(router).display().to_string();
+            environment.push(("MARLJUNCTION_SETUP", write("operator", &operator.replace("{own}", &own))?));
         }
         let process = Process::start(&setup.program, &environment, &path("log"))?;
         let to = &mut self.routers[router];
--- a/src/behaviour.rs
+++ b/src/behaviour.rs
@@ -13,7 +13,7 @@
 }
 
 /// Fields, the longest first where one begins like another: when a change of theirs counts, and what it changes.
-const FIELDS: [(&str, When, &str); 23] = [
+const FIELDS: [(&str, When, &str); 25] = [
     ("door.order", When::Restart, "how turns are divided"),
     ("door.client", When::Restart, "what names a client, and so whom it shares its turns with"),
     ("door.weights.", When::AtOnce, "this tenant's part of the turns while all want more than there is"),
@@ -35,6 +35,12 @@
     ("start.budget", When::AtOnce, "how many calls a second the list service gets from the whole fleet"),
     ("start.routers", When::AtOnce, "among how many routers the budget is divided"),
     ("start.longest", When::AtOnce, "how long a router waits at most before it calls the list service again"),
+    ("start.keep_for", When::Restart, "up to which age a kept list of engines is used"),
+    (
+        "start.keep",
+        When::Restart,
+        "where the last list of engines is kept for a start without the list service",
+    ),
     ("start.stale", When::AtOnce, "the age from which news of the engines counts as too old"),
     ("log.level", When::AtOnce, "what is logged"),
 ];
--- a/src/config.rs
+++ b/src/config.rs
@@ -105,7 +105,7 @@
 }
 
 /// How a router starts and comes back, as the operator's file says.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct StartFile {
     /// Calls a second that the list service takes from the whole fleet.
     pub budget_per_s: f64,
@@ -115,6 +115,10 @@
     pub longest_ns: u64,
     /// Age from which news of the engines counts as too old (ns).
     pub stale_ns: u64,
+    /// File that the last list of engines is kept in; none for nowhere.
+    pub keep: Option<PathBuf>,
+    /// Age up to which a kept list is used (ns).
+    pub keep_for_ns: u64,
 }
 
 impl Default for StartFile {
@@ -125,6 +129,8 @@
             routers: Count::AsInSettings,
             longest_ns: pace.longest_ns,
             stale_ns: TOLD_NS,
+            keep: None,
+            keep_for_ns: 3_600_000_000_000,
         }
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 //! came back.
 
 use std::io::ErrorKind;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use log::{info, warn};
@@ -19,6 +19,7 @@
 use marljunction_core::{Command, Router};
 use marljunction_discovery::bans::{self, Bans, Refusal};
 use marljunction_discovery::consul::Consul;
+use marljunction_discovery::kept::{self, Kept, FILE_MOST};
 use marljunction_discovery::stream::Stream;
 use marljunction_discovery::{engine_id, Change, Pacing, Source};
 use marljunction_door::{Door, Site};
@@ -70,6 +71,13 @@
     settings: String,
 }
 
+/// Writes a file aside and renames it, so that nobody reads half of it.
+fn write_aside(path: &Path, text: &str) -> std::io::Result<()> {
+    let mut aside = path.as_os_str().to_owned();
+    aside.push(".new");
+    std::fs::write(&aside, text).and_then(|()| std::fs::rename(&aside, path))
+}
+
 /// A running router.
 pub struct Daemon {
     poll: Poll,
@@ -102,6 +110,8 @@
     /// The file of bans, and its text as last read or written.
     bans_file: Option<(PathBuf, String)>,
     bans_read_ns: u64,
+    /// The list of engines that is kept for a start without the list service, and its file; none where it is not.
+    kept: Option<(Kept, PathBuf)>,
     /// Connections with input that no event tells of.
     unread: Vec<u64>,
     ticked_ns: u64,
@@ -222,19 +232,27 @@
             bans: Bans::new(),
             bans_file,
             bans_read_ns: 0,
+            kept: start.keep.clone().map(|path| (Kept::default(), path)),
             unread: Vec::new(),
             ticked_ns: 0,
             commands: Vec::new(),
         };
         daemon.read_bans(daemon.clock.now_ns());
+        let told = config.known.iter().any(|update| !update.change.targets.is_empty());
         for update in config.known {
             daemon.change(update.change);
         }
+        if !told {
+            daemon.read_kept(start.keep_for_ns);
+        }
         Ok(daemon)
     }
 
     /// Membership news, as the module is to hear it: through the bans.
     fn change(&mut self, change: Change) {
+        if let Some((kept, _)) = &mut self.kept {
+            kept.change(&change);
+        }
         let change = self.bans.pass(change);
         self.tell(change);
     }
@@ -245,6 +263,50 @@
         self.router.membership(change.kind, entries);
     }
 
+    /// Takes the kept list for the list of engines, where there is one that can be believed. What the list service tells
+    /// then replaces it whole: nothing is asked behind a number that it gave to another process.
+    fn read_kept(&mut self, most_ns: u64) {
+        let Some((_, path)) = &self.kept else { return };
+        let path = path.clone();
+        let size = match std::fs::metadata(&path) {
+            Ok(about) => about.len(),
+            Err(e) => return info!("no list of engines is kept in {}: {e}", path.display()),
+        };
+        // Guards against a file that is read into memory before it is found too large.
+        let read = match size {
+            size if size > FILE_MOST => Err(kept::Refusal::Huge(size).to_string()),
+            _ => std::fs::read(&path).map_err(|e| e.to_string()).and_then(|bytes| {
+                let names = self.directory.names();
+                kept::decode(&bytes, names, self.clock.now_ns(), most_ns)
+                    .map_err(|refusal| refusal.to_string())
+            }),
+        };
+        match read {
+            Ok((change, age)) => {
+                let heard = self.clock.now_ns().saturating_sub(age);
+                self.discovery.iter_mut().for_each(|d| d.set_heard(heard));
+                let (count, age) = (change.targets.len(), age as f64 / 1e9);
+                info!("starts with the {count} engines kept in {}, a list {age:.1} s old", path.display());
+                self.change(change);
+            }
+            Err(why) => warn!("the list kept in {} is not used: {why}", path.display()),
+        }
+    }
+
+    /// Keeps the list of engines, where it is due. Guards against a start that finds half a file: it is written aside and
+    /// renamed.
+    fn write_kept(&mut self, now: u64) {
+        let heard = self.discovery.as_ref().map_or(0, |d| now.saturating_sub(d.age_ns(now)));
+        let Some((kept, path)) = &mut self.kept else { return };
+        if !kept.due(now) {
+            return;
+        }
+        let text = kept.encode(self.directory.names(), heard);
+        if let Err(e) = write_aside(path, &text) {
+            warn!("the list of engines could not be kept in {}: {e}", path.display());
+        }
+    }
+
     /// Serves until told to stop.
     pub fn run(&mut self) -> Result<(), String> {
         let mut events = Events::with_capacity(1024);
@@ -418,8 +480,7 @@
     fn write_bans(&mut self) {
         let Some((path, seen)) = &mut self.bans_file else { return };
         let text = self.bans.to_text();
-        let aside = path.with_extension("new");
-        match std::fs::write(&aside, &text).and_then(|()| std::fs::rename(&aside, &*path)) {
+        match write_aside(path, &text) {
             Ok(()) => *seen = text,
             Err(e) => warn!("the bans could not be kept in {}: {e}", path.display()),
         }
@@ -572,6 +633,7 @@
         if let Some(discovery) = &mut self.discovery {
             discovery.tick(now, &mut self.net);
         }
+        self.write_kept(now);
     }
 
     /// Hands what was gathered to the module and carries out what came back; what fails at once is handed
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -162,6 +162,8 @@
         },
         longest_ns: nanoseconds("longest")?,
         stale_ns: nanoseconds("stale")?,
+        keep: text(start, "keep").map(PathBuf::from),
+        keep_for_ns: nanoseconds("keep_for")?,
     })
 }
 
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -297,6 +297,44 @@
     end(fleet);
 }
 
+#[test]
+fn a_start_without_the_list_service_uses_the_kept_list_where_it_can_be_believed() {
+    let operator = Some("start: { budget: 40, longest: 1s, keep: \"{own}\" }\n".into());
+    let mut fleet = settled(Setup { operator, ..setup("kept") });
+    until(&mut fleet, "all have kept their list", |f| (0..ROUTERS).all(|router| f.own(router).exists()));
+    fleet.set_list(Manner::Away);
+    (0..ROUTERS).for_each(|router| fleet.kill(router));
+    // One engine is gone by the next start, and some files are not what they were.
+    fleet.lose(1);
+    let whole = std::fs::read(fleet.own(0)).unwrap();
+    let newer = String::from_utf8_lossy(&whole).replacen(" 1 ", " 2 ", 1);
+    let spoilt: [(&[u8], &str); 4] = [
+        (&whole[..whole.len() / 2], "torn"),
+        (newer.as_bytes(), "version 2"),
+        (b"", "no kept list"),
+        (&vec![b'x'; 5 << 20], "too large"),
+    ];
+    for (router, (bytes, _)) in spoilt.iter().enumerate() {
+        std::fs::write(fleet.own(router), bytes).unwrap();
+    }
+    fleet.set_known(false);
+    fleet.start_all().unwrap();
+    until(&mut fleet, "those with a list serve", |f| {
+        f.loads[spoilt.len()..].iter().all(|load| load.first_answer_ns.is_some())
+    });
+    until(&mut fleet, "work reaches the engines", |f| f.audit().sends > 0);
+    for router in 0..ROUTERS {
+        let said = fleet.said(router);
+        match spoilt.get(router) {
+            Some((_, why)) => assert!(said.contains("is not used") && said.contains(why), "{why}: {said}"),
+            None => assert!(said.contains("starts with the 4 engines kept"), "{said}"),
+        }
+    }
+    fleet.set_list(Manner::Well);
+    until(&mut fleet, "all have their streams", all_live);
+    end(fleet);
+}
+
 #[test]
 fn no_process_survives_its_fleet() {
     let mut fleet = settled(setup("survivors"));
