Let routers call the list service at once unless the operator's file spreads them

Cause: the window over which a fleet spreads its first calls was on by default, 1.6 s for 300 routers at 200 calls a second.

Waits after failures still grow by default. Test: the_longest_wait_follows_from_how_late_news_may_be pins the default window.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,8 +4,10 @@
 
 mod disciplines;
 mod door;
+mod fleet;
 mod memory;
 mod start;
+mod ways;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -42,6 +44,24 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// A whole small fleet on loopback, to be watched while things break; ends by itself or at Ctrl-C, with a summary.
+    Fleet {
+        /// Routers.
+        #[arg(long, default_value_t = 8)]
+        routers: usize,
+        /// A schedule of faults (crates/rig/src/schedule.rs tells its form); the usual one, if not given.
+        #[arg(long, value_name = "FILE")]
+        faults: Option<PathBuf>,
+        /// How long it plays (s).
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// The router's program; the one beside this one, if not given.
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+        /// Seed of all draws.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// A whole fleet starts at once, loses its list service, and gets it back.
     Start {
         /// A hundred routers instead of three hundred: under 45 s in all.
@@ -66,6 +86,12 @@
         #[arg(long)]
         capacity: Option<f64>,
     },
+    /// Ways to pace a fleet's calls compared in stepped time, without any socket.
+    Pacing {
+        /// Where to write the figures.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
     /// Disciplines and orders of service compared in stepped time, without any socket.
     Disciplines {
         /// Where to write the figures.
@@ -104,6 +130,18 @@
             let (program, against) = (program.as_path(), against.as_deref());
             write(json, &start::run(&start::Run { program, against, quick, seed, routers, capacity })?)
         }
+        Experiment::Fleet { routers, faults, seconds, program, seed } => {
+            let (program, time) = (named_or_beside(program)?, std::time::Duration::from_secs(seconds));
+            let play = fleet::Play { program: &program, routers, faults: faults.as_deref(), time, seed };
+            let (summary, well) = fleet::run(&play)?;
+            println!("{summary}");
+            if well {
+                Ok(())
+            } else {
+                Err("not all held: see above".into())
+            }
+        }
+        Experiment::Pacing { json } => write(json, &ways::run()),
         Experiment::Disciplines { json, seed } => write(json, &disciplines::run(seed)),
     }
 }
--- a/crates/pacing/src/pace.rs
+++ b/crates/pacing/src/pace.rs
@@ -28,6 +28,10 @@
 pub struct Pace {
     /// Shortest wait between a failure and the next call (ns).
     pub shortest_ns: u64,
+    /// Longest wait before a call to a service that nothing speaks against (ns): at the start, after a stream that was well
+    /// for long, with another service. Who counts a router as told once the service could have told it needs this to be
+    /// short; who counts it as told some seconds later lets the fleet spread over them.
+    pub spread_ns: u64,
     /// Longest wait between calls, whatever the service says (ns): news that a router waits for is no later for it.
     pub longest_ns: u64,
     /// Calls a second that the service takes from all callers together.
@@ -45,7 +49,7 @@
     LongestBelowShortest,
     /// The budget is no positive number.
     Budget,
-    /// All callers can't be served within the longest wait: the fleet goes over the budget rather than be told late.
+    /// All callers can't be served within the waits that are allowed: the fleet goes over the budget rather than be told late.
     /// Holds the time that the budget asks for (ns).
     ShareOverLongest(u64),
 }
@@ -54,6 +58,7 @@
     fn default() -> Self {
         Pace {
             shortest_ns: 100_000_000,
+            spread_ns: 100_000_000,
             longest_ns: Pace::longest_for(2_200_000_000),
             budget_per_s: 200.0,
             callers: None,
@@ -82,9 +87,9 @@
     }
 
     /// Window over which callers spread what they would all do at one moment (ns): the time in which the service takes them
-    /// all, no longer than the longest wait.
+    /// all, no longer than the settings let them wait.
     pub fn window_ns(&self) -> u64 {
-        self.share_ns().unwrap_or(UNKNOWN_NS).min(self.longest_ns)
+        self.share_ns().unwrap_or(UNKNOWN_NS).min(self.spread_ns).min(self.longest_ns)
     }
 
     /// Callers that a part of what all share is reckoned by: the count where it is known, else the most that a fleet is taken
@@ -135,6 +140,7 @@
         if self.longest_ns < self.shortest_ns {
             return Some(Unfit::LongestBelowShortest);
         }
-        self.share_ns().filter(|share| *share > self.longest_ns).map(Unfit::ShareOverLongest)
+        let longest = self.longest_ns.min(self.spread_ns);
+        self.share_ns().filter(|share| *share > longest).map(Unfit::ShareOverLongest)
     }
 }
--- a/crates/pacing/tests/pacer.rs
+++ b/crates/pacing/tests/pacer.rs
@@ -8,7 +8,8 @@
 const S: u64 = 1_000 * MS;
 
 fn fleet(callers: u32, budget_per_s: f64) -> Pace {
-    Pace { callers: Some(callers), budget_per_s, ..Pace::default() }
+    let spread_ns = Pace::default().longest_ns;
+    Pace { callers: Some(callers), budget_per_s, spread_ns, ..Pace::default() }
 }
 
 fn herd(count: u32, pace: Pace, capacity: f64, seed: u64) -> Herd<Pacer> {
@@ -46,7 +47,8 @@
         longest in 100 * MS..60 * S,
         seed: u64,
     ) {
-        let pace = Pace { callers, me, budget_per_s: budget, longest_ns: longest, ..Pace::default() };
+        let pace =
+            Pace { callers, me, budget_per_s: budget, spread_ns: longest, longest_ns: longest, ..Pace::default() };
         let mut now = 5 * S;
         let mut pacer = Pacer::new(pace, seed, now);
         for step in steps {
@@ -199,6 +201,11 @@
     assert_eq!(pace.longest_ns, 4_300 * MS);
     assert!(pace.blind_at_most_ns(silent) <= marljunction_pacing::pace::TOLD_NS);
     assert_eq!(pace.unfit(), None);
+    assert_eq!(
+        Pace { callers: Some(300), me: 299, ..pace }.window_ns(),
+        100 * MS,
+        "nobody has to wait by default"
+    );
     assert_eq!(Pace { budget_per_s: 0.0, ..pace }.unfit(), Some(Unfit::Budget));
     assert_eq!(Pace { longest_ns: 1, ..pace }.unfit(), Some(Unfit::LongestBelowShortest));
     let thin = fleet(1_000, 50.0);
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -9,6 +9,8 @@
 use marljunction_net::{Net, Room};
 use mio::{Events, Poll, Token};
 use nix::sys::signal::Signal;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
 use serde_json::{json, Value};
 
 use crate::audit::Audit;
@@ -16,6 +18,7 @@
 use crate::list::{ListService, Manner};
 use crate::load::{Class, Load, Source, Tally};
 use crate::process::Process;
+use crate::schedule::{Fault, Whom};
 use crate::server::Engine;
 use crate::stage::{settings, target, Site, COLD};
 
@@ -143,6 +146,13 @@
     frozen: bool,
 }
 
+impl Router {
+    /// Whether its process stands still.
+    pub fn frozen(&self) -> bool {
+        self.frozen
+    }
+}
+
 /// A fleet.
 pub struct Fleet {
     setup: Setup,
@@ -382,6 +392,66 @@
         self.list.tell(now, &mut self.net, &part, &[uid]);
     }
 
+    /// Lets something break, or mends it; gives the routers that were drawn for it, as text.
+    ///
+    /// # Errors
+    /// Where a router can't be started.
+    pub fn apply(&mut self, fault: &Fault, draws: &mut StdRng) -> Result<String, String> {
+        let count = self.routers.len();
+        let mut named = Vec::new();
+        let mut drawn = |whom: &Whom| {
+            named = whom.of(count, draws);
+            named.clone()
+        };
+        match fault {
+            Fault::List(manner) => self.set_list(manner.clone()),
+            Fault::Capacity(calls) => self.list.set_capacity(*calls),
+            Fault::Anew => self.restart_list(),
+            Fault::Close => self.drop_streams(),
+            Fault::Kill(whom) => drawn(whom).into_iter().for_each(|router| self.kill(router)),
+            Fault::Start => self.start_all()?,
+            Fault::Freeze(whom) => drawn(whom).into_iter().for_each(|router| self.freeze(router, true)),
+            Fault::Wake => (0..count)
+                .filter(|r| self.routers[*r].frozen)
+                .collect::<Vec<_>>()
+                .into_iter()
+                .for_each(|r| self.freeze(r, false)),
+            Fault::Cut(whom) => drawn(whom).into_iter().for_each(|router| self.cut(router, true)),
+            Fault::Mend => (0..count).for_each(|router| self.cut(router, false)),
+            Fault::Drain(engine) if *engine < self.engines.len() => self.drain(*engine),
+            Fault::Lose(engine) if *engine < self.engines.len() => self.lose(*engine),
+            Fault::Drain(_) | Fault::Lose(_) => {}
+        }
+        let names: Vec<String> = named.iter().map(|router| format!("r{router}")).collect();
+        Ok(if names.is_empty() { String::new() } else { format!(": {}", names.join(" ")) })
+    }
+
+    /// Mends all that can be mended: all routers are there and go on, no link is cut, the list service is well.
+    ///
+    /// # Errors
+    /// Where a router can't be started.
+    pub fn mend_all(&mut self) -> Result<(), String> {
+        let mut draws = StdRng::seed_from_u64(0);
+        for fault in [Fault::Wake, Fault::Mend, Fault::List(Manner::Well), Fault::Start] {
+            self.apply(&fault, &mut draws)?;
+        }
+        Ok(())
+    }
+
+    /// Asks all routers to say their counters in their logs (SIGUSR1).
+    pub fn ask_counters(&mut self) {
+        for router in self.routers.iter_mut().filter(|r| r.listens.is_some() && !r.frozen) {
+            if let Some(process) = &mut router.process {
+                process.signal(Signal::SIGUSR1);
+            }
+        }
+    }
+
+    /// What the list says of each engine.
+    pub fn states(&self) -> &[&'static str] {
+        &self.states
+    }
+
     /// Tells the list as it is once more, under a number of its own.
     pub fn tell_again(&mut self) {
         let (now, whole) = (self.clock.now_ns(), self.whole_list());
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod list;
 pub mod load;
 pub mod process;
+pub mod schedule;
 pub mod server;
 pub mod stage;
--- /dev/null
+++ b/crates/rig/src/schedule.rs
@@ -0,0 +1,156 @@
+//! What breaks, and when: a small text file, the same on each run of a seed. Pure.
+//!
+//! One event a line: a time since the start, then what happens. `#` begins a remark. Whom an event of routers is for is said by
+//! a number, by a share such as `50%`, which the seed draws, or by `all`.
+//!
+//! ```text
+//! 5s    list away          # or: well, silent, garbage, half, busy AFTER, closes TIME
+//! 5s    list takes 10      # calls a second
+//! 7s    list anew          # its numbers begin at 1
+//! 8s    streams close
+//! 9s    kill 50%
+//! 9.1s  start              # all that are not there
+//! 12s   freeze 3
+//! 15s   wake               # all that stand still
+//! 16s   cut 50%            # from the list service
+//! 19s   mend
+//! 20s   drain 1            # an engine, by its number
+//! 21s   lose 2
+//! ```
+
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+
+use crate::list::Manner;
+
+/// Which routers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Whom {
+    /// All of them.
+    All,
+    /// One, by its number.
+    One(usize),
+    /// So large a share of them, drawn (share).
+    Share(f64),
+}
+
+impl Whom {
+    fn read(word: &str) -> Option<Whom> {
+        if word == "all" {
+            return Some(Whom::All);
+        }
+        match word.strip_suffix('%') {
+            Some(part) => {
+                part.parse().ok().filter(|p| (0.0..=100.0).contains(p)).map(|p: f64| Whom::Share(p / 100.0))
+            }
+            None => word.parse().ok().map(Whom::One),
+        }
+    }
+
+    /// Their numbers, of `count`.
+    pub fn of(self, count: usize, draws: &mut StdRng) -> Vec<usize> {
+        match self {
+            Whom::All => (0..count).collect(),
+            Whom::One(at) => (0..count).filter(|i| *i == at).collect(),
+            Whom::Share(share) => {
+                let mut all: Vec<usize> = (0..count).collect();
+                all.shuffle(draws);
+                all.truncate((count as f64 * share).round() as usize);
+                all.sort_unstable();
+                all
+            }
+        }
+    }
+}
+
+/// Something that breaks, or is mended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// The list service behaves so from here on.
+    List(Manner),
+    /// It takes so many calls a second.
+    Capacity(f64),
+    /// It starts anew, with numbers from 1.
+    Anew,
+    /// It closes all streams.
+    Close,
+    /// Routers are killed.
+    Kill(Whom),
+    /// Those that are not there are started.
+    Start,
+    /// Routers stand still.
+    Freeze(Whom),
+    /// Those that stand still go on.
+    Wake,
+    /// Routers are cut off from the list service.
+    Cut(Whom),
+    /// Their links are mended.
+    Mend,
+    /// An engine drains.
+    Drain(usize),
+    /// An engine is gone, and nobody is told.
+    Lose(usize),
+}
+
+/// A fault and its time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Event {
+    /// When, since the start (ns).
+    pub at_ns: u64,
+    /// What.
+    pub fault: Fault,
+    /// Its text.
+    pub text: String,
+}
+
+fn time(word: &str) -> Option<u64> {
+    let (number, unit) = match word.strip_suffix("ms") {
+        Some(number) => (number, 1e6),
+        None => (word.strip_suffix('s')?, 1e9),
+    };
+    number.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0).map(|n| (n * unit) as u64)
+}
+
+fn fault(words: &[&str]) -> Option<Fault> {
+    Some(match words {
+        ["list", "well"] => Fault::List(Manner::Well),
+        ["list", "away"] => Fault::List(Manner::Away),
+        ["list", "silent"] => Fault::List(Manner::Silent),
+        ["list", "garbage"] => Fault::List(Manner::Garbage),
+        ["list", "half"] => Fault::List(Manner::Half),
+        ["list", "busy", after @ ..] => Fault::List(Manner::TurnsAway(after.join(" "))),
+        ["list", "closes", after] => Fault::List(Manner::ClosesAfter(time(after)?)),
+        ["list", "takes", calls] => Fault::Capacity(calls.parse().ok().filter(|c: &f64| *c > 0.0)?),
+        ["list", "anew"] => Fault::Anew,
+        ["streams", "close"] => Fault::Close,
+        ["kill", whom] => Fault::Kill(Whom::read(whom)?),
+        ["start"] => Fault::Start,
+        ["freeze", whom] => Fault::Freeze(Whom::read(whom)?),
+        ["wake"] => Fault::Wake,
+        ["cut", whom] => Fault::Cut(Whom::read(whom)?),
+        ["mend"] => Fault::Mend,
+        ["drain", engine] => Fault::Drain(engine.parse().ok()?),
+        ["lose", engine] => Fault::Lose(engine.parse().ok()?),
+        _ => return None,
+    })
+}
+
+/// Reads a schedule's text: its events by time, those of one moment as they stand.
+///
+/// # Errors
+/// Names the first line that can't be read.
+pub fn read(text: &str) -> Result<Vec<Event>, String> {
+    let mut events = Vec::new();
+    for (number, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or_default().trim();
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let Some((at, what)) = words.split_first() else { continue };
+        let event = time(at)
+            .zip(fault(what))
+            .ok_or_else(|| format!("line {}: {line:?} says nothing that can happen", number + 1));
+        let (at_ns, fault) = event?;
+        events.push(Event { at_ns, fault, text: what.join(" ") });
+    }
+    events.sort_by_key(|event| event.at_ns);
+    Ok(events)
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -111,6 +111,8 @@
     pub budget_per_s: f64,
     /// Routers of the fleet.
     pub routers: Count,
+    /// Longest wait before the list service is called, where nothing speaks against it (ns).
+    pub spread_ns: u64,
     /// Longest wait before the list service is called again (ns).
     pub longest_ns: u64,
     /// Age from which news of the engines counts as too old (ns).
@@ -127,6 +129,7 @@
         StartFile {
             budget_per_s: pace.budget_per_s,
             routers: Count::AsInSettings,
+            spread_ns: pace.spread_ns,
             longest_ns: pace.longest_ns,
             stale_ns: TOLD_NS,
             keep: None,
@@ -143,8 +146,8 @@
             Count::Unknown => None,
             Count::Of(count) => Some(count),
         };
-        let (budget_per_s, longest_ns) = (self.budget_per_s, self.longest_ns);
-        Pace { budget_per_s, callers, me, longest_ns, ..Pace::default() }
+        let StartFile { budget_per_s, spread_ns, longest_ns, .. } = *self;
+        Pace { budget_per_s, callers, me, spread_ns, longest_ns, ..Pace::default() }
     }
 
     /// What follows from it for news of the engines, as operators read it; nothing is said of the budget's share where the
@@ -167,7 +170,7 @@
             if let Some(Unfit::ShareOverLongest(share)) = pace.unfit() {
                 told.push_str(&format!(
                     "; the longest wait of {:.1} s goes before the budget, which asks for {:.1} s",
-                    seconds(pace.longest_ns),
+                    seconds(pace.longest_ns.min(pace.spread_ns)),
                     seconds(share)
                 ));
             }
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -81,7 +81,10 @@
         let consul = main.fields.get("consul").map(|f| consul(&f.value));
         let postgres = main.fields.get("postgres").map(|f| postgres(&f.value, consul.clone().flatten()));
         let level = text(record(field(main, "log")?)?, "level")?.parse().ok();
-        let start = start(field(main, "start")?)?;
+        let start = match field(main, "start") {
+            Some(part) => start(part)?,
+            None => StartFile::default(),
+        };
         Some(Setup { door: flat(door)?, postgres: flat(postgres)?, start, level, value: Some(value.clone()) })
     }
 }
@@ -160,6 +163,7 @@
             None if field(start, "routers").is_some() => Count::Unknown,
             None => Count::AsInSettings,
         },
+        spread_ns: nanoseconds("spread")?,
         longest_ns: nanoseconds("longest")?,
         stale_ns: nanoseconds("stale")?,
         keep: text(start, "keep").map(PathBuf::from),
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -30,7 +30,8 @@
 
 /// The pace that follows from the operator's file above.
 fn pace() -> Pace {
-    StartFile { budget_per_s: 40.0, longest_ns: S, ..StartFile::default() }.pace(ROUTERS as u32, 0)
+    StartFile { budget_per_s: 40.0, spread_ns: S, longest_ns: S, ..StartFile::default() }
+        .pace(ROUTERS as u32, 0)
 }
 
 fn all_live(fleet: &Fleet) -> bool {
