--- a/crates/core/src/ending.rs
+++ b/crates/core/src/ending.rs
@@ -23,6 +23,8 @@
     Unsent,
     /// No descriptor, or no known address, for the call: it was never sent.
     NoDescriptor,
+    /// The router's part of the connections that an engine may be sent is used up: nothing was sent.
+    Paced,
     /// The connection broke after the call was wholly written, and nobody knows the query any more.
     Cut,
     /// The peer sent what cannot be read, or more than is allowed.
@@ -55,7 +57,7 @@
 }
 
 /// All endings, for counters.
-pub const ENDINGS: [(Ending, &str); 18] = [
+pub const ENDINGS: [(Ending, &str); 19] = [
     (Ending::Served, "served"),
     (Ending::EngineError, "engine_error"),
     (Ending::Full, "full"),
@@ -65,6 +67,7 @@
     (Ending::Reset, "reset"),
     (Ending::Unsent, "unsent"),
     (Ending::NoDescriptor, "no_descriptor"),
+    (Ending::Paced, "paced"),
     (Ending::Cut, "cut"),
     (Ending::Garbled, "garbled"),
     (Ending::TimedOut, "timed_out"),
@@ -86,7 +89,7 @@
             Ending::Refused | Ending::Unreachable => Meaning::Outcome(Status::Refused),
             // Guards against a bad link that is taken for a dead process: the module would leave the engine out
             // and take it for cold afterwards.
-            Ending::Over | Ending::Reset | Ending::Unsent | Ending::NoDescriptor => {
+            Ending::Over | Ending::Reset | Ending::Unsent | Ending::NoDescriptor | Ending::Paced => {
                 Meaning::Outcome(Status::Skipped)
             }
             Ending::Cut => Meaning::Outcome(Status::Reset),
--- a/crates/discovery/src/kept.rs
+++ b/crates/discovery/src/kept.rs
@@ -102,6 +102,11 @@
         self.changed = true;
     }
 
+    /// Engines on the list (count).
+    pub fn engines(&self) -> usize {
+        self.targets.len()
+    }
+
     /// Whether the list is to be written now; what was asked counts as written. Nothing is written of a list that names no
     /// engine: a start with none would be no better for it.
     pub fn due(&mut self, now: u64) -> bool {
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -11,6 +11,7 @@
 use marljunction_core::{Ask, Attempt, Rows};
 use marljunction_discovery::Change;
 use marljunction_http1::head::{read_answer, whole_rows, Head};
+use marljunction_pacing::opening::Openings;
 
 /// An idle connection is used again only so soon after its last answer (ns): a silent machine never resets.
 const REUSE_NS: u64 = 2_000_000_000;
@@ -126,7 +127,10 @@
             }
             return Ok(conn);
         }
-        let conn = self.targets.connect(cx, engine)?;
+        let conn = match role {
+            Role::Post(_) => self.targets.connect_for_work(cx, engine)?,
+            _ => self.targets.connect(cx, engine)?,
+        };
         self.lines.insert(conn, Line { engine, role, up: false, since_ns: cx.now });
         Ok(conn)
     }
@@ -403,6 +407,9 @@
     fn lost(&mut self, cx: &mut Context, conn: u64, ending: Ending) {
         let Some(line) = self.lines.get(&conn) else { return };
         let (role, up) = (line.role, line.up);
+        if !up && matches!(ending, Ending::Refused | Ending::Unreachable) {
+            self.targets.refused(cx.now, line.engine);
+        }
         self.close(cx, conn);
         self.broken(cx, role, up, ending);
     }
@@ -479,6 +486,10 @@
 }
 
 impl Backend for HttpEngines {
+    fn set_openings(&mut self, openings: Option<(Openings, u64)>) {
+        self.targets.set_openings(openings);
+    }
+
     fn change(&mut self, change: &Change) {
         let (runs, lines) = (&self.runs, &self.lines);
         self.targets.change(change, |id| {
@@ -537,6 +548,9 @@
     fn ready(&mut self, cx: &mut Context, conn: u64) {
         let look = cx.net.service(conn);
         if let Some(line) = self.lines.get_mut(&conn) {
+            if look.up && !line.up {
+                self.targets.came_up(line.engine);
+            }
             line.up |= look.up;
         }
         self.written(cx, conn);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,6 +13,7 @@
 use marljunction_core::{Ask, Attempt, Router};
 use marljunction_discovery::Change;
 use marljunction_net::{Net, Owner};
+use marljunction_pacing::opening::{Opening, Openings};
 
 /// An attempt to be started.
 pub struct Start {
@@ -44,6 +45,8 @@
 
 /// A protocol that engines speak. Every attempt started gets exactly one ending reported to the core.
 pub trait Backend {
+    /// Opens connections for new work at this pace from here on, drawn by this seed.
+    fn set_openings(&mut self, openings: Option<(Openings, u64)>);
     /// Takes news of the engines.
     fn change(&mut self, change: &Change);
     /// Sends an attempt.
@@ -61,6 +64,8 @@
 /// The engines that are known, with something of the backend's own for each.
 pub struct Targets<T> {
     all: std::collections::BTreeMap<EngineId, Known<T>>,
+    /// What all routers together may open to one engine, and the seed of this router's draws; none for any number.
+    openings: Option<(Openings, u64)>,
 }
 
 /// A known engine.
@@ -71,11 +76,13 @@
     pub listed: bool,
     /// What the backend keeps for it.
     pub own: T,
+    /// How fast connections for new work are opened to it; none for any pace.
+    opening: Option<Opening>,
 }
 
 impl<T: Default> Default for Targets<T> {
     fn default() -> Self {
-        Targets { all: Default::default() }
+        Targets { all: Default::default(), openings: None }
     }
 }
 
@@ -88,11 +95,12 @@
         }
         for target in &change.targets {
             let listed = target.entry.state != EngineState::Gone;
-            let new = || Known { address: target.address, listed, own: T::default() };
+            let new = || Known { address: target.address, listed, own: T::default(), opening: None };
             let known = self.all.entry(target.entry.engine).or_insert_with(new);
             if known.address != target.address {
                 // Guards against a call that goes to whoever has the engine's old address now.
                 known.own = T::default();
+                known.opening = None;
             }
             (known.address, known.listed) = (target.address, listed);
         }
@@ -100,6 +108,40 @@
         self.all.retain(|id, known| known.listed || busy(*id));
     }
 
+    /// Connections for new work are opened at this pace from here on.
+    pub fn set_openings(&mut self, openings: Option<(Openings, u64)>) {
+        self.openings = openings;
+        self.all.values_mut().for_each(|known| known.opening = None);
+    }
+
+    /// Starts a connection for new work, where the pace allows one more. Those that ask for news of a query or give one up
+    /// are never held back.
+    pub fn connect_for_work(&mut self, cx: &mut Context, engine: EngineId) -> Result<u64, Ending> {
+        if let Some((openings, seed)) = self.openings {
+            let known = self.all.get_mut(&engine).ok_or(Ending::NoDescriptor)?;
+            let new = || Opening::new(openings, seed ^ engine.0, cx.now);
+            if !known.opening.get_or_insert_with(new).may_open(cx.now) {
+                return Err(Ending::Paced);
+            }
+        }
+        self.connect(cx, engine).inspect_err(|ending| {
+            if *ending == Ending::Refused {
+                self.refused(cx.now, engine);
+            }
+        })
+    }
+
+    /// A connection to one of them came up.
+    pub fn came_up(&mut self, engine: EngineId) {
+        self.all.get_mut(&engine).and_then(|k| k.opening.as_mut()).into_iter().for_each(Opening::came_up);
+    }
+
+    /// A connection to one of them was refused, or did not come up.
+    pub fn refused(&mut self, now: u64, engine: EngineId) {
+        let opening = self.all.get_mut(&engine).and_then(|k| k.opening.as_mut());
+        opening.into_iter().for_each(|opening| opening.refused(now));
+    }
+
     /// Starts a connection to one of them, and counts it.
     pub fn connect(&mut self, cx: &mut Context, engine: EngineId) -> Result<u64, Ending> {
         let to = self.get(engine).ok_or(Ending::NoDescriptor)?.address;
--- a/crates/engine/src/postgres.rs
+++ b/crates/engine/src/postgres.rs
@@ -18,6 +18,7 @@
 use marljunction_core::ending::Ending;
 use marljunction_core::{Ask, Attempt, Column, Fault, Row, Rows};
 use marljunction_discovery::Change;
+use marljunction_pacing::opening::Openings;
 
 /// A session is used again so soon after its last query (ns).
 const REUSE_NS: u64 = 5_000_000_000;
@@ -133,7 +134,10 @@
     }
 
     fn connect(&mut self, cx: &mut Context, engine: EngineId, role: Role) -> Result<u64, Ending> {
-        let conn = self.targets.connect(cx, engine)?;
+        let conn = match role {
+            Role::Opens(_) => self.targets.connect_for_work(cx, engine)?,
+            _ => self.targets.connect(cx, engine)?,
+        };
         self.lines.insert(conn, Line { engine, role, up: false, key: None, since_ns: cx.now });
         Ok(conn)
     }
@@ -291,6 +295,9 @@
     fn lost(&mut self, cx: &mut Context, conn: u64, ending: Ending) {
         let Some(line) = self.lines.get(&conn) else { return };
         let (role, up) = (line.role, line.up);
+        if !up && matches!(ending, Ending::Refused | Ending::Unreachable) {
+            self.targets.refused(cx.now, line.engine);
+        }
         self.close(cx, conn);
         match role {
             // Guards against a bad link that is taken for a dead engine: a session that broke as it opened is
@@ -324,6 +331,10 @@
 }
 
 impl Backend for PostgresEngines {
+    fn set_openings(&mut self, openings: Option<(Openings, u64)>) {
+        self.targets.set_openings(openings);
+    }
+
     fn change(&mut self, change: &Change) {
         let (runs, lines) = (&self.runs, &self.lines);
         self.targets.change(change, |id| {
@@ -379,6 +390,9 @@
     fn ready(&mut self, cx: &mut Context, conn: u64) {
         let look = cx.net.service(conn);
         if let Some(line) = self.lines.get_mut(&conn) {
+            if look.up && !line.up {
+                self.targets.came_up(line.engine);
+            }
             line.up |= look.up;
             if let Role::Runs(at) = line.role {
                 let drained = cx.net.drained(conn);
--- a/crates/front/src/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -113,7 +113,7 @@
         (Some(Ending::Refused | Ending::Unreachable | Ending::Reset | Ending::Unsent), _) => {
             ("57P03".into(), "no engine could be reached: the statement never ran".into())
         }
-        (Some(Ending::Full | Ending::Over | Ending::NoDescriptor), _) | (None, _) => {
+        (Some(Ending::Full | Ending::Over | Ending::NoDescriptor | Ending::Paced), _) | (None, _) => {
             ("53000".into(), "no engine can run the statement in time".into())
         }
         (Some(other), _) => ("58000".into(), format!("the statement ended: {other:?}")),
--- a/crates/pacing/src/lib.rs
+++ b/crates/pacing/src/lib.rs
@@ -2,10 +2,12 @@
 //! does not come back to it at one moment.
 //!
 //! Pure: no sockets and no clock; times are passed in (ns on any clock that does not go back), draws come from a seed.
-//! [`pace`] holds the settings and the arithmetic of the bounds that follow from them, [`pacer`] the machine.
+//! [`pace`] holds the settings and the arithmetic of the bounds that follow from them, [`pacer`] the machine, [`opening`] what it is for connections to
+//! engines.
 
 #![forbid(unsafe_code)]
 
+pub mod opening;
 pub mod pace;
 pub mod pacer;
 
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -74,6 +74,9 @@
     pub started: u64,
     /// Connections taken.
     pub accepted: u64,
+    /// Connections whose first call started a query.
+    pub opened_for_work: u64,
+    fresh: HashSet<u64>,
     /// Connections that it holds at most; others are closed as they come.
     pub conns_most: usize,
     /// What came while it was told to be watched: all calls that start a query.
@@ -116,6 +119,8 @@
             loads: BTreeMap::new(),
             started: 0,
             accepted: 0,
+            opened_for_work: 0,
+            fresh: HashSet::new(),
             conns_most: usize::MAX,
             sends: None,
             cold: None,
@@ -140,6 +145,7 @@
             }
             if let Ok(conn) = net.adopt(stream, Owner::Engine) {
                 self.accepted += 1;
+                self.fresh.insert(conn);
                 self.conns.insert(conn);
             }
         }
@@ -170,6 +176,7 @@
     pub fn ready(&mut self, now: u64, net: &mut Net, conn: u64) {
         if net.service(conn).ended.is_some() {
             self.conns.remove(&conn);
+            self.fresh.remove(&conn);
             self.waiting.retain(|(c, ..)| *c != conn);
             return net.close(conn);
         }
@@ -189,6 +196,9 @@
     }
 
     fn call(&mut self, now: u64, net: &mut Net, conn: u64, call: Call) {
+        if self.fresh.remove(&conn) {
+            self.opened_for_work += u64::from(call.method == "POST");
+        }
         let parts: Vec<&str> = call.path.trim_start_matches('/').split('/').collect();
         match (call.method.as_str(), &parts[..]) {
             ("POST", ["o"]) => {
--- a/src/config.rs
+++ b/src/config.rs
@@ -13,6 +13,7 @@
 use marljunction_control::interface::Settings;
 use marljunction_discovery::stream::{Update, SILENT_NS};
 use marljunction_door::settings::DoorSettings;
+use marljunction_pacing::opening::Openings;
 use marljunction_pacing::pace::{Pace, Unfit, TOLD_NS};
 use marljunction_settings::{read_settings, Names};
 
@@ -117,6 +118,8 @@
     pub longest_ns: u64,
     /// Age from which news of the engines counts as too old (ns).
     pub stale_ns: u64,
+    /// Connections for new work that all routers together open to one engine in a second; none for any number.
+    pub connections_per_s: Option<f64>,
     /// File that the last list of engines is kept in; none for nowhere.
     pub keep: Option<PathBuf>,
     /// Age up to which a kept list is used (ns).
@@ -132,6 +135,7 @@
             spread_ns: pace.spread_ns,
             longest_ns: pace.longest_ns,
             stale_ns: TOLD_NS,
+            connections_per_s: None,
             keep: None,
             keep_for_ns: 3_600_000_000_000,
         }
@@ -150,6 +154,11 @@
         Pace { budget_per_s, callers, me, spread_ns, longest_ns, ..Pace::default() }
     }
 
+    /// What routers together may open to one engine, for a fleet of this pace; none for any number.
+    pub fn openings(&self, pace: Pace) -> Option<Openings> {
+        self.connections_per_s.map(|per_s| Openings { per_s, sharers: pace.sharers(), pace })
+    }
+
     /// What follows from it for news of the engines, as operators read it; nothing is said of the budget's share where the
     /// count of routers is not known here.
     pub fn bounds(&self, gateways: Option<u32>) -> String {
@@ -175,6 +184,12 @@
                 ));
             }
         }
+        if let Some(openings) = self.openings(pace).filter(|_| callers.is_some()) {
+            let most = openings.at_most(1_000_000_000);
+            told.push_str(&format!(
+                "; an engine gets at most {most:.0} connections for new work within a second"
+            ));
+        }
         told
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -35,6 +35,7 @@
 use marljunction_net::listener::Listen;
 use marljunction_net::phase::Phase;
 use marljunction_net::{Net, Owner, Room};
+use marljunction_pacing::opening::Openings;
 
 const MSGPACK: Token = Token(0);
 const POSTGRES: Token = Token(1);
@@ -104,14 +105,17 @@
     msgpack: MsgpackFront,
     postgres: Option<PostgresFront>,
     engines: Box<dyn Backend>,
+    openings: Option<Openings>,
     discovery: Option<Source>,
     callers: OperatorFront,
     bans: Bans,
     /// The file of bans, and its text as last read or written.
     bans_file: Option<(PathBuf, String)>,
     bans_read_ns: u64,
-    /// The list of engines that is kept for a start without the list service, and its file; none where it is not.
-    kept: Option<(Kept, PathBuf)>,
+    /// The list of engines as it was told, and the file that it is kept in for a start without the list service; none
+    /// where it is not.
+    kept: Kept,
+    kept_file: Option<PathBuf>,
     /// Connections with input that no event tells of.
     unread: Vec<u64>,
     ticked_ns: u64,
@@ -187,13 +191,14 @@
             info!("{}", start.bounds(Some(gateways)));
         }
         let http = || HttpEngines::new(config.engine_idle_ns, config.connect_timeout_ns);
-        let (engines, inlines): (Box<dyn Backend>, bool) = match postgres.as_ref().map(|p| p.engines.clone())
-        {
-            Some(EngineFile::Postgres { user, database }) => {
-                (Box::new(PostgresEngines::new(user, database, config.connect_timeout_ns)), false)
-            }
-            _ => (Box::new(http()), true),
-        };
+        let (mut engines, inlines): (Box<dyn Backend>, bool) =
+            match postgres.as_ref().map(|p| p.engines.clone()) {
+                Some(EngineFile::Postgres { user, database }) => {
+                    (Box::new(PostgresEngines::new(user, database, config.connect_timeout_ns)), false)
+                }
+                _ => (Box::new(http()), true),
+            };
+        engines.set_openings(start.openings(pacing.pace).map(|openings| (openings, seed)));
         let front = match postgres {
             None => None,
             Some(file) => {
@@ -227,12 +232,14 @@
             phase: Phase::Serving,
             quiet_since: None,
             engines,
+            openings: start.openings(pacing.pace),
             discovery,
             callers: OperatorFront::new(config.limits.sockets),
             bans: Bans::new(),
             bans_file,
             bans_read_ns: 0,
-            kept: start.keep.clone().map(|path| (Kept::default(), path)),
+            kept: Kept::default(),
+            kept_file: start.keep.clone(),
             unread: Vec::new(),
             ticked_ns: 0,
             commands: Vec::new(),
@@ -250,9 +257,7 @@
 
     /// Membership news, as the module is to hear it: through the bans.
     fn change(&mut self, change: Change) {
-        if let Some((kept, _)) = &mut self.kept {
-            kept.change(&change);
-        }
+        self.kept.change(&change);
         let change = self.bans.pass(change);
         self.tell(change);
     }
@@ -266,8 +271,7 @@
     /// Takes the kept list for the list of engines, where there is one that can be believed. What the list service tells
     /// then replaces it whole: nothing is asked behind a number that it gave to another process.
     fn read_kept(&mut self, most_ns: u64) {
-        let Some((_, path)) = &self.kept else { return };
-        let path = path.clone();
+        let Some(path) = self.kept_file.clone() else { return };
         let size = match std::fs::metadata(&path) {
             Ok(about) => about.len(),
             Err(e) => return info!("no list of engines is kept in {}: {e}", path.display()),
@@ -297,11 +301,8 @@
     /// renamed.
     fn write_kept(&mut self, now: u64) {
         let heard = self.discovery.as_ref().map_or(0, |d| now.saturating_sub(d.age_ns(now)));
-        let Some((kept, path)) = &mut self.kept else { return };
-        if !kept.due(now) {
-            return;
-        }
-        let text = kept.encode(self.directory.names(), heard);
+        let Some(path) = self.kept_file.as_ref().filter(|_| self.kept.due(now)) else { return };
+        let text = self.kept.encode(self.directory.names(), heard);
         if let Err(e) = write_aside(path, &text) {
             warn!("the list of engines could not be kept in {}: {e}", path.display());
         }
@@ -506,7 +507,9 @@
 
     /// All counters in one line.
     fn counters_line(&self) -> String {
+        let engines = self.kept.engines();
         let list = self.discovery.as_ref().map(|d| d.line(self.clock.now_ns())).unwrap_or_default();
+        let list = format!("list_engines={engines} {list}");
         format!("{} {} {list}", self.router.counters.line(), self.callers.counters.line())
             .trim_end()
             .to_owned()
@@ -560,9 +563,14 @@
         effects(before, now_says).iter().for_each(|effect| info!("the operator's file: {effect}"));
         logger::set_level(level);
         self.operator = operator;
+        let pace = start.pace(config.settings.gateways, config.settings.gateway_index);
         if let Some(discovery) = &mut self.discovery {
-            let (gateways, me) = (config.settings.gateways, config.settings.gateway_index);
-            discovery.set_pace(start.pace(gateways, me), start.stale_ns);
+            discovery.set_pace(pace, start.stale_ns);
+        }
+        let openings = start.openings(pace);
+        if openings != self.openings {
+            self.engines.set_openings(openings.map(|openings| (openings, config.own_seed())));
+            self.openings = openings;
         }
         let changes = match (&mut self.discovery, address) {
             (Some(discovery), Some(address)) => discovery.reload(now, &mut self.net, address, config.known),
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -166,6 +166,7 @@
         spread_ns: nanoseconds("spread")?,
         longest_ns: nanoseconds("longest")?,
         stale_ns: nanoseconds("stale")?,
+        connections_per_s: number(start, "connections"),
         keep: text(start, "keep").map(PathBuf::from),
         keep_for_ns: nanoseconds("keep_for")?,
     })
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -336,6 +336,28 @@
     end(fleet);
 }
 
+#[test]
+fn an_engine_gets_no_more_connections_than_the_settings_allow_and_one_that_is_gone_is_tried_ever_more_rarely()
+{
+    let operator = Some("start: { budget: 40, longest: 1s, connections: 2 }\n".into());
+    let mut fleet = Fleet::new(Setup { operator, rate: 40.0, engines: 3, ..setup("connections") }).unwrap();
+    fleet.ask();
+    fleet.start_all().unwrap();
+    until(&mut fleet, "all routers have their streams", all_live);
+    run(&mut fleet, 3_000);
+    fleet.lose(0);
+    run(&mut fleet, 2_000);
+    let file = StartFile { connections_per_s: Some(2.0), ..StartFile::default() };
+    let bound = file.openings(pace()).unwrap();
+    let since = fleet.routers.iter().map(|r| r.started_ns).min().unwrap();
+    let most = bound.at_most(fleet.now() - since);
+    for engine in &fleet.engines {
+        let opened = engine.opened_for_work;
+        assert!(opened > 0 && opened as f64 <= most, "{opened} connections for work, {most} at most");
+    }
+    end(fleet);
+}
+
 #[test]
 fn no_process_survives_its_fleet() {
     let mut fleet = settled(setup("survivors"));
