Give the rig links that can be cut, slowed, trickled, reset, and lose datagrams

Need: the rig's engines were reached without anything between, and later subsystems need datagrams that get lost. Change: crates/rig/src/link.rs, a pure shaper with TCP and UDP owners; schedules name links to engines. Tests: a stream keeps its bytes under any shape, loss and doubling as told; eight routers under cut, one-way, slow and reset links lose no answer and run nothing twice.

--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -15,6 +15,7 @@
 
 use crate::audit::Audit;
 use crate::engine::Cold;
+use crate::link::{Shape, TcpLink};
 use crate::list::{ListService, Manner};
 use crate::load::{Class, Load, Source, Tally};
 use crate::process::Process;
@@ -24,6 +25,7 @@
 
 /// Listeners of engines have the first numbers, then those of the list service; connections follow.
 const LIST_TOKEN: usize = 10_000;
+const LINK_TOKEN: usize = 20_000;
 const FIRST_CONN: u64 = 1_000_000;
 /// Longest wait of the loop (ns).
 const STEP_NS: u64 = 10_000_000;
@@ -52,6 +54,8 @@
     pub cores: f64,
     /// Engines are cold as the fleet starts.
     pub cold: bool,
+    /// Engines are reached over links that can be broken.
+    pub links: bool,
     /// Routers know the list as they start.
     pub known: bool,
     /// Calls a second that the list service takes.
@@ -78,6 +82,7 @@
             engines: 4,
             cores: 8.0,
             cold: false,
+            links: false,
             known: true,
             capacity: routers as f64,
             operator: None,
@@ -161,6 +166,8 @@
     net: Net,
     /// The engines.
     pub engines: Vec<Engine>,
+    /// The links to them; none where they are reached without.
+    pub links: Vec<TcpLink>,
     /// The list service.
     pub list: ListService,
     serving: bool,
@@ -193,6 +200,14 @@
             engine.sends = Some(Vec::new());
             engines.push(engine);
         }
+        let mut links = Vec::new();
+        for (i, engine) in engines.iter_mut().enumerate().filter(|_| setup.links) {
+            let seed = setup.seed.wrapping_mul(31).wrapping_add(i as u64);
+            let link =
+                TcpLink::new(&registry, LINK_TOKEN + i, engine.address, seed).map_err(fault("link"))?;
+            engine.announced = Some(link.address);
+            links.push(link);
+        }
         let list =
             ListService::new(&registry, LIST_TOKEN, setup.routers, setup.capacity).map_err(fault("list"))?;
         let net = Net::new(registry, FIRST_CONN, Room { engines: 1 << 20, output: 1 << 30 });
@@ -224,6 +239,7 @@
             clock,
             net,
             engines,
+            links,
             list,
             serving: true,
             dir,
@@ -266,6 +282,12 @@
         self.engines[engine].die(&mut self.net);
     }
 
+    /// Shapes what passes to an engine and back, where there are links.
+    pub fn shape(&mut self, engine: usize, there: Shape, back: Shape) {
+        let now = self.clock.now_ns();
+        self.links.get_mut(engine).into_iter().for_each(|link| link.set(now, there, back));
+    }
+
     /// Starts a router's process, as a first start or after its end.
     ///
     /// # Errors
@@ -420,6 +442,11 @@
             Fault::Mend => (0..count).for_each(|router| self.cut(router, false)),
             Fault::Drain(engine) if *engine < self.engines.len() => self.drain(*engine),
             Fault::Lose(engine) if *engine < self.engines.len() => self.lose(*engine),
+            Fault::Link(engine, there, back) => self.shape(*engine, *there, *back),
+            Fault::Reset(engine) => {
+                let link = self.links.get_mut(*engine);
+                link.into_iter().for_each(|link| link.reset(&mut self.net));
+            }
             Fault::Drain(_) | Fault::Lose(_) => {}
         }
         let names: Vec<String> = named.iter().map(|router| format!("r{router}")).collect();
@@ -432,6 +459,9 @@
     /// Where a router can't be started.
     pub fn mend_all(&mut self) -> Result<(), String> {
         let mut draws = StdRng::seed_from_u64(0);
+        for engine in 0..self.links.len() {
+            self.shape(engine, Shape::default(), Shape::default());
+        }
         for fault in [Fault::Wake, Fault::Mend, Fault::List(Manner::Well), Fault::Start] {
             self.apply(&fault, &mut draws)?;
         }
@@ -528,6 +558,8 @@
             let Token(token) = event.token();
             if token < self.engines.len() {
                 self.engines[token].accept(&mut self.net);
+            } else if let Some(link) = token.checked_sub(LINK_TOKEN).and_then(|at| self.links.get_mut(at)) {
+                link.accept(now, &mut self.net);
             } else if self.list.has_token(token) {
                 self.list.accept(now, &mut self.net, token);
             } else {
@@ -537,6 +569,8 @@
         for conn in conns {
             if self.list.owns(conn) {
                 self.list.ready(now, &mut self.net, conn);
+            } else if let Some(link) = self.links.iter_mut().find(|l| l.owns(conn)) {
+                link.ready(now, &mut self.net, conn);
             } else if let Some(engine) = self.engines.iter_mut().find(|e| e.owns(conn)) {
                 engine.ready(now, &mut self.net, conn);
             } else if let Some(load) = self.loads.iter_mut().find(|l| l.owns(conn)) {
@@ -547,6 +581,7 @@
             }
         }
         self.engines.iter_mut().for_each(|e| e.tick(now, &mut self.net));
+        self.links.iter_mut().for_each(|link| link.tick(now, &mut self.net));
         self.list.tick(now, &mut self.net);
         for (router, load) in self.routers.iter_mut().zip(&mut self.loads) {
             if router.listens.is_none() {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod herd;
+pub mod link;
 pub mod list;
 pub mod load;
 pub mod process;
--- /dev/null
+++ b/crates/rig/src/link.rs
@@ -0,0 +1,346 @@
+//! Links between processes that can be broken: what passes them is held, delayed, dropped, doubled, put out of order or cut to
+//! a trickle. [`Shaper`] decides, purely and by a seed; [`TcpLink`] and [`UdpLink`] carry it out on loopback.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+use marljunction_net::{Net, Owner};
+use mio::net::{TcpListener, UdpSocket};
+use mio::{Interest, Registry, Token};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::server::listen;
+
+/// Largest datagram that passes (bytes).
+const DATAGRAM_MOST: usize = 65_536;
+
+/// What a link does to what passes it in one direction.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shape {
+    /// Nothing passes: a stream's bytes are held until it does again, datagrams are lost.
+    pub cut: bool,
+    /// Everything comes so much later (ns), and up to this much later still by chance (ns).
+    pub delay_ns: u64,
+    /// Chance's part of the delay: datagrams pass each other by it (ns).
+    pub jitter_ns: u64,
+    /// Part of the datagrams that are lost (share).
+    pub loss: f64,
+    /// Part of the datagrams that come twice (share).
+    pub double: f64,
+    /// Bytes a second of a stream; none for all that come.
+    pub trickle: Option<u64>,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Shape { cut: false, delay_ns: 0, jitter_ns: 0, loss: 0.0, double: 0.0, trickle: None }
+    }
+}
+
+/// What becomes of what passes in one direction. Pure.
+#[derive(Clone, Debug)]
+pub struct Shaper {
+    shape: Shape,
+    draws: StdRng,
+    /// A stream's bytes in order, each part with when it may pass.
+    stream: VecDeque<(u64, Vec<u8>)>,
+    /// Datagrams by when they pass.
+    datagrams: BTreeMap<(u64, u64), Vec<u8>>,
+    serial: u64,
+    /// Up to when the trickle's bytes were given.
+    trickled_ns: u64,
+    /// Datagrams lost so far.
+    pub lost: u64,
+}
+
+impl Shaper {
+    /// One that lets all pass.
+    pub fn new(seed: u64) -> Shaper {
+        Shaper {
+            shape: Shape::default(),
+            draws: StdRng::seed_from_u64(seed),
+            stream: VecDeque::new(),
+            datagrams: BTreeMap::new(),
+            serial: 0,
+            trickled_ns: 0,
+            lost: 0,
+        }
+    }
+
+    /// Shapes what comes from here on so.
+    pub fn set(&mut self, now: u64, shape: Shape) {
+        (self.shape, self.trickled_ns) = (shape, now);
+    }
+
+    /// The shape now.
+    pub fn shape(&self) -> Shape {
+        self.shape
+    }
+
+    fn due(&mut self, now: u64) -> u64 {
+        let chance =
+            if self.shape.jitter_ns > 0 { self.draws.gen_range(0..=self.shape.jitter_ns) } else { 0 };
+        now + self.shape.delay_ns + chance
+    }
+
+    /// Takes a stream's bytes: they keep their order whatever the delay.
+    pub fn push_stream(&mut self, now: u64, bytes: &[u8]) {
+        let due = self.due(now).max(self.stream.back().map_or(0, |(due, _)| *due));
+        self.stream.push_back((due, bytes.to_vec()));
+    }
+
+    /// The stream's bytes that pass now.
+    pub fn pull_stream(&mut self, now: u64) -> Vec<u8> {
+        let mut out = Vec::new();
+        let passed = now.saturating_sub(self.trickled_ns);
+        let mut most = match self.shape.trickle {
+            _ if self.shape.cut => 0,
+            None => usize::MAX,
+            Some(per_s) => (u128::from(passed) * u128::from(per_s) / 1_000_000_000) as usize,
+        };
+        if most == 0 {
+            return out;
+        }
+        self.trickled_ns = now;
+        while let Some((_, bytes)) = self.stream.front_mut().filter(|(due, _)| *due <= now && most > 0) {
+            let part = bytes.len().min(most);
+            out.extend(bytes.drain(..part));
+            most -= part;
+            if bytes.is_empty() {
+                self.stream.pop_front();
+            }
+        }
+        out
+    }
+
+    /// Bytes of the stream that have not passed.
+    pub fn holds(&self) -> usize {
+        self.stream.iter().map(|(_, bytes)| bytes.len()).sum()
+    }
+
+    /// Takes a datagram.
+    pub fn push_datagram(&mut self, now: u64, bytes: &[u8]) {
+        let lost = self.shape.cut || self.shape.loss > 0.0 && self.draws.gen_bool(self.shape.loss.min(1.0));
+        if lost {
+            self.lost += 1;
+            return;
+        }
+        let twice = self.shape.double > 0.0 && self.draws.gen_bool(self.shape.double.min(1.0));
+        for _ in 0..=usize::from(twice) {
+            self.serial += 1;
+            let due = self.due(now);
+            self.datagrams.insert((due, self.serial), bytes.to_vec());
+        }
+    }
+
+    /// The datagrams that come out now. Those on their way when a link is cut are lost with it.
+    pub fn pull_datagrams(&mut self, now: u64) -> Vec<Vec<u8>> {
+        let mut out = Vec::new();
+        while let Some(entry) = self.datagrams.first_entry().filter(|entry| entry.key().0 <= now) {
+            out.push(entry.remove());
+        }
+        if self.shape.cut {
+            self.lost += out.len() as u64;
+            out.clear();
+        }
+        out
+    }
+
+    /// When something passes next (ns).
+    pub fn next_due_ns(&self) -> Option<u64> {
+        let stream = self.stream.front().map(|(due, _)| *due).filter(|_| !self.shape.cut);
+        stream.into_iter().chain(self.datagrams.keys().next().map(|(due, _)| *due)).min()
+    }
+}
+
+/// One connection through a link: both ends, and what passes to the server and back.
+struct Pair {
+    ends: [u64; 2],
+    passing: [Shaper; 2],
+    over: [bool; 2],
+}
+
+/// A link that carries TCP connections to one address.
+pub struct TcpLink {
+    listener: TcpListener,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    to: SocketAddr,
+    shapes: [Shape; 2],
+    pairs: Vec<Pair>,
+    seed: u64,
+}
+
+impl TcpLink {
+    /// A link to `to`, at any free port.
+    ///
+    /// # Errors
+    /// Where no port is to be had.
+    pub fn new(registry: &Registry, token: usize, to: SocketAddr, seed: u64) -> std::io::Result<TcpLink> {
+        let (listener, address) = listen(registry, token)?;
+        Ok(TcpLink { listener, address, to, shapes: [Shape::default(); 2], pairs: Vec::new(), seed })
+    }
+
+    /// Whether a connection is one of its own.
+    pub fn owns(&self, conn: u64) -> bool {
+        self.pairs.iter().any(|pair| pair.ends.contains(&conn))
+    }
+
+    /// Shapes what passes to the server and back, of connections that stand too.
+    pub fn set(&mut self, now: u64, there: Shape, back: Shape) {
+        self.shapes = [there, back];
+        for pair in &mut self.pairs {
+            pair.passing[0].set(now, there);
+            pair.passing[1].set(now, back);
+        }
+    }
+
+    /// Resets all connections that stand.
+    pub fn reset(&mut self, net: &mut Net) {
+        for pair in self.pairs.drain(..) {
+            pair.ends.into_iter().for_each(|end| net.close(end));
+        }
+    }
+
+    /// Takes new connections.
+    pub fn accept(&mut self, now: u64, net: &mut Net) {
+        while let Ok((stream, _)) = self.listener.accept() {
+            let Ok(client) = net.adopt(stream, Owner::Engine) else { continue };
+            let Ok(server) = net.connect(self.to, Owner::Engine) else {
+                net.close(client);
+                continue;
+            };
+            self.seed = self.seed.wrapping_add(2);
+            let mut passing = [Shaper::new(self.seed), Shaper::new(self.seed + 1)];
+            passing.iter_mut().zip(self.shapes).for_each(|(shaper, shape)| shaper.set(now, shape));
+            self.pairs.push(Pair { ends: [client, server], passing, over: [false; 2] });
+        }
+    }
+
+    /// Takes what has come in at one end.
+    pub fn ready(&mut self, now: u64, net: &mut Net, conn: u64) {
+        let Some(pair) = self.pairs.iter_mut().find(|pair| pair.ends.contains(&conn)) else { return };
+        let end = usize::from(pair.ends[1] == conn);
+        pair.over[end] |= net.service(conn).ended.is_some();
+        let input = net.input(conn).to_vec();
+        net.consume(conn, input.len());
+        if !input.is_empty() {
+            pair.passing[end].push_stream(now, &input);
+        }
+        self.tick(now, net);
+    }
+
+    /// Passes on what is due. An end that is over ends the other once all that came from it has passed; a cut link does not
+    /// tell the one end of the other.
+    pub fn tick(&mut self, now: u64, net: &mut Net) {
+        self.pairs.retain_mut(|pair| {
+            for end in 0..2 {
+                let bytes = pair.passing[end].pull_stream(now);
+                if !bytes.is_empty() {
+                    net.send(pair.ends[1 - end], &bytes);
+                }
+            }
+            let told = |end: usize| {
+                pair.over[end] && !pair.passing[end].shape().cut && pair.passing[end].holds() == 0
+            };
+            let over = told(0) || told(1);
+            if over {
+                pair.ends.into_iter().for_each(|end| net.close(end));
+            }
+            !over
+        });
+    }
+}
+
+/// A link that carries datagrams to one address; each sender's are shaped on their own.
+pub struct UdpLink {
+    socket: UdpSocket,
+    /// Where senders send to.
+    pub address: SocketAddr,
+    /// Where they come out; nothing comes out while that is not known.
+    pub to: Option<SocketAddr>,
+    senders: HashMap<SocketAddr, Shaper>,
+    usual: Shape,
+    shapes: HashMap<SocketAddr, Shape>,
+    seed: u64,
+    /// Datagrams that came in, and their bytes.
+    pub passed: (u64, u64),
+}
+
+impl UdpLink {
+    /// A link at any free port.
+    ///
+    /// # Errors
+    /// Where no port is to be had.
+    pub fn new(registry: &Registry, token: usize, seed: u64) -> std::io::Result<UdpLink> {
+        let mut socket = UdpSocket::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        registry.register(&mut socket, Token(token), Interest::READABLE)?;
+        let address = socket.local_addr()?;
+        let (senders, shapes) = (HashMap::new(), HashMap::new());
+        Ok(UdpLink {
+            socket,
+            address,
+            to: None,
+            senders,
+            usual: Shape::default(),
+            shapes,
+            seed,
+            passed: (0, 0),
+        })
+    }
+
+    /// Shapes what comes from `sender`, or from all who have no shape of their own.
+    pub fn set(&mut self, now: u64, sender: Option<SocketAddr>, shape: Shape) {
+        match sender {
+            Some(sender) => drop(self.shapes.insert(sender, shape)),
+            None => self.usual = shape,
+        }
+        for (from, shaper) in &mut self.senders {
+            shaper.set(now, self.shapes.get(from).copied().unwrap_or(self.usual));
+        }
+    }
+
+    /// Takes what has come in.
+    pub fn ready(&mut self, now: u64) {
+        let mut buffer = vec![0; DATAGRAM_MOST];
+        loop {
+            match self.socket.recv_from(&mut buffer) {
+                Ok((size, from)) => {
+                    self.passed = (self.passed.0 + 1, self.passed.1 + size as u64);
+                    let shape = self.shapes.get(&from).copied().unwrap_or(self.usual);
+                    let shaper = self.senders.entry(from).or_insert_with(|| {
+                        self.seed = self.seed.wrapping_add(1);
+                        let mut shaper = Shaper::new(self.seed);
+                        shaper.set(now, shape);
+                        shaper
+                    });
+                    shaper.push_datagram(now, &buffer[..size]);
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // An answer of the machine to an earlier datagram whose receiver was gone is read as an error.
+                Err(e) if e.kind() == ErrorKind::ConnectionRefused => {}
+                Err(_) => break,
+            }
+        }
+        self.tick(now);
+    }
+
+    /// Passes on what is due.
+    pub fn tick(&mut self, now: u64) {
+        for shaper in self.senders.values_mut() {
+            for bytes in shaper.pull_datagrams(now) {
+                if let Some(to) = self.to {
+                    // Datagrams may be lost.
+                    let _ = self.socket.send_to(&bytes, to);
+                }
+            }
+        }
+    }
+
+    /// When something passes next (ns).
+    pub fn next_due_ns(&self) -> Option<u64> {
+        self.senders.values().filter_map(Shaper::next_due_ns).min()
+    }
+}
--- a/crates/rig/src/schedule.rs
+++ b/crates/rig/src/schedule.rs
@@ -16,11 +16,13 @@
 //! 19s   mend
 //! 20s   drain 1            # an engine, by its number
 //! 21s   lose 2
+//! 22s   link 3 slow 300ms  # to an engine: or cut, cut-there, cut-back, trickle BYTES, reset, mend
 //! ```
 
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 
+use crate::link::Shape;
 use crate::list::Manner;
 
 /// Which routers.
@@ -90,6 +92,10 @@
     Drain(usize),
     /// An engine is gone, and nobody is told.
     Lose(usize),
+    /// What passes to an engine, and back, is shaped so.
+    Link(usize, Shape, Shape),
+    /// All connections to an engine are reset.
+    Reset(usize),
 }
 
 /// A fault and its time.
@@ -130,6 +136,27 @@
         ["cut", whom] => Fault::Cut(Whom::read(whom)?),
         ["mend"] => Fault::Mend,
         ["drain", engine] => Fault::Drain(engine.parse().ok()?),
+        ["link", engine, "reset"] => Fault::Reset(engine.parse().ok()?),
+        ["link", engine, how @ ..] => {
+            let well = Shape::default();
+            let cut = Shape { cut: true, ..well };
+            let (there, back) = match how {
+                ["cut"] => (cut, cut),
+                ["cut-there"] => (cut, well),
+                ["cut-back"] => (well, cut),
+                ["mend"] => (well, well),
+                ["slow", by] => {
+                    let slow = Shape { delay_ns: time(by)?, ..well };
+                    (slow, slow)
+                }
+                ["trickle", bytes] => {
+                    let trickle = Some(bytes.parse().ok().filter(|b| *b > 0)?);
+                    (Shape { trickle, ..well }, Shape { trickle, ..well })
+                }
+                _ => return None,
+            };
+            Fault::Link(engine.parse().ok()?, there, back)
+        }
         ["lose", engine] => Fault::Lose(engine.parse().ok()?),
         _ => return None,
     })
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -62,6 +62,8 @@
     listener: Option<TcpListener>,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where lists say that it listens, where that is a link to it.
+    pub announced: Option<SocketAddr>,
     /// Its name.
     pub uid: String,
     cores: Cores,
@@ -111,6 +113,7 @@
         Ok(Engine {
             listener: Some(listener),
             address,
+            announced: None,
             uid: uid.to_owned(),
             cores: Cores::new(now, cores),
             conns: HashSet::new(),
--- /dev/null
+++ b/crates/rig/tests/link.rs
@@ -0,0 +1,64 @@
+//! Links do to what passes them what they were told, by a seed, and nothing else.
+
+use marljunction_rig::link::{Shape, Shaper};
+use proptest::prelude::*;
+
+const MS: u64 = 1_000_000;
+
+proptest! {
+    #[test]
+    fn a_stream_keeps_its_bytes_and_their_order_whatever_its_shape(
+        parts in proptest::collection::vec((0..50 * MS, proptest::collection::vec(any::<u8>(), 1..40)), 1..40),
+        delay in 0..100 * MS,
+        jitter in 0..100 * MS,
+        trickle in proptest::option::of(1_000u64..100_000),
+        seed: u64,
+    ) {
+        let mut shaper = Shaper::new(seed);
+        shaper.set(0, Shape { delay_ns: delay, jitter_ns: jitter, trickle, ..Shape::default() });
+        let (mut now, mut sent, mut came) = (0, Vec::new(), Vec::new());
+        for (wait, bytes) in parts {
+            now += wait;
+            shaper.push_stream(now, &bytes);
+            sent.extend(bytes);
+            came.extend(shaper.pull_stream(now));
+            prop_assert!(sent.starts_with(&came));
+        }
+        for _ in 0..5_000 {
+            now += MS;
+            came.extend(shaper.pull_stream(now));
+        }
+        prop_assert_eq!(sent, came);
+    }
+}
+
+#[test]
+fn a_cut_stream_is_held_and_a_cut_link_loses_datagrams() {
+    let mut shaper = Shaper::new(1);
+    shaper.set(0, Shape { cut: true, ..Shape::default() });
+    shaper.push_stream(0, b"held");
+    shaper.push_datagram(0, b"lost");
+    assert!(shaper.pull_stream(9_000 * MS).is_empty() && shaper.pull_datagrams(9_000 * MS).is_empty());
+    shaper.set(9_000 * MS, Shape::default());
+    assert_eq!(shaper.pull_stream(9_000 * MS), b"held");
+    assert!(shaper.pull_datagrams(9_000 * MS).is_empty());
+    assert_eq!(shaper.lost, 1);
+}
+
+#[test]
+fn datagrams_are_lost_doubled_and_put_out_of_order_as_often_as_told_and_the_same_for_a_seed() {
+    let play = |seed| {
+        let mut shaper = Shaper::new(seed);
+        let shape =
+            Shape { delay_ns: 10 * MS, jitter_ns: 50 * MS, loss: 0.3, double: 0.1, ..Shape::default() };
+        shaper.set(0, shape);
+        (0..10_000u64).for_each(|i| shaper.push_datagram(i * MS, &i.to_le_bytes()));
+        (shaper.pull_datagrams(u64::MAX), shaper.lost)
+    };
+    let (came, lost) = play(7);
+    assert_eq!((came.clone(), lost), play(7));
+    assert!((2_800..3_200).contains(&lost), "{lost} lost");
+    let doubled = came.len() as u64 - (10_000 - lost);
+    assert!((600..800).contains(&doubled), "{doubled} doubled");
+    assert!(came.windows(2).filter(|w| w[0] > w[1]).count() > 1_000, "out of order");
+}
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -9,6 +9,7 @@
 use marljunction_rig::audit::calls_within;
 use marljunction_rig::fleet::{Fleet, Setup};
 use marljunction_rig::list::Manner;
+use rand::SeedableRng;
 
 const ROUTERS: usize = 8;
 const S: u64 = 1_000_000_000;
@@ -358,6 +359,22 @@
     end(fleet);
 }
 
+#[test]
+fn links_to_engines_that_are_cut_one_way_slow_or_reset_cost_no_answer_and_run_nothing_twice() {
+    let mut fleet = settled(Setup { links: true, rate: 10.0, ..setup("links") });
+    let mut draws = rand::rngs::StdRng::seed_from_u64(1);
+    let faults = "0s link 0 cut-back\n0s link 1 slow 200ms\n0s link 2 trickle 20000\n1s link 1 reset\n\
+                  1s link 3 cut-there\n2s link 0 mend\n2s link 3 mend\n2s link 2 reset\n3s link 1 mend\n3s link 2 mend\n";
+    let began = fleet.now();
+    for event in marljunction_rig::schedule::read(faults).unwrap() {
+        let wait = (began + event.at_ns).saturating_sub(fleet.now());
+        fleet.run(Duration::from_nanos(wait)).unwrap();
+        fleet.apply(&event.fault, &mut draws).unwrap();
+    }
+    run(&mut fleet, 500);
+    end(fleet);
+}
+
 #[test]
 fn no_process_survives_its_fleet() {
     let mut fleet = settled(setup("survivors"));
