--- a/crates/lab/src/start.rs
+++ b/crates/lab/src/start.rs
@@ -20,6 +20,9 @@
 const AWAY: Duration = Duration::from_secs(10);
 /// Longest wait for a fleet to settle.
 const SETTLE: Duration = Duration::from_secs(30);
+/// Time over which an operator would start the routers by hand, and starts that the first answer is measured by.
+const BY_HAND: Duration = Duration::from_secs(5);
+const FIRST_STARTS: usize = 15;
 const SECOND_NS: u64 = 1_000_000_000;
 
 /// The programs that a run compares, and how large it is.
@@ -75,12 +78,6 @@
     let all_live = |fleet: &Fleet| fleet.live() == routers;
     let started = fleet.run_until(SETTLE, all_live)?;
     let settled = fleet.now();
-    let first_answers: Vec<u64> = fleet
-        .loads
-        .iter()
-        .zip(&fleet.routers)
-        .filter_map(|(load, router)| Some(load.first_answer_ns?.saturating_sub(router.started_ns)))
-        .collect();
     let used: Vec<(u64, u64)> =
         fleet.routers.iter().filter_map(|r| r.process.as_ref()).map(|p| p.used()).collect();
     let (start_calls, _) = calls_within(&fleet.list.calls, began, settled, SECOND_NS);
@@ -118,10 +115,6 @@
     let (_, ended_well) = fleet.stop(Duration::from_secs(8))?;
     let mean =
         |of: fn(&(u64, u64)) -> u64| used.iter().map(of).sum::<u64>() as f64 / used.len().max(1) as f64;
-    let median = |mut all: Vec<u64>| {
-        all.sort_unstable();
-        all.get(all.len() / 2).map(|ns| *ns as f64 / 1e6)
-    };
     Ok(json!({
         "calls_per_router_start": start_calls as f64 / count,
         "calls_per_router_back": back_calls as f64 / count,
@@ -144,19 +137,41 @@
         "asked": asked,
         "worth_kept": worth,
         "handshakes_a_request": handshakes as f64 / asked.max(1.0),
-        "first_answer_ms": median(first_answers),
         "memory_kb": mean(|u| u.0),
         "start_cpu_ms": mean(|u| u.1) / 1e3,
     }))
 }
 
-/// All routers start at once onto engines that have just started, told so many routers.
+/// Time from a start to the first answer, where a client asks as soon as it can (ms), over several starts.
+fn first_answer(run: &Run, name: &str, program: &Path) -> Result<Value, String> {
+    let setup = Setup {
+        rate: 500.0,
+        seed: run.seed,
+        ..Setup::new(program, &format!("first-{name}-{}", run.seed), 1)
+    };
+    let mut fleet = Fleet::new(setup)?;
+    fleet.ask();
+    let mut times = Vec::new();
+    for _ in 0..FIRST_STARTS {
+        fleet.start(0)?;
+        fleet.run_until(SETTLE, |fleet| fleet.loads[0].first_answer_ns.is_some())?;
+        let first = fleet.loads[0].first_answer_ns.unwrap_or(u64::MAX);
+        times.push(first.saturating_sub(fleet.routers[0].started_ns) as f64 / 1e6);
+        fleet.kill(0);
+    }
+    times.sort_by(f64::total_cmp);
+    Ok(json!({"median_ms": times[times.len() / 2], "least_ms": times[0], "most_ms": times[times.len() - 1]}))
+}
+
+/// Routers start onto engines that have just started, told so many routers: all at once, or one after the other over
+/// `by_hand`.
 fn cold(
     run: &Run,
     name: &str,
     program: &Path,
     told: Option<u32>,
     routers_key: &str,
+    by_hand: Option<Duration>,
 ) -> Result<Value, String> {
     let (routers, capacity) = (run.routers(), run.capacity());
     let mut fleet = Fleet::new(Setup {
@@ -170,8 +185,17 @@
         ..Setup::new(program, &format!("cold-{name}-{}", run.seed), routers)
     })?;
     fleet.ask();
-    fleet.start_all()?;
-    fleet.run(Duration::from_secs(10))?;
+    let end = fleet.now() + 10 * SECOND_NS;
+    match by_hand {
+        None => fleet.start_all()?,
+        Some(over) => {
+            for router in 0..routers {
+                fleet.start(router)?;
+                fleet.run(over / routers as u32)?;
+            }
+        }
+    }
+    fleet.run(Duration::from_nanos(end.saturating_sub(fleet.now())))?;
     let peak = fleet.engines.iter().filter_map(|e| Some(e.cold.as_ref()?.peak)).fold(0.0, f64::max);
     let down = fleet.engines.iter().filter(|e| !e.is_up()).count();
     let (worth, asked) = (fleet.sum(|t| t.worth), fleet.sum(|t| t.worth_asked));
@@ -179,6 +203,7 @@
     Ok(json!({
         "engine_peak_over_limit": peak,
         "engines_down": down,
+        "worth_10s": worth,
         "worth_share_10s": worth / asked.max(1e-9),
         "handshakes_a_request": handshakes as f64 / fleet.sum(|t| t.asked as f64).max(1.0),
         "double_runs": fleet.audit().double_runs,
@@ -222,10 +247,12 @@
     ];
     let mut plays: Vec<Play> = Vec::new();
     for (name, told, key) in counts {
-        plays.push((name.to_owned(), Box::new(move || cold(run, name, run.program, told, key))));
+        plays.push((name.to_owned(), Box::new(move || cold(run, name, run.program, told, key, None))));
     }
+    let by_hand = move || cold(run, "by_hand", run.program, None, "", Some(BY_HAND));
+    plays.push(("by_hand".into(), Box::new(by_hand)));
     if let Some(program) = run.against {
-        plays.push(("against".into(), Box::new(move || cold(run, "against", program, None, ""))));
+        plays.push(("against".into(), Box::new(move || cold(run, "against", program, None, "", None))));
     }
     let colds = together(plays)?;
     let peak = |name: &str| colds[name]["engine_peak_over_limit"].as_f64().unwrap_or(f64::MAX);
@@ -234,6 +261,13 @@
         "engine_peak_over_limit".into(),
         json!(["right", "half", "double", "unknown"].map(peak).into_iter().fold(0.0, f64::max)),
     );
+    let worth = |name: &str| colds[name]["worth_10s"].as_f64().unwrap_or(0.0);
+    told.insert("worth_10s_over_by_hand".into(), json!(worth("right") / worth("by_hand").max(1e-9)));
+    let firsts =
+        std::iter::once(("program", run.program)).chain(run.against.map(|program| ("against", program)));
+    let firsts: Result<Map<String, Value>, String> =
+        firsts.map(|(name, program)| Ok((name.to_owned(), first_answer(run, name, program)?))).collect();
+    told.insert("start_to_first_answer".into(), Value::Object(firsts?));
     told.insert("routers".into(), json!(routers));
     told.insert("capacity_per_s".into(), json!(capacity));
     told.insert("quick".into(), json!(run.quick));
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -206,7 +206,7 @@
 
     /// The router is gone: what was open is excused, and nothing is asked until it is [`Load::back`].
     pub fn gone(&mut self, net: &mut Net) {
-        self.up = false;
+        (self.up, self.first_answer_ns) = (false, None);
         for (conn, calls) in std::mem::take(&mut self.conns) {
             net.close(conn);
             self.excused += calls.open.len() as u64;
@@ -216,7 +216,7 @@
 
     /// The router is there, at this address.
     pub fn back(&mut self, now: u64, to: SocketAddr) {
-        (self.to, self.up, self.first_answer_ns) = (to, true, None);
+        (self.to, self.up) = (to, true);
         self.next_ns = (0..self.sources.len()).map(|i| now + self.gap_ns(i)).collect();
     }
 
