Add peers: who else is in the fleet, over sealed datagrams

Need: routers have to find those they share limits with, and tell a restart from a return. Change: crates/peers, SWIM by foca with time and datagrams passed in, identity by name, life and renewal, MessagePack, at most 1,200 bytes, a keyed blake3 sum with a second key accepted. Not wired in yet.

--- /dev/null
+++ b/crates/peers/src/members.rs
@@ -0,0 +1,325 @@
+//! Membership: who is there. SWIM by a library, with time and datagrams passed in and out.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::num::{NonZeroU32, NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+
+use bytes::{Buf, BufMut};
+use foca::{
+    AccumulatingRuntime, Codec, Config, Foca, Header, Identity, Member, NoCustomBroadcast, OwnedNotification,
+};
+use foca::{PeriodicParams, Timer};
+use rand_for_foca::rngs::SmallRng;
+use rand_for_foca::SeedableRng;
+
+use crate::seal::{Keys, Kind, Spoilt, CONTENT_MOST, SPOILT};
+use crate::who::Who;
+
+/// How often seeds that are not known to be there are asked to let this router join (ns).
+const JOIN_NS: u64 = 1_000_000_000;
+/// Peers that are kept at most (count): what any datagram can make this router remember.
+const PEERS_MOST: usize = 2_000;
+/// Timers that may be set at most (count): beyond these the farthest give way.
+const TIMERS_MOST: usize = 20_000;
+
+/// How membership is set up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Routers that there are, about: news spreads by it.
+    pub routers: u32,
+    /// How often one peer is looked at (ns).
+    pub probe_ns: u64,
+    /// How long an answer may take, over others too (ns): less than the above.
+    pub answer_ns: u64,
+    /// How long a peer that did not answer may still say that it is there (ns).
+    pub suspect_ns: u64,
+    /// Where routers may be found that know others.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            routers: 1,
+            probe_ns: 500_000_000,
+            answer_ns: 200_000_000,
+            suspect_ns: 1_500_000_000,
+            seeds: Vec::new(),
+        }
+    }
+}
+
+impl Settings {
+    /// A peer that is gone is looked at by this one at the latest after as many looks as there are peers, and then counts as
+    /// gone once it was suspected for long enough (ns). Others look too, so that it is mostly known far sooner.
+    pub fn detect_at_most_ns(&self) -> u64 {
+        let looks = 2 * u64::from(self.routers.max(2) - 1);
+        looks * self.probe_ns + self.probe_ns + self.suspect_ns
+    }
+
+    fn config(&self) -> Config {
+        let routers = NonZeroU32::new(self.routers.max(2)).unwrap_or(NonZeroU32::MIN);
+        let every = |ns: u64, count: usize| {
+            let num_members = NonZeroUsize::new(count).unwrap_or(NonZeroUsize::MIN);
+            Some(PeriodicParams { frequency: Duration::from_nanos(ns), num_members })
+        };
+        Config {
+            probe_period: Duration::from_nanos(self.probe_ns),
+            probe_rtt: Duration::from_nanos(self.answer_ns),
+            num_indirect_probes: NonZeroUsize::new(3).unwrap_or(NonZeroUsize::MIN),
+            max_transmissions: NonZeroU8::new(12).unwrap_or(NonZeroU8::MIN),
+            suspect_to_down_after: Duration::from_nanos(self.suspect_ns),
+            remove_down_after: Duration::from_secs(60),
+            max_packet_size: NonZeroUsize::new(CONTENT_MOST).unwrap_or(NonZeroUsize::MIN),
+            notify_down_members: true,
+            periodic_announce: every(10_000_000_000, 1),
+            periodic_announce_to_down_members: every(2_000_000_000, 2),
+            periodic_gossip: every(500_000_000, 3),
+            ..Config::new_lan(routers)
+        }
+    }
+}
+
+/// Messages as MessagePack.
+#[derive(Clone, Copy, Debug)]
+struct Pack;
+
+/// Why a message can't be packed or unpacked.
+#[derive(Debug)]
+pub struct Unreadable(String);
+
+impl std::fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Unreadable {}
+
+fn pack(value: &impl serde::Serialize, buffer: impl BufMut) -> Result<(), Unreadable> {
+    rmp_serde::encode::write(&mut buffer.writer(), value).map_err(|e| Unreadable(e.to_string()))
+}
+
+fn unpack<T: serde::de::DeserializeOwned>(buffer: impl Buf) -> Result<T, Unreadable> {
+    rmp_serde::decode::from_read(buffer.reader()).map_err(|e| Unreadable(e.to_string()))
+}
+
+impl Codec<Who> for Pack {
+    type Error = Unreadable;
+
+    fn encode_header(&mut self, header: &Header<Who>, buffer: impl BufMut) -> Result<(), Unreadable> {
+        pack(header, buffer)
+    }
+
+    fn decode_header(&mut self, buffer: impl Buf) -> Result<Header<Who>, Unreadable> {
+        unpack(buffer)
+    }
+
+    fn encode_member(&mut self, member: &Member<Who>, buffer: impl BufMut) -> Result<(), Unreadable> {
+        pack(member, buffer)
+    }
+
+    fn decode_member(&mut self, buffer: impl Buf) -> Result<Member<Who>, Unreadable> {
+        unpack(buffer)
+    }
+}
+
+/// What became known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A peer is there.
+    Up(Who),
+    /// A peer is gone, or can't be reached.
+    Down(Who),
+    /// A peer has started again under its name: the earlier life, and this one.
+    Again(Who, Who),
+    /// Another router has this one's name.
+    SameName(Who),
+    /// What a peer says of limits.
+    Said(Who, Vec<u8>),
+}
+
+/// A router's view of its peers.
+pub struct Members {
+    foca: Foca<Who, Pack, SmallRng, NoCustomBroadcast>,
+    keys: Keys,
+    seeds: Vec<SocketAddr>,
+    timers: BTreeMap<(u64, u64), Timer<Who>>,
+    serial: u64,
+    joined_ns: u64,
+    up: BTreeMap<String, Who>,
+    out: Vec<(SocketAddr, Vec<u8>)>,
+    events: Vec<Event>,
+    spoilt: BTreeMap<Spoilt, u64>,
+    sent: (u64, u64),
+}
+
+impl Members {
+    /// A router that knows nobody yet.
+    pub fn new(me: Who, keys: Keys, settings: &Settings, seed: u64) -> Members {
+        let seeds = settings.seeds.iter().copied().filter(|at| *at != me.address).collect();
+        Members {
+            foca: Foca::new(me, settings.config(), SmallRng::seed_from_u64(seed), Pack),
+            keys,
+            seeds,
+            timers: BTreeMap::new(),
+            serial: 0,
+            joined_ns: 0,
+            up: BTreeMap::new(),
+            out: Vec::new(),
+            events: Vec::new(),
+            spoilt: BTreeMap::new(),
+            sent: (0, 0),
+        }
+    }
+
+    /// Who this router is to its peers.
+    pub fn me(&self) -> &Who {
+        self.foca.identity()
+    }
+
+    /// Seals with other keys from here on.
+    pub fn set_keys(&mut self, keys: Keys) {
+        self.keys = keys;
+    }
+
+    /// Peers that are there.
+    pub fn up(&self) -> impl Iterator<Item = &Who> {
+        self.up.values()
+    }
+
+    /// Datagrams that were passed over, by why.
+    pub fn spoilt(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
+        SPOILT.iter().map(|(why, name)| (*name, self.spoilt.get(why).copied().unwrap_or(0)))
+    }
+
+    /// Datagrams sent, and their bytes.
+    pub fn sent(&self) -> (u64, u64) {
+        self.sent
+    }
+
+    /// When it has something to do next (ns).
+    pub fn next_due_ns(&self) -> u64 {
+        let join = self.joined_ns + JOIN_NS;
+        self.timers.keys().next().map_or(join, |(due, _)| (*due).min(join))
+    }
+
+    /// Passes time.
+    pub fn tick(&mut self, now: u64) {
+        if now >= self.joined_ns + JOIN_NS || self.joined_ns == 0 {
+            self.joined_ns = now;
+            let known: Vec<SocketAddr> = self.up.values().map(|who| who.address).collect();
+            for seed in self.seeds.clone().into_iter().filter(|seed| !known.contains(seed)) {
+                self.run(now, |foca, runtime| foca.announce(Who::at(seed), runtime));
+            }
+        }
+        while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
+            let timer = entry.remove();
+            self.run(now, |foca, runtime| foca.handle_timer(timer, runtime));
+        }
+    }
+
+    /// Takes a datagram.
+    pub fn hear(&mut self, now: u64, datagram: &[u8]) {
+        let keys = self.keys.clone();
+        match keys.open(datagram) {
+            Err(why) => *self.spoilt.entry(why).or_default() += 1,
+            Ok((Kind::Members, content)) => {
+                // Guards against peers without end: what would add to a full table is passed over.
+                let full = self.foca.iter_membership_state().len() >= PEERS_MOST;
+                let heard = !full && self.run(now, |foca, runtime| foca.handle_data(content, runtime));
+                if !heard {
+                    *self.spoilt.entry(Spoilt::Content).or_default() += 1;
+                }
+            }
+            Ok((Kind::Limits, content)) => match unpack::<(Who, Vec<u8>)>(content) {
+                Ok((from, said)) => self.events.push(Event::Said(from, said)),
+                Err(_) => *self.spoilt.entry(Spoilt::Content).or_default() += 1,
+            },
+        }
+    }
+
+    /// Says something of limits to a peer; false where it is larger than a datagram may be.
+    pub fn say(&mut self, to: SocketAddr, said: &[u8]) -> bool {
+        let mut content = Vec::new();
+        let packed = pack(&(self.me(), said), &mut content).is_ok() && content.len() <= CONTENT_MOST;
+        if packed {
+            self.send(to, Kind::Limits, &content);
+        }
+        packed
+    }
+
+    /// Tells peers that this router leaves.
+    pub fn leave(&mut self, now: u64) {
+        self.run(now, |foca, runtime| foca.leave_cluster(runtime));
+    }
+
+    /// Datagrams to be sent since this was last called, and what became known.
+    pub fn take(&mut self) -> (Vec<(SocketAddr, Vec<u8>)>, Vec<Event>) {
+        (std::mem::take(&mut self.out), std::mem::take(&mut self.events))
+    }
+
+    fn send(&mut self, to: SocketAddr, kind: Kind, content: &[u8]) {
+        let datagram = self.keys.seal(kind, content);
+        self.sent = (self.sent.0 + 1, self.sent.1 + datagram.len() as u64);
+        self.out.push((to, datagram));
+    }
+
+    /// Lets the library do something, and carries out what it wants; whether it could.
+    fn run<E>(
+        &mut self,
+        now: u64,
+        what: impl FnOnce(
+            &mut Foca<Who, Pack, SmallRng, NoCustomBroadcast>,
+            &mut AccumulatingRuntime<Who>,
+        ) -> Result<(), E>,
+    ) -> bool {
+        let mut runtime = AccumulatingRuntime::new();
+        let done = what(&mut self.foca, &mut runtime).is_ok();
+        while let Some((to, content)) = runtime.to_send() {
+            self.send(to.address, Kind::Members, &content);
+        }
+        while let Some((after, timer)) = runtime.to_schedule() {
+            self.serial += 1;
+            self.timers.insert((now.saturating_add(after.as_nanos() as u64), self.serial), timer);
+            if self.timers.len() > TIMERS_MOST {
+                self.timers.pop_last();
+            }
+        }
+        while let Some(told) = runtime.to_notify() {
+            self.told(told);
+        }
+        done
+    }
+
+    fn told(&mut self, told: OwnedNotification<Who>) {
+        let mine = |who: &Who, me: &Who| who.name == me.name && who.life != me.life;
+        match told {
+            OwnedNotification::MemberUp(who) if mine(&who, self.foca.identity()) => {
+                self.events.push(Event::SameName(who));
+            }
+            OwnedNotification::MemberUp(who) => {
+                self.up.insert(who.name.clone(), who.clone());
+                self.events.push(Event::Up(who));
+            }
+            OwnedNotification::MemberDown(who) => {
+                // Guards against the end of an earlier life that is told behind the start of the next.
+                let present = self.up.get(&who.name).is_some_and(|now| !now.win_addr_conflict(&who));
+                if present {
+                    self.up.remove(&who.name);
+                    self.events.push(Event::Down(who));
+                }
+            }
+            OwnedNotification::Rename(before, who) => {
+                if self.up.contains_key(&who.name) {
+                    self.up.insert(who.name.clone(), who.clone());
+                }
+                if before.life != who.life {
+                    self.events.push(Event::Again(before, who));
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/src/seal.rs
@@ -0,0 +1,136 @@
+//! Datagrams with a keyed sum: what does not bear the fleet's key is not read any further.
+
+/// Largest datagram (bytes): it fits the smallest path that is common.
+pub const DATAGRAM_MOST: usize = 1_200;
+/// The first bytes of each, and the version of what follows.
+const MARK: [u8; 2] = *b"mj";
+const VERSION: u8 = 1;
+/// Bytes of the sum, and of all that stands before the content.
+const SUM: usize = 16;
+const HEAD: usize = MARK.len() + 2 + SUM;
+/// Largest content (bytes).
+pub const CONTENT_MOST: usize = DATAGRAM_MOST - HEAD;
+
+/// What a datagram carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Membership.
+    Members,
+    /// What routers say to each other of limits.
+    Limits,
+}
+
+/// Why a datagram is passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Spoilt {
+    /// It is shorter than any, or larger than allowed.
+    Size,
+    /// It does not begin like one.
+    Strange,
+    /// It is of another version.
+    Version,
+    /// Its sum is not by a key that is accepted: damaged, or of another fleet.
+    Sum,
+    /// It is sealed, but what it holds can't be read.
+    Content,
+}
+
+/// All of them, for counters.
+pub const SPOILT: [(Spoilt, &str); 5] = [
+    (Spoilt::Size, "size"),
+    (Spoilt::Strange, "strange"),
+    (Spoilt::Version, "version"),
+    (Spoilt::Sum, "sum"),
+    (Spoilt::Content, "content"),
+];
+
+/// The fleet's keys: one to seal with, and one more that is accepted while keys change.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Keys {
+    seals: [u8; 32],
+    also: Option<[u8; 32]>,
+}
+
+impl std::fmt::Debug for Keys {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        // Keys are for nobody's log.
+        write!(f, "Keys({})", if self.also.is_some() { 2 } else { 1 })
+    }
+}
+
+impl Keys {
+    /// Reads a key file: one key a line as 64 hex digits, the first of which seals; `#` begins a remark.
+    ///
+    /// # Errors
+    /// Says what is wrong, and never what the file holds.
+    pub fn read(text: &str) -> Result<Keys, String> {
+        let lines = text.lines().map(|line| line.split('#').next().unwrap_or_default().trim());
+        let keys: Vec<[u8; 32]> = lines
+            .filter(|line| !line.is_empty())
+            .enumerate()
+            .map(|(at, line)| {
+                blake3::Hash::from_hex(line)
+                    .map(|key| *key.as_bytes())
+                    .map_err(|_| format!("key {} is not 64 hex digits", at + 1))
+            })
+            .collect::<Result<_, _>>()?;
+        match keys[..] {
+            [seals] => Ok(Keys { seals, also: None }),
+            [seals, also] => Ok(Keys { seals, also: Some(also) }),
+            [] => Err("there is no key in it".into()),
+            _ => Err("there are more than two keys in it".into()),
+        }
+    }
+
+    /// A datagram of this content.
+    pub fn seal(&self, kind: Kind, content: &[u8]) -> Vec<u8> {
+        let kind = kind as u8;
+        let mut datagram = Vec::with_capacity(HEAD + content.len());
+        datagram.extend_from_slice(&MARK);
+        datagram.extend_from_slice(&[VERSION, kind]);
+        datagram.extend_from_slice(&sum(&self.seals, kind, content));
+        datagram.extend_from_slice(content);
+        datagram
+    }
+
+    /// What a datagram holds, where it bears a key that is accepted.
+    ///
+    /// # Errors
+    /// Says why it is passed over.
+    pub fn open<'a>(&self, datagram: &'a [u8]) -> Result<(Kind, &'a [u8]), Spoilt> {
+        if datagram.len() < HEAD || datagram.len() > DATAGRAM_MOST {
+            return Err(Spoilt::Size);
+        }
+        let (head, content) = datagram.split_at(HEAD);
+        if head[..2] != MARK {
+            return Err(Spoilt::Strange);
+        }
+        if head[2] != VERSION {
+            return Err(Spoilt::Version);
+        }
+        // Compared as hashes, which takes as long whatever differs.
+        let seen: [u8; SUM] = head[4..].try_into().map_err(|_| Spoilt::Size)?;
+        let pad = |sum: [u8; SUM]| {
+            let mut all = [0; 32];
+            all[..SUM].copy_from_slice(&sum);
+            blake3::Hash::from(all)
+        };
+        let keys = std::iter::once(&self.seals).chain(&self.also);
+        if !keys.map(|key| sum(key, head[3], content)).any(|sum| pad(sum) == pad(seen)) {
+            return Err(Spoilt::Sum);
+        }
+        match head[3] {
+            0 => Ok((Kind::Members, content)),
+            1 => Ok((Kind::Limits, content)),
+            _ => Err(Spoilt::Content),
+        }
+    }
+}
+
+fn sum(key: &[u8; 32], kind: u8, content: &[u8]) -> [u8; SUM] {
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    hasher.update(&[VERSION, kind]).update(content);
+    let mut sum = [0; SUM];
+    sum.copy_from_slice(&hasher.finalize().as_bytes()[..SUM]);
+    sum
+}
--- /dev/null
+++ b/crates/peers/src/who.rs
@@ -0,0 +1,57 @@
+//! Who a router is to its peers.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// A router of the fleet. Its name outlasts its process; its life is larger with each start, its renewal with each time that it
+/// comes back after its peers took it for gone.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Who {
+    /// Its name.
+    pub name: String,
+    /// Its number among the routers that shares are fixed for.
+    pub number: u32,
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+    /// When its process started (Unix ns, or anything that grows with each start).
+    pub life: u64,
+    /// How often this life has come back.
+    pub renewal: u32,
+}
+
+impl Who {
+    /// Whoever listens there: only the address of a router is known before it has been heard.
+    pub fn at(address: SocketAddr) -> Who {
+        Who { name: String::new(), number: u32::MAX, address, life: 0, renewal: 0 }
+    }
+}
+
+/// What stays the same over a router's lives: its name, or its address where no more is known of it.
+#[derive(Clone, Debug)]
+pub struct Place(String, SocketAddr);
+
+impl PartialEq for Place {
+    fn eq(&self, other: &Place) -> bool {
+        match self.0.is_empty() || other.0.is_empty() {
+            true => self.1 == other.1,
+            false => self.0 == other.0,
+        }
+    }
+}
+
+impl foca::Identity for Who {
+    type Addr = Place;
+
+    fn renew(&self) -> Option<Who> {
+        Some(Who { renewal: self.renewal.wrapping_add(1), ..self.clone() })
+    }
+
+    fn addr(&self) -> Place {
+        Place(self.name.clone(), self.address)
+    }
+
+    fn win_addr_conflict(&self, other: &Who) -> bool {
+        (self.life, self.renewal) > (other.life, other.renewal)
+    }
+}
--- /dev/null
+++ b/crates/peers/tests/fleet.rs
@@ -0,0 +1,272 @@
+//! Whole fleets of members in stepped time, over a wire that loses, doubles, delays and cuts: who is there is known everywhere,
+//! whatever was not sealed costs a counter and nothing else.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use marljunction_peers::seal::{Kind, CONTENT_MOST, DATAGRAM_MOST};
+use marljunction_peers::{Event, Keys, Members, Settings, Spoilt, Who};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const MS: u64 = 1_000_000;
+const S: u64 = 1_000 * MS;
+const STEP: u64 = 20 * MS;
+
+fn keys(digit: char) -> Keys {
+    Keys::read(&format!("{}\n", digit.to_string().repeat(64))).unwrap()
+}
+
+fn address(at: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, (at >> 8) as u8, (at & 255) as u8], 7_000))
+}
+
+struct Fleet {
+    members: Vec<Option<Members>>,
+    settings: Settings,
+    now: u64,
+    wire: BTreeMap<(u64, u64), (usize, Vec<u8>)>,
+    serial: u64,
+    draws: StdRng,
+    loss: f64,
+    jitter: u64,
+    cut: BTreeSet<(usize, usize)>,
+    events: Vec<(usize, Event)>,
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64) -> Fleet {
+        let settings =
+            Settings { routers: count as u32, seeds: vec![address(0), address(1)], ..Settings::default() };
+        let mut fleet = Fleet {
+            members: (0..count).map(|_| None).collect(),
+            settings,
+            now: 1_000 * S,
+            wire: BTreeMap::new(),
+            serial: 0,
+            draws: StdRng::seed_from_u64(seed),
+            loss: 0.0,
+            jitter: 3 * MS,
+            cut: BTreeSet::new(),
+            events: Vec::new(),
+        };
+        (0..count).for_each(|at| fleet.start(at, at));
+        fleet
+    }
+
+    fn start(&mut self, at: usize, name: usize) {
+        let (number, life) = (name as u32, self.now + at as u64);
+        let me = Who { name: format!("r{name}"), number, address: address(at), life, renewal: 0 };
+        self.members[at] = Some(Members::new(me, keys('a'), &self.settings, life ^ at as u64));
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        while let Some(entry) = self.wire.first_entry().filter(|e| e.key().0 <= self.now) {
+            let (to, datagram) = entry.remove();
+            if let Some(members) = &mut self.members[to] {
+                members.hear(self.now, &datagram);
+            }
+        }
+        for at in 0..self.members.len() {
+            let Some(members) = &mut self.members[at] else { continue };
+            members.tick(self.now);
+            let (out, events) = members.take();
+            self.events.extend(events.into_iter().map(|event| (at, event)));
+            for (to, datagram) in out {
+                assert!(datagram.len() <= DATAGRAM_MOST, "{} bytes", datagram.len());
+                let Some(to) = (0..self.members.len()).find(|i| address(*i) == to) else { continue };
+                if self.cut.contains(&(at, to)) || self.draws.gen_bool(self.loss) {
+                    continue;
+                }
+                self.serial += 1;
+                let due = self.now + self.draws.gen_range(0..=self.jitter);
+                self.wire.insert((due, self.serial), (to, datagram));
+            }
+        }
+    }
+
+    fn until(&mut self, most_s: u64, what: &str, condition: impl Fn(&Fleet) -> bool) -> f64 {
+        let began = self.now;
+        while !condition(self) {
+            assert!(self.now < began + most_s * S, "not within {most_s} s: {what}");
+            self.step();
+        }
+        (self.now - began) as f64 / 1e9
+    }
+
+    /// What a router knows of who is there.
+    fn knows(&self, at: usize) -> BTreeSet<u32> {
+        self.members[at].as_ref().map(|m| m.up().map(|who| who.number).collect()).unwrap_or_default()
+    }
+
+    fn all_know(&self, there: impl Fn(usize) -> bool) -> bool {
+        let all: BTreeSet<u32> =
+            (0..self.members.len()).filter(|at| there(*at)).map(|at| at as u32).collect();
+        (0..self.members.len()).filter(|at| there(*at)).all(|at| {
+            let mut others = all.clone();
+            others.remove(&(at as u32));
+            self.knows(at) == others
+        })
+    }
+}
+
+#[test]
+fn routers_that_know_only_seeds_know_all_though_a_third_is_lost() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(20, seed);
+        (fleet.loss, fleet.jitter) = (0.3, 200 * MS);
+        fleet.until(60, "all know all", |f| f.all_know(|_| true));
+    }
+}
+
+#[test]
+fn two_hundred_that_start_in_a_second_know_each_other() {
+    let mut fleet = Fleet::new(200, 1);
+    let took = fleet.until(60, "all know all", |f| f.all_know(|_| true));
+    println!("200 routers know each other after {took:.1} s");
+}
+
+#[test]
+fn a_router_that_dies_is_known_to_be_gone_within_the_bound_and_its_next_life_is_told_from_the_last() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(8, seed);
+        fleet.until(60, "all know all", |f| f.all_know(|_| true));
+        let life = fleet.members[3].take().unwrap().me().life;
+        let bound = fleet.settings.detect_at_most_ns().div_ceil(S);
+        fleet.until(bound, "it is gone everywhere", |f| f.all_know(|at| at != 3));
+        fleet.events.clear();
+        fleet.start(3, 3);
+        fleet.until(60, "all know all", |f| f.all_know(|_| true));
+        let later =
+            |f: &Fleet| f.members[0].as_ref().unwrap().up().any(|who| who.number == 3 && who.life > life);
+        assert!(later(&fleet));
+        // And one that starts again before anybody has missed it.
+        fleet.start(5, 5);
+        let again = |f: &Fleet| {
+            let seen = |at: usize| {
+                f.events
+                    .iter()
+                    .any(|(by, e)| *by == at && matches!(e, Event::Again(_, who) if who.number == 5))
+            };
+            (0..8).filter(|at| *at != 5).all(seen)
+        };
+        fleet.until(60, "all have heard of its next life", again);
+    }
+}
+
+#[test]
+fn one_that_leaves_is_gone_at_once() {
+    let mut fleet = Fleet::new(8, 1);
+    fleet.until(60, "all know all", |f| f.all_know(|_| true));
+    let now = fleet.now;
+    fleet.members[2].as_mut().unwrap().leave(now);
+    fleet.step();
+    fleet.members[2] = None;
+    let took = fleet.until(60, "it is gone everywhere", |f| f.all_know(|at| at != 2));
+    assert!(took < 3.0, "{took} s");
+}
+
+#[test]
+fn halves_that_were_cut_off_find_each_other_again() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(10, seed);
+        fleet.until(60, "all know all", |f| f.all_know(|_| true));
+        for (a, b) in (0..10).flat_map(|a| (0..10).map(move |b| (a, b))).filter(|(a, b)| (*a < 5) != (*b < 5))
+        {
+            fleet.cut.insert((a, b));
+        }
+        let bound = fleet.settings.detect_at_most_ns().div_ceil(S);
+        fleet.until(bound, "each half knows itself", |f| {
+            (0..10).all(|at| f.knows(at).iter().all(|other| (at < 5) == (*other < 5)))
+        });
+        fleet.cut.clear();
+        fleet.until(60, "all know all", |f| f.all_know(|_| true));
+    }
+}
+
+#[test]
+fn a_name_that_two_have_is_told() {
+    let mut fleet = Fleet::new(6, 1);
+    fleet.until(60, "all know all", |f| f.all_know(|_| true));
+    fleet.start(5, 4);
+    fleet.until(60, "somebody is told", |f| {
+        f.events.iter().any(|(_, e)| matches!(e, Event::SameName(_) | Event::Again(..)))
+    });
+}
+
+#[test]
+fn what_is_not_sealed_costs_a_counter_and_nothing_else() {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.until(60, "all know all", |f| f.all_know(|_| true));
+    let (now, mut draws) = (fleet.now, StdRng::seed_from_u64(5));
+    let members = fleet.members[0].as_mut().unwrap();
+    members.take();
+    let good = keys('a').seal(Kind::Limits, b"what is sealed but can't be read");
+    let mut sent = 0;
+    let mut hear = |members: &mut Members, datagram: &[u8]| {
+        members.hear(now, datagram);
+        sent += 1;
+    };
+    for size in 0..good.len() {
+        hear(members, &good[..size]);
+    }
+    for at in 0..good.len() * 8 {
+        let mut flipped = good.clone();
+        flipped[at / 8] ^= 1 << (at % 8);
+        hear(members, &flipped);
+    }
+    for _ in 0..2_000 {
+        let noise: Vec<u8> = (0..draws.gen_range(0..1_400)).map(|_| draws.gen()).collect();
+        hear(members, &noise);
+    }
+    hear(members, &keys('b').seal(Kind::Members, b"of another fleet"));
+    hear(members, &vec![b'm'; DATAGRAM_MOST + 1]);
+    let mut newer = good.clone();
+    newer[2] += 1;
+    hear(members, &newer);
+    for kind in [Kind::Members, Kind::Limits] {
+        hear(members, &keys('a').seal(kind, b"what is sealed but can't be read"));
+    }
+    let counted: u64 = members.spoilt().map(|(_, n)| n).sum();
+    assert_eq!(counted, sent);
+    assert_eq!(members.take(), (vec![], vec![]), "nothing is answered, nothing became known");
+    assert!(fleet.all_know(|_| true));
+}
+
+#[test]
+fn keys_are_changed_by_accepting_two() {
+    let (old, new) = ("a".repeat(64), "b".repeat(64));
+    let read = |text: String| Keys::read(&text).unwrap();
+    let (before, both, after) =
+        (read(old.clone()), read(format!("{new}\n{old} # the last one\n")), read(new.clone()));
+    let opens = |by: &Keys, sealed: &Keys| by.open(&sealed.seal(Kind::Limits, b"x")).map(|(_, c)| c.to_vec());
+    for (by, sealed, opened) in [
+        (&before, &before, true),
+        (&both, &before, true),
+        (&both, &both, true),
+        (&after, &both, true),
+        (&before, &both, false),
+        (&after, &before, false),
+    ] {
+        assert_eq!(opens(by, sealed), if opened { Ok(b"x".to_vec()) } else { Err(Spoilt::Sum) });
+    }
+    for wrong in ["", "# nothing", "abc", &"g".repeat(64), &format!("{old}\n{new}\n{old}")] {
+        let fault = Keys::read(wrong).unwrap_err();
+        assert!(wrong.is_empty() || !fault.contains(wrong), "a key is not told: {fault}");
+    }
+}
+
+#[test]
+fn what_is_said_of_limits_comes_with_who_said_it() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.until(60, "all know all", |f| f.all_know(|_| true));
+    let members = fleet.members[0].as_mut().unwrap();
+    assert!(members.say(address(1), b"hello"));
+    assert!(!members.say(address(1), &vec![0; CONTENT_MOST]), "too large for a datagram");
+    fleet.until(5, "it is heard", |f| {
+        f.events.iter().any(|(at, e)| {
+            *at == 1 && matches!(e, Event::Said(who, said) if who.number == 0 && said == b"hello")
+        })
+    });
+}
