--- a/crates/peers/src/members.rs
+++ b/crates/peers/src/members.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::num::{NonZeroU32, NonZeroU8, NonZeroUsize};
+use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
 
 use bytes::{Buf, BufMut};
@@ -59,7 +59,6 @@
     }
 
     fn config(&self) -> Config {
-        let routers = NonZeroU32::new(self.routers.max(2)).unwrap_or(NonZeroU32::MIN);
         let every = |ns: u64, count: usize| {
             let num_members = NonZeroUsize::new(count).unwrap_or(NonZeroUsize::MIN);
             Some(PeriodicParams { frequency: Duration::from_nanos(ns), num_members })
@@ -76,7 +75,6 @@
             periodic_announce: every(10_000_000_000, 1),
             periodic_announce_to_down_members: every(2_000_000_000, 2),
             periodic_gossip: every(500_000_000, 3),
-            ..Config::new_lan(routers)
         }
     }
 }
