Hold limits for the whole fleet: routers talk, lend shares, and refuse before the module

Need: crates/limits and crates/peers were used by nothing. Change: fleet in the operator's file; src/fleet.rs talks over one datagram socket (crates/net/src/datagrams.rs), crates/core/src/limits.rs admits a request before the door and the module and refuses it with the time when its share is due; a request counts until all that it had out is over. check tells the bound of each limit for each fault, marljunction fleet asks a router what it knows. Absent: no socket, no cost. The rig's routers talk over links.

Result: six processes under a limit of twelve at once, counted by the engines: used by one router that asks, never over in a cut into halves, with a holder killed or frozen, owners killed and back, all killed, links that lose a third.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod counters;
 pub mod ending;
+pub mod limits;
 pub mod statement;
 
 use std::cmp::Reverse;
@@ -18,9 +19,11 @@
 
 use counters::Counters;
 use ending::{Ending, Meaning};
+use limits::FleetLimits;
 use marljunction_control::interface::*;
 use marljunction_control::Controller;
 use marljunction_door::{Advice, Arrival, Door, Verdict};
+use marljunction_limits::node::Ticket;
 use statement::Statement;
 
 /// Time past a request's own within which its answer must have been given, or the core gives it (ns).
@@ -206,6 +209,8 @@
     priority: u8,
     taken_ns: u64,
     expires_ns: u64,
+    /// What it was admitted by, under limits that hold for the fleet.
+    ticket: Option<Ticket>,
 }
 
 enum Inbound {
@@ -229,6 +234,7 @@
     control: Controller,
     classes: Vec<ClassSettings>,
     door: Option<Door>,
+    limits: Option<FleetLimits>,
     open: HashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<(u64, u64, Timer)>>,
     batch: Vec<Inbound>,
@@ -249,6 +255,7 @@
         Router {
             classes: settings.classes.clone(),
             door: None,
+            limits: None,
             control: Controller::new(settings, seed),
             open: HashMap::new(),
             timers: BinaryHeap::new(),
@@ -268,6 +275,17 @@
         self
     }
 
+    /// Puts limits that hold for the fleet before the door.
+    pub fn with_limits(mut self, limits: Option<FleetLimits>) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// The limits that hold for the fleet, where there are some.
+    pub fn limits(&mut self) -> Option<&mut FleetLimits> {
+        self.limits.as_mut()
+    }
+
     /// The door, where there is one.
     pub fn door(&mut self) -> Option<&mut Door> {
         self.door.as_mut()
@@ -291,6 +309,7 @@
             priority: 1,
             taken_ns: now_ns,
             expires_ns,
+            ticket: None,
         };
         self.open.insert(id, open);
         self.counters.taken += 1;
@@ -462,9 +481,29 @@
         self.decide(now, Event::Arrival(request), out);
     }
 
+    /// Whether the fleet's limits admit a request; one that they do not is refused, with the time when its share is due.
+    fn admitted(&mut self, now: u64, id: RequestId, out: &mut Vec<Command>) -> bool {
+        let (Some(limits), Some(open)) = (&mut self.limits, self.open.get_mut(&id)) else { return true };
+        match limits.admit(now, &open.ask) {
+            Ok(ticket) => {
+                open.ticket = Some(ticket);
+                true
+            }
+            Err(after_ns) => {
+                let backoff_ms = after_ns.div_ceil(1_000_000).max(1);
+                self.conclude(now, id, Answer::Refused { backoff_ms, after: None, fault: None }, out);
+                self.tidy(id);
+                false
+            }
+        }
+    }
+
     fn inbound(&mut self, now: u64, inbound: Inbound, out: &mut Vec<Command>) {
         match inbound {
             Inbound::Arrival(id) => {
+                if !self.admitted(now, id, out) {
+                    return;
+                }
                 let Some(open) = self.open.get(&id) else { return };
                 if self.door.is_none() {
                     return self.show(now, id, out);
@@ -613,6 +652,9 @@
             let Some(open) = self.open.remove(&id) else { return };
             self.held -= open.ask.statement.text.len();
             self.names.remove(&open.ask.name);
+            if let (Some(limits), Some(ticket)) = (&mut self.limits, open.ticket) {
+                limits.over(ticket);
+            }
         }
     }
 
--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -35,6 +35,8 @@
     Disable(String),
     /// `POST /engines/enable` with the engine's id.
     Enable(String),
+    /// `GET /fleet`.
+    Fleet,
     /// `POST /drain`.
     Drain,
     /// `POST /undrain`.
@@ -48,6 +50,7 @@
             Call::Ready => "ready",
             Call::Disable(_) => "disable",
             Call::Enable(_) => "enable",
+            Call::Fleet => "fleet",
             Call::Drain => "drain",
             Call::Undrain => "undrain",
         }
@@ -145,9 +148,10 @@
         ("GET" | "HEAD", "/ready") => Call::Ready,
         ("POST", "/engines/disable") => Call::Disable(engine()?),
         ("POST", "/engines/enable") => Call::Enable(engine()?),
+        ("GET", "/fleet") => Call::Fleet,
         ("POST", "/drain") => Call::Drain,
         ("POST", "/undrain") => Call::Undrain,
-        (_, "/ready" | "/engines/disable" | "/engines/enable" | "/drain" | "/undrain") => {
+        (_, "/ready" | "/fleet" | "/engines/disable" | "/engines/enable" | "/drain" | "/undrain") => {
             return Err(Reply::new(405, format!("{method} is not for {path}")));
         }
         _ => return Err(Reply::new(404, format!("no call {path}"))),
@@ -240,7 +244,7 @@
         let counted = self.counters.calls.entry(call.name()).or_default();
         counted.0 += 1;
         counted.1 += u64::from((200..300).contains(&reply.status));
-        if !matches!(call, Call::Ready) {
+        if !matches!(call, Call::Ready | Call::Fleet) {
             info!("the operators' door: {} {:?}: {} {}", call.name(), call, reply.status, reply.text);
         }
         self.end(now, net, conn, Some(reply));
--- a/crates/limits/src/bound.rs
+++ b/crates/limits/src/bound.rs
@@ -73,8 +73,12 @@
         Fault::Cut => (allowed, lent),
         Fault::HolderDied => (allowed, lent),
         Fault::OwnerDied => (allowed, terms.quiet_ns(limit.kind)),
-        // Everybody is asked and says at once what it holds; what ran before runs on.
-        Fault::AllDied => (allowed, limit.kind.run_out_ns(terms).min(terms.run_on_ns) + terms.detect_ns),
+        // Everybody is asked as soon as it is found, and says what it holds; else all that was lent runs out. What ran
+        // before runs on.
+        Fault::AllDied => {
+            let asked = limit.kind.run_out_ns(terms).min(terms.run_on_ns) + terms.detect_ns;
+            (allowed, asked.min(terms.quiet_ns(limit.kind)))
+        }
         // Each uses the share for itself for as long as they are two.
         Fault::SameNumber => (over(f64::from(largest) / f64::from(units), u64::MAX), lent),
     };
--- a/crates/limits/src/node.rs
+++ b/crates/limits/src/node.rs
@@ -17,6 +17,8 @@
 const NEW_ASKS: usize = 64;
 /// Keys that are looked at for one that may be forgotten, where the table is full (count).
 const LOOKED_AT: usize = 16;
+/// Keys of a limit that are shown (count).
+const SHOWN: usize = 8;
 /// Loans told in one message (count): it fits a datagram.
 const HELD_MOST: usize = 32;
 
@@ -323,6 +325,17 @@
         Look { owned, lent, borrowed, usable, out: entry.meter.out() }
     }
 
+    /// The keys of a limit that use most, and what is known of them.
+    pub fn busiest(&mut self, now: u64, limit: u16) -> Vec<(u64, Look)> {
+        let of = (limit, 0)..=(limit, u64::MAX);
+        let keys: Vec<u64> = self.keys.range(of).map(|((_, key), _)| *key).collect();
+        let mut all: Vec<(u64, Look)> =
+            keys.into_iter().map(|key| (key, self.look(now, limit, key))).collect();
+        all.sort_by_key(|(key, look)| (std::cmp::Reverse((look.out, look.borrowed, look.lent)), *key));
+        all.truncate(SHOWN);
+        all
+    }
+
     /// Whether it still has to ask what it lent before.
     pub fn recovers(&self) -> bool {
         self.recovery.is_some()
--- /dev/null
+++ b/crates/net/src/datagrams.rs
@@ -0,0 +1,61 @@
+//! A socket for datagrams between routers, with bounds on what one round reads.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+use mio::net::UdpSocket;
+use mio::{Interest, Registry, Token};
+
+/// Datagrams that one round reads (count): clients have their turn between.
+const ROUND_MOST: usize = 256;
+/// Largest datagram that is read (bytes); more of it is cut off, and so does not bear its sum.
+const DATAGRAM_MOST: usize = 2_048;
+
+/// An open socket.
+pub struct Datagrams {
+    socket: UdpSocket,
+    buffer: Vec<u8>,
+    /// It was left with something to read: no further event tells of it.
+    pub more: bool,
+    /// Datagrams that the machine had no room to send.
+    pub unsent: u64,
+}
+
+impl Datagrams {
+    /// Opens it.
+    ///
+    /// # Errors
+    /// Where the address can't be bound.
+    pub fn open(registry: &Registry, token: Token, at: SocketAddr) -> std::io::Result<Datagrams> {
+        let mut socket = UdpSocket::bind(at)?;
+        registry.register(&mut socket, token, Interest::READABLE)?;
+        Ok(Datagrams { socket, buffer: vec![0; DATAGRAM_MOST], more: false, unsent: 0 })
+    }
+
+    /// Where it is open.
+    ///
+    /// # Errors
+    /// Where the machine does not say.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Hands over what has come in, up to a bound.
+    pub fn receive(&mut self, mut take: impl FnMut(&[u8])) {
+        self.more = false;
+        for _ in 0..ROUND_MOST {
+            match self.socket.recv_from(&mut self.buffer) {
+                Ok((size, _)) => take(&self.buffer[..size]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // A peer that is not there answers so to what was sent to it before.
+                Err(_) => {}
+            }
+        }
+        self.more = true;
+    }
+
+    /// Sends a datagram; one that finds no room is lost, as any may be.
+    pub fn send(&mut self, to: SocketAddr, datagram: &[u8]) {
+        self.unsent += u64::from(self.socket.send_to(datagram, to).is_err());
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod clock;
+pub mod datagrams;
 pub mod listener;
 pub mod phase;
 
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -15,7 +15,7 @@
 
 use crate::audit::Audit;
 use crate::engine::Cold;
-use crate::link::{Shape, TcpLink};
+use crate::link::{Shape, TcpLink, UdpLink};
 use crate::list::{ListService, Manner};
 use crate::load::{Class, Load, Source, Tally};
 use crate::process::Process;
@@ -26,6 +26,9 @@
 /// Listeners of engines have the first numbers, then those of the list service; connections follow.
 const LIST_TOKEN: usize = 10_000;
 const LINK_TOKEN: usize = 20_000;
+const BETWEEN_TOKEN: usize = 30_000;
+/// The key of all fleets of the rig: what it keeps out are strangers.
+const KEY: &str = "6d61726c6a756e6374696f6e2d7269672d6b65792d6f662d616c6c2d666c6565";
 const FIRST_CONN: u64 = 1_000_000;
 /// Longest wait of the loop (ns).
 const STEP_NS: u64 = 10_000_000;
@@ -54,6 +57,8 @@
     pub cores: f64,
     /// Engines are cold as the fleet starts.
     pub cold: bool,
+    /// Routers talk to each other, under these limits (as in the operator's file), over links that can be broken.
+    pub fleet: Option<String>,
     /// Engines are reached over links that can be broken.
     pub links: bool,
     /// Routers know the list as they start.
@@ -82,6 +87,7 @@
             engines: 4,
             cores: 8.0,
             cold: false,
+            fleet: None,
             links: false,
             known: true,
             capacity: routers as f64,
@@ -144,6 +150,8 @@
     pub started_ns: u64,
     /// Where its clients connect, once it has said so.
     pub listens: Option<SocketAddr>,
+    /// Where it takes datagrams, once it has said so.
+    pub talks: Option<SocketAddr>,
     /// Since when it has no stream though the service takes calls, and the longest such time so far (ns).
     blind_since_ns: Option<u64>,
     /// The longest time without a stream while the service took calls (ns).
@@ -168,6 +176,8 @@
     pub engines: Vec<Engine>,
     /// The links to them; none where they are reached without.
     pub links: Vec<TcpLink>,
+    /// The links that each router hears its peers by; none where they do not talk.
+    pub between: Vec<UdpLink>,
     /// The list service.
     pub list: ListService,
     serving: bool,
@@ -178,6 +188,8 @@
     states: Vec<&'static str>,
     /// When each engine was told to leave, as the service had it (ns).
     pub left_ns: Vec<Option<u64>>,
+    /// Most queries that all engines held at once, since this was last set back.
+    pub held_most: usize,
     dir: PathBuf,
     again: Vec<u64>,
 }
@@ -208,6 +220,11 @@
             engine.announced = Some(link.address);
             links.push(link);
         }
+        let mut between = Vec::new();
+        for i in (0..setup.routers).filter(|_| setup.fleet.is_some()) {
+            let seed = setup.seed.wrapping_mul(37).wrapping_add(i as u64);
+            between.push(UdpLink::new(&registry, BETWEEN_TOKEN + i, seed).map_err(fault("link"))?);
+        }
         let list =
             ListService::new(&registry, LIST_TOKEN, setup.routers, setup.capacity).map_err(fault("list"))?;
         let net = Net::new(registry, FIRST_CONN, Room { engines: 1 << 20, output: 1 << 30 });
@@ -218,6 +235,7 @@
             process: None,
             started_ns: 0,
             listens: None,
+            talks: None,
             blind_since_ns: None,
             blind_ns: 0,
             frozen: false,
@@ -240,8 +258,10 @@
             net,
             engines,
             links,
+            between,
             list,
             serving: true,
+            held_most: 0,
             dir,
             again: Vec::new(),
             setup,
@@ -288,6 +308,40 @@
         self.links.get_mut(engine).into_iter().for_each(|link| link.set(now, there, back));
     }
 
+    /// The part of the operator's file that lets a router talk to its peers: by the links that stand before them.
+    fn fleet_file(&self, router: usize, limits: &str, key: &Path) -> String {
+        let seeds: Vec<String> =
+            self.between.iter().take(2).map(|link| format!("{:?}", link.address.to_string())).collect();
+        format!(
+            "fleet: {{ listen: \"127.0.0.1:0\", advertise: \"{}\", key: {key:?}, seeds: [{}], routers: {}, {limits} }}\n",
+            self.between[router].address,
+            seeds.join(", "),
+            self.setup.routers,
+        )
+    }
+
+    /// Shapes what passes from one router to another, or from all where none is named.
+    pub fn shape_between(&mut self, from: Option<usize>, to: usize, shape: Shape) {
+        let now = self.clock.now_ns();
+        let sender = match from.map(|from| self.routers[from].talks) {
+            // One that does not talk needs no shape.
+            Some(None) => return,
+            Some(sender) => sender,
+            None => None,
+        };
+        self.between.get_mut(to).into_iter().for_each(|link| link.set(now, sender, shape));
+    }
+
+    /// Cuts the routers into parts that do not hear each other; nobody is cut off where all are in one.
+    pub fn cut_into(&mut self, parts: &[usize]) {
+        for to in 0..parts.len() {
+            for from in (0..parts.len()).filter(|from| *from != to) {
+                let cut = parts[from] != parts[to];
+                self.shape_between(Some(from), to, Shape { cut, ..Shape::default() });
+            }
+        }
+    }
+
     /// Starts a router's process, as a first start or after its end.
     ///
     /// # Errors
@@ -311,7 +365,7 @@
             false => json!({"index": 0, "updates": []}),
         };
         let config = json!({
-            "name": format!("r{router}"), "listen": "127.0.0.1:0", "seed": format!("{seed:016x}"),
+            "name": format!("r{router}"), "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "seed": format!("{seed:016x}"),
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
             "coordinator": self.list.address(router).to_string(), "known": known, "settings": settings(&site),
         });
@@ -321,13 +375,19 @@
             std::fs::write(&at, text).map(|()| at.clone()).map_err(|e| format!("{}: {e}", at.display()))
         };
         let mut environment = vec![("ROUTER_CONFIG", write("config", &config.to_string())?)];
-        if let Some(operator) = &setup.operator {
-            let own = self.own(router).display().to_string();
-            environment.push(("MARLJUNCTION_SETUP", write("operator", &operator.replace("{own}", &own))?));
+        let mut operator = setup.operator.clone().unwrap_or_default();
+        operator = operator.replace("{own}", &self.own(router).display().to_string());
+        if let Some(limits) = &setup.fleet {
+            let key = write("key", KEY)?;
+            operator.push_str(&self.fleet_file(router, limits, &key));
+        }
+        if !operator.is_empty() {
+            environment.push(("MARLJUNCTION_SETUP", write("operator", &operator)?));
         }
         let process = Process::start(&setup.program, &environment, &path("log"))?;
         let to = &mut self.routers[router];
-        (to.process, to.started_ns, to.listens, to.frozen) = (Some(process), now, None, false);
+        (to.process, to.started_ns, to.listens, to.talks) = (Some(process), now, None, None);
+        to.frozen = false;
         to.blind_since_ns = Some(now);
         Ok(())
     }
@@ -504,6 +564,19 @@
         self.run_until(limit, |fleet| fleet.loads.iter().all(|load| load.open() == 0))
     }
 
+    /// Clients ask from here on, so often at each router.
+    pub fn ask_at(&mut self, rates: &[f64]) {
+        let now = self.clock.now_ns();
+        for (load, rate) in self.loads.iter_mut().zip(rates) {
+            load.begin(now, vec![Source { tenant: "all", rate: *rate, clients: 8, says: 1.0 }]);
+        }
+    }
+
+    /// Queries that all engines hold now.
+    pub fn held(&self) -> usize {
+        self.engines.iter().map(Engine::held).sum()
+    }
+
     /// Routers that take clients.
     pub fn ready(&self) -> usize {
         self.routers.iter().filter(|r| r.listens.is_some()).count()
@@ -556,7 +629,9 @@
         let mut conns: Vec<u64> = std::mem::take(&mut self.again);
         for event in &events {
             let Token(token) = event.token();
-            if token < self.engines.len() {
+            if let Some(link) = token.checked_sub(BETWEEN_TOKEN).and_then(|at| self.between.get_mut(at)) {
+                link.ready(now);
+            } else if token < self.engines.len() {
                 self.engines[token].accept(&mut self.net);
             } else if let Some(link) = token.checked_sub(LINK_TOKEN).and_then(|at| self.links.get_mut(at)) {
                 link.accept(now, &mut self.net);
@@ -582,6 +657,8 @@
         }
         self.engines.iter_mut().for_each(|e| e.tick(now, &mut self.net));
         self.links.iter_mut().for_each(|link| link.tick(now, &mut self.net));
+        self.between.iter_mut().for_each(|link| link.tick(now));
+        self.held_most = self.held_most.max(self.held());
         self.list.tick(now, &mut self.net);
         for (router, load) in self.routers.iter_mut().zip(&mut self.loads) {
             if router.listens.is_none() {
@@ -592,6 +669,12 @@
             }
             load.tick(now, &mut self.net);
         }
+        for (router, link) in self.routers.iter_mut().zip(&mut self.between) {
+            if router.talks.is_none() {
+                router.talks = router.process.as_ref().and_then(Process::talks);
+                link.to = router.talks;
+            }
+        }
         for (at, router) in self.routers.iter_mut().enumerate() {
             match (router.blind_since_ns, self.list.live_since(at)) {
                 (Some(since), Some(live)) => {
@@ -608,6 +691,22 @@
         Ok(())
     }
 
+    /// What a router says of its fleet, by the program's own command.
+    ///
+    /// # Errors
+    /// Where it does not answer.
+    pub fn ask_fleet(&mut self, router: usize) -> Result<String, String> {
+        let said = self.said(router);
+        let at = said.lines().find_map(|l| l.split_once("listens on ")?.1.strip_suffix(" for the operators"));
+        let at = at.ok_or("no operators' door")?;
+        let mut command = std::process::Command::new(&self.setup.program);
+        let told = command.args(["fleet", "--at", at]).output().map_err(|e| e.to_string())?;
+        match told.status.success() {
+            true => Ok(String::from_utf8_lossy(&told.stdout).into_owned()),
+            false => Err(String::from_utf8_lossy(&told.stderr).into_owned()),
+        }
+    }
+
     /// What was seen so far, held against the rules.
     pub fn audit(&self) -> Audit {
         let left = self.engines.iter().zip(&self.left_ns);
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -78,6 +78,13 @@
         self.listens
     }
 
+    /// Where it takes datagrams of its peers, once it has said so.
+    pub fn talks(&self) -> Option<SocketAddr> {
+        let said = self.said();
+        let line = said.lines().find_map(|line| line.split_once("talks to the fleet on "))?;
+        line.1.split(' ').next()?.parse().ok()
+    }
+
     /// Sends a signal; one that has ended hears nothing.
     pub fn signal(&mut self, signal: Signal) {
         if self.runs() {
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -135,6 +135,11 @@
         self.conns.contains(&conn)
     }
 
+    /// Queries that it holds.
+    pub fn held(&self) -> usize {
+        self.cores.held()
+    }
+
     /// Whether it is there.
     pub fn is_up(&self) -> bool {
         self.listener.is_some()
--- a/src/behaviour.rs
+++ b/src/behaviour.rs
@@ -13,7 +13,7 @@
 }
 
 /// Fields, the longest first where one begins like another: when a change of theirs counts, and what it changes.
-const FIELDS: [(&str, When, &str); 28] = [
+const FIELDS: [(&str, When, &str); 31] = [
     ("door.order", When::Restart, "how turns are divided"),
     ("door.client", When::Restart, "what names a client, and so whom it shares its turns with"),
     ("door.weights.", When::AtOnce, "this tenant's part of the turns while all want more than there is"),
@@ -44,6 +44,9 @@
     ("start.spread", When::AtOnce, "how long a router waits at most before it first calls the list service"),
     ("start.connections", When::AtOnce, "how many connections a second an engine gets from the whole fleet"),
     ("start.stale", When::AtOnce, "the age from which news of the engines counts as too old"),
+    ("fleet.key", When::AtOnce, "which keys seal and open what routers say to each other"),
+    ("fleet.limits.", When::Restart, "a limit that holds for the whole fleet"),
+    ("fleet", When::Restart, "whom this router talks to, and how loans of shares last"),
     ("start", When::Restart, "whether routers spare the list service as they start"),
     ("log.level", When::AtOnce, "what is logged"),
 ];
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line. With no arguments the program serves, as the platform starts it.
 
+use std::io::{Read as _, Write as _};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -11,6 +12,9 @@
 use crate::setup::Setup;
 use crate::{logger, setup};
 
+/// The longest that a request is out, where no settings say: bounds are told by it (ns).
+const LONGEST_NS: u64 = 27_500_000_000;
+
 /// A query router daemon: decides which engine runs each query and when, and gives each client one final answer.
 #[derive(Parser)]
 #[command(name = "marljunction", version)]
@@ -50,6 +54,12 @@
         /// The file as it is to be.
         to: PathBuf,
     },
+    /// Print what a running router knows of its fleet: peers, and its part in each limit.
+    Fleet {
+        /// Address of its operators' door.
+        #[arg(long, value_name = "ADDRESS")]
+        at: std::net::SocketAddr,
+    },
     /// Print a shell's completions.
     Completions {
         /// The shell.
@@ -75,6 +85,9 @@
             println!("{}: right", path.display());
             if let Ok(setup) = Setup::of_file(path) {
                 println!("  {}", setup.start.bounds(None));
+                for line in setup.fleet.iter().flat_map(|fleet| fleet.bounds(LONGEST_NS)) {
+                    println!("  {line}");
+                }
             }
             true
         }
@@ -85,6 +98,23 @@
     }
 }
 
+/// What the operators' door at this address says of the fleet.
+fn ask_fleet(at: std::net::SocketAddr) -> Result<String, String> {
+    let limit = std::time::Duration::from_secs(3);
+    let fault = |e: std::io::Error| e.to_string();
+    let mut stream = std::net::TcpStream::connect_timeout(&at, limit).map_err(fault)?;
+    stream.set_read_timeout(Some(limit)).map_err(fault)?;
+    stream.write_all(b"GET /fleet HTTP/1.1\r\nHost: router\r\n\r\n").map_err(fault)?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).map_err(fault)?;
+    let (head, body) = answer.split_once("\r\n\r\n").ok_or("no answer that can be read")?;
+    if head.starts_with("HTTP/1.1 200 ") {
+        Ok(body.to_owned())
+    } else {
+        Err(body.trim_end().to_owned())
+    }
+}
+
 fn format(path: &Path, only_check: bool) -> Result<bool, String> {
     let fault = |e: std::io::Error| format!("{}: {e}", path.display());
     let text = std::fs::read_to_string(path).map_err(fault)?;
@@ -129,6 +159,16 @@
                 ExitCode::from(2)
             }
         },
+        Some(Task::Fleet { at }) => match ask_fleet(at) {
+            Ok(told) => {
+                print!("{told}");
+                ExitCode::SUCCESS
+            }
+            Err(fault) => {
+                eprintln!("{at}: {fault}");
+                ExitCode::FAILURE
+            }
+        },
         Some(Task::Completions { shell }) => {
             clap_complete::generate(shell, &mut Arguments::command(), "marljunction", &mut std::io::stdout());
             ExitCode::SUCCESS
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 use log::LevelFilter;
 use marljunction_language::value::Value;
 
+use crate::fleet::FleetFile;
 use crate::setup::Setup;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -224,6 +225,8 @@
     pub door: Option<DoorSettings>,
     /// How the router starts and comes back.
     pub start: StartFile,
+    /// The fleet, where routers talk to each other.
+    pub fleet: Option<FleetFile>,
     /// All that the operator's file says, and the level of the log that it names.
     pub operator: Option<Value>,
     /// The level of the log.
@@ -285,8 +288,8 @@
                 Err(format!("door: the weight of {name} is of no tenant: name one of the settings'"))
             }
             None => {
-                let (start, operator, level) = (setup.start, setup.value, setup.level);
-                Ok(Read { config, postgres, door, start, operator, level })
+                let (start, fleet, operator, level) = (setup.start, setup.fleet, setup.value, setup.level);
+                Ok(Read { config, postgres, door, start, fleet, operator, level })
             }
         }
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,6 +13,7 @@
 
 use crate::behaviour::effects;
 use crate::config::{EngineFile, Files, Limits, Read};
+use crate::fleet::FleetSide;
 use crate::logger;
 use marljunction_control::interface::{Effect, Settings, TenantId};
 use marljunction_core::ending::Ending;
@@ -41,6 +42,7 @@
 const POSTGRES: Token = Token(1);
 const SIGNALS: Token = Token(2);
 const OPERATOR: Token = Token(3);
+const FLEET: Token = Token(4);
 /// Numbers of connections start behind those of listeners.
 const FIRST_CONN: u64 = 15;
 /// Time after SIGTERM for which new connections are taken (ns): they go on coming for 400 ms.
@@ -114,6 +116,8 @@
     bans_read_ns: u64,
     /// The list of engines as it was told, and the file that it is kept in for a start without the list service; none
     /// where it is not.
+    /// What talks to the fleet's other routers; none where nothing does.
+    fleet: Option<FleetSide>,
     kept: Kept,
     kept_file: Option<PathBuf>,
     /// Connections with input that no event tells of.
@@ -125,7 +129,7 @@
 impl Daemon {
     /// Starts listening.
     pub fn start(files: Files) -> Result<Daemon, String> {
-        let Read { mut config, postgres, door, start, operator, level } = files.read()?;
+        let Read { mut config, postgres, door, start, fleet, operator, level } = files.read()?;
         logger::set_level(level);
         let io = |what: &str, e: std::io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| io("poll", e))?;
@@ -211,12 +215,16 @@
         };
         // Clients hold at most a third of the descriptors; the rest, less a few, is for engines.
         let sockets = config.limits.sockets.max(64);
+        let fleet = fleet.map(|file| FleetSide::start(now, &registry, FLEET, file, &config)).transpose()?;
+        let (fleet, limits) = fleet.unzip();
         let bans_file = files.kept.as_ref().map(|dir| (dir.join(BANS_FILE), String::new()));
         let mut daemon = Daemon {
             poll,
             clock,
             net: Net::new(registry, FIRST_CONN, Room::of(sockets, config.limits.memory_mb)),
-            router: Router::new(config.settings.clone(), seed, config.limits.memory_mb).with_door(door),
+            router: Router::new(config.settings.clone(), seed, config.limits.memory_mb)
+                .with_door(door)
+                .with_limits(limits),
             msgpack: MsgpackFront::new(directory.clone()),
             postgres: front,
             files,
@@ -238,6 +246,7 @@
             bans: Bans::new(),
             bans_file,
             bans_read_ns: 0,
+            fleet,
             kept: Kept::default(),
             kept_file: start.keep.clone(),
             unread: Vec::new(),
@@ -325,6 +334,7 @@
                     MSGPACK | POSTGRES => self.accept(now),
                     OPERATOR => self.accept_operators(now),
                     SIGNALS => self.signal(now),
+                    FLEET => self.hear_fleet(now),
                     Token(conn) => self.ready(now, conn as u64),
                 }
             }
@@ -339,7 +349,8 @@
             self.end_all(now);
             if self.finished(now) {
                 self.tell_counters();
-                info!("ends; {}", self.counters_line());
+                let line = self.counters_line();
+                info!("ends; {line}");
                 return Ok(());
             }
         }
@@ -447,6 +458,10 @@
                 (false, Ok(_)) => Reply::new(200, format!("{id} was not out")),
                 (_, Err(refusal)) => refused(refusal, id),
             },
+            Call::Fleet => match (&mut self.fleet, self.router.limits()) {
+                (Some(fleet), Some(limits)) => Reply::new(200, fleet.view(now, limits)),
+                _ => Reply::new(404, "this router talks to no fleet"),
+            },
             Call::Drain if self.phase.stopping_since().is_some() => Reply::new(409, "stopping"),
             Call::Drain => {
                 self.phase.drain(now);
@@ -492,6 +507,7 @@
             match signal {
                 SIGTERM => {
                     info!("told to stop");
+                    self.fleet.iter_mut().for_each(|fleet| fleet.leave(now));
                     self.phase.stop(now, self.shared);
                     self.msgpack.set_well(self.phase.is_well());
                     // Guards against connections taken only to be closed: a successor accepts from the same socket.
@@ -506,10 +522,14 @@
     }
 
     /// All counters in one line.
-    fn counters_line(&self) -> String {
+    fn counters_line(&mut self) -> String {
         let engines = self.kept.engines();
         let list = self.discovery.as_ref().map(|d| d.line(self.clock.now_ns())).unwrap_or_default();
-        let list = format!("list_engines={engines} {list}");
+        let mut list = format!("list_engines={engines} {list}");
+        if let (Some(fleet), Some(limits)) = (&self.fleet, self.router.limits()) {
+            list.push(' ');
+            list.push_str(&fleet.line(limits));
+        }
         format!("{} {} {list}", self.router.counters.line(), self.callers.counters.line())
             .trim_end()
             .to_owned()
@@ -517,7 +537,8 @@
 
     /// Logs all counters, and the door's by tenant where there is one.
     fn tell_counters(&mut self) {
-        info!("{}", self.counters_line());
+        let line = self.counters_line();
+        info!("{line}");
         let Some(door) = self.router.door() else { return };
         let room = door.room();
         info!("door queued={} used={:.1} served={:.1}", door.queued(), room.used(), room.served());
@@ -535,7 +556,7 @@
     /// engines comes from, and news that the file holds. Guards against a file that is replaced badly: one that
     /// can't be read leaves all as it is.
     fn reload(&mut self, now: u64) {
-        let Read { config, postgres, door, start, operator, level } = match self.files.read() {
+        let Read { config, postgres, door, start, fleet, operator, level } = match self.files.read() {
             Ok(read) => read,
             Err(fault) => {
                 self.router.counters.reloads_failed += 1;
@@ -567,6 +588,7 @@
         if let Some(discovery) = &mut self.discovery {
             discovery.set_pace(pace, start.stale_ns);
         }
+        self.fleet.iter_mut().for_each(|side| side.reload(fleet.as_ref()));
         let openings = start.openings(pace);
         if openings != self.openings {
             self.engines.set_openings(openings.map(|openings| (openings, config.own_seed())));
@@ -642,6 +664,19 @@
             discovery.tick(now, &mut self.net);
         }
         self.write_kept(now);
+        if let (Some(fleet), Some(limits)) = (&mut self.fleet, self.router.limits()) {
+            fleet.tick(now, limits);
+        }
+    }
+
+    /// Datagrams of the fleet's other routers.
+    fn hear_fleet(&mut self, now: u64) {
+        if let (Some(fleet), Some(limits)) = (&mut self.fleet, self.router.limits()) {
+            fleet.ready(now, limits);
+            if fleet.has_more() {
+                self.unread.push(FLEET.0 as u64);
+            }
+        }
     }
 
     /// Hands what was gathered to the module and carries out what came back; what fails at once is handed
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -10,6 +10,10 @@
 use marljunction_language::value::{Quantity, RecordValue, Value, What};
 use marljunction_language::{read, Outcome};
 
+use crate::fleet::{kind, mode, FleetFile, LimitFile};
+use marljunction_core::limits::By;
+use marljunction_limits::Limit;
+
 use crate::config::{ConsulFile, Count, EngineFile, PostgresFile, StartFile};
 
 /// What an operator's file may say.
@@ -24,6 +28,8 @@
     pub postgres: Option<PostgresFile>,
     /// How the router starts and comes back.
     pub start: StartFile,
+    /// The fleet, where routers talk to each other.
+    pub fleet: Option<FleetFile>,
     /// What is logged.
     pub level: Option<LevelFilter>,
     /// All that the file says, with defaults; none where there is no file.
@@ -70,7 +76,12 @@
         let outcome = read_file(path)?;
         match faults(&outcome) {
             Some(told) => Err(format!("{} can't be used\n{told}", path.display())),
-            None => Setup::of(&outcome.value).ok_or_else(|| format!("{} holds no record", path.display())),
+            None => Setup::of(&outcome.value).ok_or_else(|| {
+                format!(
+                    "{} holds no record, or a limit of its fleet has neither a rate nor at_once, or both",
+                    path.display()
+                )
+            }),
         }
     }
 
@@ -85,7 +96,9 @@
             Some(part) => start(part)?,
             None => StartFile::default(),
         };
-        Some(Setup { door: flat(door)?, postgres: flat(postgres)?, start, level, value: Some(value.clone()) })
+        let fleet = flat(main.fields.get("fleet").map(|f| fleet(&f.value)))?;
+        let (door, postgres) = (flat(door)?, flat(postgres)?);
+        Some(Setup { door, postgres, start, fleet, level, value: Some(value.clone()) })
     }
 }
 
@@ -172,6 +185,52 @@
     })
 }
 
+fn texts(value: &Value) -> Option<Vec<String>> {
+    let What::List(all, _) = &value.what else { return None };
+    let one = |v: &Value| match &v.what {
+        What::Text(text) => Some(text.clone()),
+        _ => None,
+    };
+    all.iter().map(one).collect()
+}
+
+fn fleet(value: &Value) -> Option<FleetFile> {
+    let fleet = record(value)?;
+    let limits = record(field(fleet, "limits")?)?;
+    Some(FleetFile {
+        listen: text(fleet, "listen")?,
+        advertise: text(fleet, "advertise"),
+        key: PathBuf::from(text(fleet, "key")?),
+        seeds: texts(field(fleet, "seeds")?)?,
+        routers: number(fleet, "routers")? as u32,
+        lease_ns: number(fleet, "lease")? as u64,
+        drift: number(fleet, "drift")?,
+        limits: limits.fields.iter().map(|(name, f)| limit(name, &f.value)).collect::<Option<_>>()?,
+    })
+}
+
+fn limit(name: &str, value: &Value) -> Option<LimitFile> {
+    let limit = record(value)?;
+    let over = field(limit, "fail").and_then(record);
+    let of = |key: &str| over.and_then(|over| number(over, key));
+    Some(LimitFile {
+        limit: Limit {
+            name: name.to_owned(),
+            kind: kind(number(limit, "rate"), number(limit, "burst"), number(limit, "at_once"))?,
+            mode: mode(of("over"), of("for")),
+        },
+        by: match text(limit, "by")?.as_str() {
+            "all" => By::All,
+            "class" => By::Class,
+            "tenant and class" => By::TenantAndClass,
+            "client" => By::Client,
+            _ => By::Tenant,
+        },
+        tenant: text(limit, "tenant"),
+        class: text(limit, "class"),
+    })
+}
+
 fn consul(value: &Value) -> Option<ConsulFile> {
     let consul = record(value)?;
     Some(ConsulFile { address: text(consul, "address")?, service: text(consul, "service")? })
--- /dev/null
+++ b/tests/fleet_limits.rs
@@ -0,0 +1,195 @@
+//! Limits that hold for a fleet of real processes which talk over links that break. What engines hold at once is counted by the
+//! engines themselves.
+
+use std::path::Path;
+use std::time::Duration;
+
+use marljunction::fleet::FleetFile;
+use marljunction::setup::Setup as Operator;
+use marljunction_limits::bound::{bound, Fault};
+use marljunction_rig::fleet::{classes, Fleet, Setup};
+use marljunction_rig::link::Shape;
+use marljunction_rig::load::Class;
+
+const ROUTERS: usize = 6;
+/// Requests that may be out at once, over all routers: two to each by its own share.
+const MOST: usize = 12;
+const S: u64 = 1_000_000_000;
+const LIMITS: &str = "lease: 1s, limits: { all: { by: \"all\", at_once: 12 } }";
+/// Longer than anything that must happen takes.
+const LIMIT: Duration = Duration::from_secs(40);
+/// What a loaded machine may add to a bound.
+const MACHINE_NS: u64 = 3 * S;
+
+/// Requests that are out for half a second in the mean, and at most two.
+fn class() -> Vec<Class> {
+    let usual = classes().swap_remove(0);
+    vec![Class { work_ms: 500.0, spread: 0.4, share: 1.0, aim_ms: 1_500.0, deadline_ms: 2_000.0, ..usual }]
+}
+
+fn setup(name: &str) -> Setup {
+    Setup {
+        fleet: Some(LIMITS.into()),
+        classes: class(),
+        engines: 6,
+        ..Setup::new(Path::new(env!("CARGO_BIN_EXE_marljunction")), name, ROUTERS)
+    }
+}
+
+/// What the operator's file of the plays says.
+fn file() -> FleetFile {
+    let path = std::env::temp_dir().join(format!("marljunction-limits-{}.conf", std::process::id()));
+    let text = format!(
+        "fleet: {{ listen: \"127.0.0.1:0\", key: \"key\", seeds: [], routers: {ROUTERS}, {LIMITS} }}\n"
+    );
+    std::fs::write(&path, text).unwrap();
+    Operator::of_file(&path).unwrap().fleet.unwrap()
+}
+
+/// For how long units may lie idle once this happened.
+fn idle_at_most(fault: Fault) -> Duration {
+    let file = file();
+    // The deadline, and what a request may have out behind it.
+    let told = bound(&file.limits[0].limit, &file.terms(4_500_000_000), fault);
+    assert_eq!(told.over_at_most, 0.0);
+    Duration::from_nanos(told.stale_at_most_ns + MACHINE_NS)
+}
+
+#[track_caller]
+fn until(fleet: &mut Fleet, limit: Duration, what: &str, condition: impl Fn(&Fleet) -> bool) {
+    let held = fleet.run_until(limit, condition).unwrap();
+    assert!(held, "not within {limit:?}: {what}; {} held, at most {}", fleet.held(), fleet.held_most);
+    assert!(fleet.held_most <= MOST, "{} were out at once, {MOST} may be", fleet.held_most);
+}
+
+/// A fleet whose clients all ask at router 0, for far more than it owns.
+fn asked_at_one(name: &str) -> Fleet {
+    let mut fleet = Fleet::new(setup(name)).unwrap();
+    fleet.start_all().unwrap();
+    until(&mut fleet, LIMIT, "all routers are there", |f| f.ready() == ROUTERS);
+    fleet.ask_at(&[80.0]);
+    // Its own two, and others' that it borrows.
+    until(&mut fleet, LIMIT, "the limit is used by one", |f| f.held() >= MOST - 1);
+    fleet
+}
+
+#[track_caller]
+fn end(mut fleet: Fleet) {
+    assert!(fleet.held_most <= MOST, "{} were out at once, {MOST} may be", fleet.held_most);
+    assert!(fleet.quiet(LIMIT).unwrap(), "all that was asked is answered");
+    let audit = fleet.audit();
+    assert_eq!((audit.late_sends, audit.double_runs), (0, 0));
+    assert_eq!((fleet.sum(|t| t.unanswered as f64), fleet.sum(|t| t.twice as f64)), (0.0, 0.0));
+    assert!(fleet.stop(LIMIT).unwrap().1, "all end by themselves, and well");
+}
+
+#[test]
+fn one_router_uses_what_the_others_do_not_and_gives_it_back() {
+    let mut fleet = asked_at_one("one");
+    fleet.run(Duration::from_secs(2)).unwrap();
+    // Now all clients are at another one.
+    let mut rates = [0.0; ROUTERS];
+    rates[4] = 80.0;
+    fleet.ask_at(&rates);
+    let limit = idle_at_most(Fault::None) + Duration::from_secs(5);
+    until(&mut fleet, limit, "the limit is used by another", |f| f.held() >= MOST - 1);
+    end(fleet);
+}
+
+#[test]
+fn a_cut_into_halves_leaves_each_its_own_and_never_more_than_the_limit() {
+    let mut fleet = asked_at_one("halves");
+    fleet.cut_into(&[0, 0, 0, 1, 1, 1]);
+    // The other half asks too.
+    fleet.ask_at(&[80.0, 0.0, 0.0, 80.0, 0.0, 0.0]);
+    let limit = idle_at_most(Fault::Cut);
+    until(&mut fleet, limit, "both halves use theirs", |f| {
+        let by = |router: usize| f.loads[router].open();
+        by(0) >= 4 && by(3) >= 4 && f.held() >= MOST - 2
+    });
+    fleet.run(Duration::from_secs(3)).unwrap();
+    fleet.cut_into(&[0; ROUTERS]);
+    fleet.ask_at(&[80.0]);
+    until(&mut fleet, limit + LIMIT, "one uses it all again", |f| f.held() >= MOST - 1);
+    end(fleet);
+}
+
+#[test]
+fn a_holder_that_is_killed_frees_what_it_held_within_the_bound() {
+    let mut fleet = asked_at_one("holder-killed");
+    fleet.kill(0);
+    let mut rates = [0.0; ROUTERS];
+    rates[1] = 80.0;
+    fleet.ask_at(&rates);
+    until(&mut fleet, idle_at_most(Fault::HolderDied), "another uses all but the dead one's", |f| {
+        f.held() >= MOST - 3
+    });
+    end(fleet);
+}
+
+#[test]
+fn a_holder_that_stands_still_past_its_lease_admits_nothing_on_it_as_it_goes_on() {
+    let mut fleet = asked_at_one("holder-frozen");
+    fleet.freeze(0, true);
+    let mut rates = [0.0; ROUTERS];
+    rates[2] = 80.0;
+    fleet.ask_at(&rates);
+    until(&mut fleet, idle_at_most(Fault::HolderDied), "another uses it", |f| f.held() >= MOST - 3);
+    rates[0] = 80.0;
+    fleet.ask_at(&rates);
+    fleet.freeze(0, false);
+    fleet.run(Duration::from_secs(4)).unwrap();
+    end(fleet);
+}
+
+#[test]
+fn an_owner_that_is_killed_and_back_at_once_lends_nothing_twice() {
+    let mut fleet = asked_at_one("owner-killed");
+    for owner in 1..4 {
+        fleet.kill(owner);
+        fleet.start(owner).unwrap();
+    }
+    // They want their own units as they are back.
+    fleet.ask_at(&[80.0, 20.0, 20.0, 20.0]);
+    until(&mut fleet, LIMIT, "all are there", |f| f.ready() == ROUTERS);
+    fleet.run(Duration::from_secs(6)).unwrap();
+    until(&mut fleet, idle_at_most(Fault::OwnerDied), "the limit is used", |f| f.held() >= MOST - 1);
+    end(fleet);
+}
+
+#[test]
+fn a_fleet_that_is_killed_whole_and_started_counts_no_share_twice_and_soon_serves() {
+    let mut fleet = asked_at_one("all-killed");
+    (0..ROUTERS).for_each(|router| fleet.kill(router));
+    fleet.start_all().unwrap();
+    fleet.ask_at(&[80.0; 2]);
+    let limit = idle_at_most(Fault::AllDied);
+    until(&mut fleet, limit, "something is served again", |f| f.loads[0].first_answer_ns.is_some());
+    until(&mut fleet, LIMIT, "the limit is used", |f| f.held() >= MOST - 1);
+    end(fleet);
+}
+
+#[test]
+fn links_that_lose_a_third_and_put_the_rest_out_of_order_break_no_limit() {
+    let mut fleet = asked_at_one("lossy");
+    let bad = Shape { loss: 0.3, double: 0.2, delay_ns: S / 50, jitter_ns: S / 2, ..Shape::default() };
+    (0..ROUTERS).for_each(|to| fleet.shape_between(None, to, bad));
+    fleet.ask_at(&[80.0, 0.0, 40.0, 0.0, 20.0, 0.0]);
+    fleet.run(Duration::from_secs(6)).unwrap();
+    // One that hears and is not heard.
+    for to in 1..ROUTERS {
+        fleet.shape_between(Some(0), to, Shape { cut: true, ..bad });
+    }
+    fleet.run(Duration::from_secs(6)).unwrap();
+    end(fleet);
+}
+
+#[test]
+fn what_a_router_knows_of_its_fleet_can_be_asked() {
+    let mut fleet = asked_at_one("asked");
+    let told = fleet.ask_fleet(0).unwrap();
+    for line in ["router 0 of 6", "peer r5 number 5", "limit all", "owned 2", "passed over: size 0"] {
+        assert!(told.contains(line), "{line:?} is not in\n{told}");
+    }
+    end(fleet);
+}
--- a/tests/setup.rs
+++ b/tests/setup.rs
@@ -28,7 +28,7 @@
 
 #[test]
 fn shipped_files_are_right_and_laid_out() {
-    for name in ["deploy/operator.conf", "deploy/door.conf", "src/definitions.conf"] {
+    for name in ["deploy/operator.conf", "deploy/door.conf", "deploy/fleet.conf", "src/definitions.conf"] {
         let text = std::fs::read_to_string(shipped(name)).unwrap();
         assert_eq!(format(&text).as_ref(), Some(&text), "{name}");
     }
