--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod link;
 pub mod list;
 pub mod load;
+pub mod loans;
 pub mod process;
 pub mod schedule;
 pub mod server;
--- /dev/null
+++ b/crates/rig/src/loans.rs
@@ -0,0 +1,310 @@
+//! A fleet of routers that lend each other shares of one limit, in stepped time without sockets: messages are lost, doubled, late
+//! and out of order, links are cut one way or both, routers die, stand still and start again, clocks differ. Pure.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use marljunction_limits::escrow::Peer;
+use marljunction_limits::node::{Node, Ticket};
+use marljunction_limits::{Kind, Limit, Message, Mode, Terms};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Nanoseconds of a millisecond.
+pub const MS: u64 = 1_000_000;
+/// Nanoseconds of a second.
+pub const S: u64 = 1_000 * MS;
+/// Nanoseconds of one step.
+pub const STEP: u64 = 10 * MS;
+
+/// What a link does to messages.
+#[derive(Clone, Copy)]
+pub struct Net {
+    /// Part that is lost.
+    pub loss: f64,
+    /// Part that comes twice.
+    pub double: f64,
+    /// Delay at least (ns), and chance's part on top (ns).
+    pub delay: u64,
+    /// Chance's part of the delay (ns).
+    pub jitter: u64,
+}
+
+/// A wire that is well.
+pub const WELL: Net = Net { loss: 0.0, double: 0.0, delay: MS, jitter: 2 * MS };
+/// One that loses a third, doubles a fifth, and puts the rest out of order.
+pub const BAD: Net = Net { loss: 0.3, double: 0.2, delay: 20 * MS, jitter: 900 * MS };
+
+/// One router.
+pub struct Router {
+    /// What it keeps; none while it is not there.
+    pub node: Option<Node>,
+    life: u64,
+    /// Its clock: true time times this, from where it started.
+    rate: f64,
+    /// It stands still.
+    pub frozen: bool,
+    inbox: Vec<(Peer, Message)>,
+    out: Vec<(u64, Ticket)>,
+    /// Requests a second that its clients ask for.
+    pub demand: f64,
+}
+
+/// The fleet.
+pub struct Fleet {
+    /// Its limit, and what it agrees on.
+    pub limit: Limit,
+    /// What it agrees on.
+    pub terms: Terms,
+    /// Its routers.
+    pub routers: Vec<Router>,
+    /// The true time (ns).
+    pub now: u64,
+    /// What chance draws from.
+    pub draws: StdRng,
+    net: Net,
+    /// Links that carry nothing, from one to another.
+    pub cut: BTreeSet<(usize, usize)>,
+    wire: BTreeMap<(u64, u64), (usize, Peer, Message)>,
+    serial: u64,
+    /// When what routers that died had out is over.
+    lingering: Vec<u64>,
+    /// A bucket that drains as fast as the rate allows: what it holds is what was admitted at once.
+    level: f64,
+    /// The most that was out, or admitted at once, over the limit (ratio).
+    pub worst: f64,
+    /// Requests admitted.
+    pub admitted: u64,
+    /// Messages sent.
+    pub messages: u64,
+}
+
+impl Fleet {
+    /// A fleet that starts whole, with clocks up to `drift` off.
+    pub fn new(limit: Limit, terms: Terms, drift: f64, seed: u64) -> Fleet {
+        let mut draws = StdRng::seed_from_u64(seed);
+        let routers = (0..terms.routers).map(|_| Router {
+            node: None,
+            life: 0,
+            rate: 1.0 + draws.gen_range(-drift..=drift),
+            frozen: false,
+            inbox: Vec::new(),
+            out: Vec::new(),
+            demand: 0.0,
+        });
+        let routers = routers.collect();
+        let mut fleet = Fleet {
+            limit,
+            terms,
+            routers,
+            now: 1_000 * S,
+            draws,
+            net: WELL,
+            cut: BTreeSet::new(),
+            wire: BTreeMap::new(),
+            serial: 0,
+            lingering: Vec::new(),
+            level: 0.0,
+            worst: 0.0,
+            admitted: 0,
+            messages: 0,
+        };
+        (0..fleet.routers.len()).for_each(|at| fleet.start(at));
+        fleet
+    }
+
+    fn clock(&self, at: usize) -> u64 {
+        (self.now as f64 * self.routers[at].rate) as u64
+    }
+
+    /// Starts a router that is not there.
+    pub fn start(&mut self, at: usize) {
+        let now = self.clock(at);
+        let life = self.now;
+        let router = &mut self.routers[at];
+        if router.node.is_none() {
+            let me = Peer { number: at as u32, life };
+            (router.life, router.frozen) = (life, false);
+            router.node = Some(Node::new(now, me, self.terms, vec![self.limit.clone()], 100));
+            router.inbox.clear();
+        }
+    }
+
+    /// Ends a router at once; what it had out runs on for a while.
+    pub fn kill(&mut self, at: usize) {
+        let run_on = self.now + self.terms.run_on_ns;
+        let router = &mut self.routers[at];
+        if router.node.take().is_some() {
+            self.lingering.extend(router.out.drain(..).map(|(end, _)| end.min(run_on)));
+        }
+    }
+
+    fn send(&mut self, from: usize, to: u32, message: Message) {
+        self.messages += 1;
+        let to = to as usize;
+        if to >= self.routers.len() || self.cut.contains(&(from, to)) || self.draws.gen_bool(self.net.loss) {
+            return;
+        }
+        let peer = Peer { number: from as u32, life: self.routers[from].life };
+        for _ in 0..=u32::from(self.draws.gen_bool(self.net.double)) {
+            self.serial += 1;
+            let due = self.now + self.net.delay + self.draws.gen_range(0..=self.net.jitter);
+            self.wire.insert((due, self.serial), (to, peer, message.clone()));
+        }
+    }
+
+    fn hear(&mut self, at: usize, from: Peer, message: Message) {
+        let now = self.clock(at);
+        let Some(node) = &mut self.routers[at].node else { return };
+        let answers = node.hear(now, from, message);
+        for answer in answers {
+            self.send(at, from.number, answer);
+        }
+    }
+
+    /// Tells all who can be reached, as a membership would after a while.
+    pub fn tell_reachable(&mut self) {
+        for at in 0..self.routers.len() {
+            let now = self.clock(at);
+            let both = |other: &usize| !self.cut.contains(&(at, *other)) && !self.cut.contains(&(*other, at));
+            let others =
+                (0..self.routers.len()).filter(|other| *other != at && self.routers[*other].node.is_some());
+            let peers = others.filter(both).map(|other| other as u32).collect();
+            if let Some(node) = &mut self.routers[at].node {
+                node.set_reachable(now, peers);
+            }
+        }
+    }
+
+    /// Passes one step.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        while let Some(entry) = self.wire.first_entry().filter(|e| e.key().0 <= self.now) {
+            let (to, from, message) = entry.remove();
+            match self.routers[to].frozen {
+                true => self.routers[to].inbox.push((from, message)),
+                false => self.hear(to, from, message),
+            }
+        }
+        if self.now % (500 * MS) == 0 {
+            self.tell_reachable();
+        }
+        self.lingering.retain(|end| *end > self.now);
+        if let Kind::Rate { per_s, .. } = self.limit.kind {
+            // What a bounded limit may be over by drains with the rest: that is how far over a rate may be, not how much in all.
+            let over = match self.limit.mode {
+                Mode::Strict => 0.0,
+                Mode::Bounded { over, .. } => over,
+            };
+            self.level = (self.level - per_s * (1.0 + over) * STEP as f64 / 1e9).max(0.0);
+        }
+        let order = self.draws.gen_range(0..self.routers.len());
+        for i in 0..self.routers.len() {
+            let at = (i + order) % self.routers.len();
+            if self.routers[at].frozen {
+                continue;
+            }
+            for (from, message) in std::mem::take(&mut self.routers[at].inbox) {
+                self.hear(at, from, message);
+            }
+            self.live(at);
+        }
+        self.look();
+    }
+
+    /// One router's own round: what is over, what is asked, what is said.
+    fn live(&mut self, at: usize) {
+        let now = self.clock(at);
+        let true_now = self.now;
+        let router = &mut self.routers[at];
+        let Some(node) = &mut router.node else { return };
+        let (over, out) = std::mem::take(&mut router.out).into_iter().partition(|(end, _)| *end <= true_now);
+        router.out = out;
+        let over: Vec<(u64, Ticket)> = over;
+        over.into_iter().for_each(|(_, ticket)| node.over(ticket));
+        let mut due = router.demand * STEP as f64 / 1e9;
+        while due > 0.0 && self.draws.gen_bool(due.min(1.0)) {
+            due -= 1.0;
+            if let Ok(ticket) = node.admit(now, &[(0, 0)]) {
+                self.admitted += 1;
+                self.level += 1.0;
+                let lasts = self.draws.gen_range(50 * MS..self.terms.longest_ns);
+                router.out.push((true_now + lasts, ticket));
+            }
+        }
+        for (to, message) in node.tick(now) {
+            self.send(at, to, message);
+        }
+    }
+
+    /// Requests that are out.
+    pub fn out(&self) -> usize {
+        let out = |r: &Router| r.out.iter().filter(|(end, _)| *end > self.now).count();
+        self.routers.iter().map(out).sum::<usize>() + self.lingering.len()
+    }
+
+    fn look(&mut self) {
+        let (is, most) = match self.limit.kind {
+            Kind::Concurrency { at_once } => (self.out() as f64, f64::from(at_once)),
+            Kind::Rate { burst, .. } => (self.level, f64::from(burst)),
+        };
+        self.worst = self.worst.max(is / most);
+    }
+
+    /// Passes a time (ms).
+    pub fn run(&mut self, ms: u64) {
+        (0..ms * MS / STEP).for_each(|_| self.step());
+    }
+
+    /// Cuts the routers into parts.
+    pub fn cut_between(&mut self, parts: &[usize]) {
+        for a in 0..parts.len() {
+            for b in (0..parts.len()).filter(|b| parts[a] != parts[*b]) {
+                self.cut.insert((a, b));
+            }
+        }
+    }
+
+    /// Something breaks, or is mended, by chance.
+    pub fn break_something(&mut self) {
+        let n = self.routers.len();
+        let at = self.draws.gen_range(0..n);
+        match self.draws.gen_range(0..14) {
+            0 => {
+                let parts: Vec<usize> = (0..n).map(|_| self.draws.gen_range(0..2)).collect();
+                self.cut_between(&parts);
+            }
+            1 => {
+                let parts: Vec<usize> = (0..n).map(|i| i % 3).collect();
+                self.cut_between(&parts);
+            }
+            2 => {
+                let to = self.draws.gen_range(0..n);
+                self.cut.insert((at, to));
+            }
+            3 => self.cut.extend((0..n).map(|other| (other, at))),
+            4 => self.net = BAD,
+            5 => self.net = WELL,
+            6 => self.kill(at),
+            7 => (0..n).for_each(|at| self.start(at)),
+            8 => {
+                self.kill(at);
+                self.start(at);
+            }
+            9 => {
+                (0..n).for_each(|at| self.kill(at));
+                (0..n).for_each(|at| self.start(at));
+            }
+            10 => self.routers[at].frozen = self.routers[at].node.is_some(),
+            11 => self.routers.iter_mut().for_each(|r| r.frozen = false),
+            12 => self.cut.clear(),
+            _ => {
+                let most = self.limit.kind.units() as f64;
+                let total = self.draws.gen_range(0.5..4.0) * most;
+                self.routers.iter_mut().for_each(|r| r.demand = 0.0);
+                self.routers[at].demand = total;
+                let other = self.draws.gen_range(0..n);
+                self.routers[other].demand = total / 3.0;
+            }
+        }
+    }
+}
