Let both sources of membership news share why a call came to nothing

Cause: the coordinator's stream and Consul's watches each had the same enum and the same reading of a status; two tests had one body.

--- a/crates/discovery/src/consul.rs
+++ b/crates/discovery/src/consul.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 
 use super::age::Age;
-use super::{engine_id, Change, Pacing, Target};
+use super::{engine_id, taken, Change, Fault, Pacing, Target};
 use marljunction_control::interface::*;
 use marljunction_http1::chunks::Chunks;
 use marljunction_http1::head::{read_head, Head};
@@ -96,18 +96,6 @@
     age: Age,
 }
 
-/// Why a query came to nothing.
-enum Fault {
-    TurnedAway(Option<u64>),
-    Broken(String),
-}
-
-impl From<String> for Fault {
-    fn from(why: String) -> Fault {
-        Fault::Broken(why)
-    }
-}
-
 /// Each router is two callers.
 fn for_watches(pace: Pace) -> [Pace; 2] {
     let callers = pace.callers.map(|n| n.saturating_mul(2));
@@ -150,11 +138,7 @@
         if self.head.is_none() {
             let Some((head, size)) = read_head(net.input(conn))? else { return Ok(None) };
             net.consume(conn, size);
-            match head.status {
-                200 => {}
-                429 | 503 => return Err(Fault::TurnedAway(head.retry_after.map(|r| r.from(now)))),
-                status => return Err(Fault::Broken(format!("status {status}"))),
-            }
+            taken(now, &head)?;
             self.pacer.taken(now);
             self.head = Some(head);
         }
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 
 use marljunction_control::interface::{EngineEntry, EngineId, MembershipKind};
+use marljunction_http1::head::Head;
 use marljunction_net::Net;
 use marljunction_pacing::Pace;
 
@@ -108,6 +109,29 @@
     }
 }
 
+/// Why a call for news came to nothing.
+enum Fault {
+    /// The service is there and takes no more calls for now; for how long it wants none (ns).
+    TurnedAway(Option<u64>),
+    /// It has ended, or can't be read.
+    Broken(String),
+}
+
+impl From<String> for Fault {
+    fn from(why: String) -> Fault {
+        Fault::Broken(why)
+    }
+}
+
+/// Whether a service took a call, by the head of its answer.
+fn taken(now: u64, head: &Head) -> Result<(), Fault> {
+    match head.status {
+        200 => Ok(()),
+        429 | 503 => Err(Fault::TurnedAway(head.retry_after.map(|after| after.from(now)))),
+        status => Err(Fault::Broken(format!("status {status}"))),
+    }
+}
+
 /// An engine and where it listens.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Target {
--- a/crates/discovery/src/stream.rs
+++ b/crates/discovery/src/stream.rs
@@ -6,10 +6,10 @@
 use serde::Deserialize;
 
 use super::age::Age;
-use super::{engine_id, Change, Pacing, Target};
+use super::{engine_id, taken, Change, Fault, Pacing, Target};
 use marljunction_control::interface::*;
 use marljunction_http1::chunks::Chunks;
-use marljunction_http1::head::{read_head, Head};
+use marljunction_http1::head::read_head;
 use marljunction_net::{Net, Owner};
 use marljunction_pacing::{Failure, Pace, Pacer};
 use marljunction_settings::{index_of, Names};
@@ -139,20 +139,6 @@
     }
 }
 
-/// Why a stream is of no use.
-enum Fault {
-    /// The coordinator is there and takes no more calls for now; for how long it wants none (ns).
-    TurnedAway(Option<u64>),
-    /// It has ended, or can't be read.
-    Broken(String),
-}
-
-impl From<String> for Fault {
-    fn from(why: String) -> Fault {
-        Fault::Broken(why)
-    }
-}
-
 /// The subscription to the coordinator.
 pub struct Stream {
     address: SocketAddr,
@@ -284,16 +270,10 @@
             self.heard_ns = now;
         }
         if self.reader.is_none() {
-            let Some((Head { status, chunked, retry_after, .. }, size)) = read_head(net.input(conn))? else {
-                return Ok(());
-            };
+            let Some((head, size)) = read_head(net.input(conn))? else { return Ok(()) };
             net.consume(conn, size);
-            match status {
-                200 => {}
-                429 | 503 => return Err(Fault::TurnedAway(retry_after.map(|r| r.from(now)))),
-                _ => return Err(Fault::Broken(format!("status {status}"))),
-            }
-            self.reader = Some(EventReader::new(chunked));
+            taken(now, &head)?;
+            self.reader = Some(EventReader::new(head.chunked));
             self.pacer.taken(now);
         }
         if !silent {
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -77,6 +77,19 @@
     }
 }
 
+/// All streams end at once: each router calls once, and not all in one round.
+#[track_caller]
+fn come_back_out_of_step(fleet: &mut Fleet) {
+    let from = fleet.now();
+    fleet.drop_streams();
+    until(fleet, "all have their streams", all_live);
+    let (calls, _) = calls_within(&fleet.list.calls, from, fleet.now(), S);
+    assert_eq!(calls, ROUTERS, "one call each");
+    let (_, together) = calls_within(&fleet.list.calls, from, fleet.now(), 20_000_000);
+    assert!(together < ROUTERS, "all called within one round");
+    blind_within_bound(fleet);
+}
+
 /// What holds at the end of every play.
 #[track_caller]
 fn end(mut fleet: Fleet) {
@@ -179,14 +192,7 @@
     fleet.set_list(Manner::Well);
     until(&mut fleet, "all have their streams", all_live);
     run(&mut fleet, 1_000);
-    let from = fleet.now();
-    fleet.drop_streams();
-    until(&mut fleet, "all have their streams", all_live);
-    let (calls, _) = calls_within(&fleet.list.calls, from, fleet.now(), S);
-    assert_eq!(calls, ROUTERS, "one call each");
-    let (_, together) = calls_within(&fleet.list.calls, from, fleet.now(), 20_000_000);
-    assert!(together < ROUTERS, "not all in one round");
-    blind_within_bound(&fleet);
+    come_back_out_of_step(&mut fleet);
     end(fleet);
 }
 
@@ -278,15 +284,8 @@
 fn routers_with_one_seed_and_number_by_mistake_come_up_and_out_of_step() {
     let operator = Some("start: { budget: 8, longest: 1s }\n".into());
     let mut fleet = settled(Setup { same_identity: true, operator, ..setup("same") });
-    let from = fleet.now();
-    fleet.drop_streams();
-    until(&mut fleet, "all have their streams", all_live);
-    let (calls, _) = calls_within(&fleet.list.calls, from, fleet.now(), S);
-    assert_eq!(calls, ROUTERS, "one call each");
     // With one number all have the same place, which chance moves by an eighth of the window of 1 s.
-    let (_, together) = calls_within(&fleet.list.calls, from, fleet.now(), 20_000_000);
-    assert!(together < ROUTERS, "all called within one round");
-    blind_within_bound(&fleet);
+    come_back_out_of_step(&mut fleet);
     end(fleet);
 }
 
