Number clients alike in all routers, so that a limit by client holds for the fleet

Cause: a client's number, by which crates/core/src/limits.rs keys a limit by client, was drawn with each router's own seed (src/daemon.rs, Directory::with_clients), so that one client was another key to each router. Seen by rereading, then counted: six routers, one client, twelve at once allowed, 72 were out. Ruled out: loans, whose other tests hold.

Change: with a fleet the numbers follow from the key that seals; without one nothing changes. Result: at most 12; the new process test fails without the change.

--- a/crates/peers/src/seal.rs
+++ b/crates/peers/src/seal.rs
@@ -82,6 +82,13 @@
         }
     }
 
+    /// A number that all routers with these keys share and nobody else can guess: hashes of clients' names are drawn by it, so
+    /// that a client is the same one to all routers. It follows from the key that seals.
+    pub fn shared_seed(&self) -> u64 {
+        let hash = blake3::keyed_hash(&self.seals, b"marljunction clients");
+        hash.as_bytes().iter().take(8).fold(0, |seed, byte| seed << 8 | u64::from(*byte))
+    }
+
     /// A datagram of this content.
     pub fn seal(&self, kind: Kind, content: &[u8]) -> Vec<u8> {
         let kind = kind as u8;
--- a/crates/peers/tests/fleet.rs
+++ b/crates/peers/tests/fleet.rs
@@ -251,6 +251,9 @@
     ] {
         assert_eq!(opens(by, sealed), if opened { Ok(b"x".to_vec()) } else { Err(Spoilt::Sum) });
     }
+    // Clients are numbered by the key that seals.
+    assert_eq!(both.shared_seed(), after.shared_seed());
+    assert_ne!(before.shared_seed(), after.shared_seed());
     for wrong in ["", "# nothing", "abc", &"g".repeat(64), &format!("{old}\n{new}\n{old}")] {
         let fault = Keys::read(wrong).unwrap_err();
         assert!(wrong.is_empty() || !fault.contains(wrong), "a key is not told: {fault}");
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,7 +13,7 @@
 
 use crate::behaviour::effects;
 use crate::config::{EngineFile, Files, Limits, Read};
-use crate::fleet::FleetSide;
+use crate::fleet::{FleetFile, FleetSide};
 use crate::logger;
 use marljunction_control::interface::{Effect, Settings, TenantId};
 use marljunction_core::ending::Ending;
@@ -160,7 +160,10 @@
         registry.register(&mut signals, SIGNALS, Interest::READABLE).map_err(|e| io("signals", e))?;
         let clock = Clock::start();
         let who = door.as_ref().map(|d| d.client.clone()).unwrap_or_default();
-        let directory = Directory::new(config.names.clone(), &config.settings).with_clients(who, config.seed);
+        // A limit by client holds for the fleet only where all routers know a client by one number.
+        let clients_seed = fleet.as_ref().map_or(Ok(config.seed), FleetFile::clients_seed)?;
+        let directory =
+            Directory::new(config.names.clone(), &config.settings).with_clients(who, clients_seed);
         let door = door.map(|settings| {
             let site = Site {
                 weights: config.weights(&settings),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -59,6 +59,14 @@
 }
 
 impl FleetFile {
+    /// The seed of clients' numbers: the same in all routers of the fleet, or a limit by client would be one to each router.
+    ///
+    /// # Errors
+    /// Where the keys can't be read.
+    pub fn clients_seed(&self) -> Result<u64, String> {
+        read_keys(&self.key).map(|keys| keys.shared_seed())
+    }
+
     /// What the fleet agrees on, where requests are out for `longest_ns` at most.
     pub fn terms(&self, longest_ns: u64) -> Terms {
         let settings = Settings { routers: self.routers, ..Settings::default() };
--- a/tests/fleet_limits.rs
+++ b/tests/fleet_limits.rs
@@ -184,6 +184,20 @@
     end(fleet);
 }
 
+#[test]
+fn a_limit_by_client_holds_for_a_client_that_asks_at_several_routers() {
+    // All clients of the rig come from one address, which is what names a client where nothing else is set.
+    let limits = "lease: 1s, limits: { all: { by: \"client\", at_once: 12 } }";
+    let mut fleet = Fleet::new(Setup { fleet: Some(limits.into()), ..setup("client") }).unwrap();
+    fleet.start_all().unwrap();
+    until(&mut fleet, LIMIT, "all routers are there", |f| f.ready() == ROUTERS);
+    fleet.ask_at(&[40.0; ROUTERS]);
+    until(&mut fleet, LIMIT, "the limit is used", |f| f.held() >= MOST - 1);
+    // Long enough for each router to borrow what the others would have of a key of their own.
+    fleet.run(Duration::from_secs(4)).unwrap();
+    end(fleet);
+}
+
 #[test]
 fn what_a_router_knows_of_its_fleet_can_be_asked() {
     let mut fleet = asked_at_one("asked");
