Tidy what was just built: each request and datagram is looked at once

Seen by rereading, behaviour unchanged: - a request under a limit settled each key twice; every datagram of limits made the set of reachable peers anew, and each peer's address was searched for in all of them, with its messages copied; the keys were copied for each datagram; - the daemon kept what the engines' table keeps, to see whether a reload changed it: the table compares now; - both engine backends had one condition on a connection that did not come up: Targets::broke holds it; - Escrow::own and own_now were one; - recorded exchanges and the door's stage started programs that outlive a test that is killed: both use the rig's command.

--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -407,9 +407,7 @@
     fn lost(&mut self, cx: &mut Context, conn: u64, ending: Ending) {
         let Some(line) = self.lines.get(&conn) else { return };
         let (role, up) = (line.role, line.up);
-        if !up && matches!(ending, Ending::Refused | Ending::Unreachable) {
-            self.targets.refused(cx.now, line.engine);
-        }
+        self.targets.broke(cx.now, line.engine, up, ending);
         self.close(cx, conn);
         self.broken(cx, role, up, ending);
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -110,6 +110,10 @@
 
     /// Connections for new work are opened at this pace from here on.
     pub fn set_openings(&mut self, openings: Option<(Openings, u64)>) {
+        // Guards against a reload that changes nothing of it and would let all rest anew.
+        if openings.map(|(openings, _)| openings) == self.openings.map(|(openings, _)| openings) {
+            return;
+        }
         self.openings = openings;
         self.all.values_mut().for_each(|known| known.opening = None);
     }
@@ -124,11 +128,8 @@
                 return Err(Ending::Paced);
             }
         }
-        self.connect(cx, engine).inspect_err(|ending| {
-            if *ending == Ending::Refused {
-                self.refused(cx.now, engine);
-            }
-        })
+        let connected = self.connect(cx, engine);
+        connected.inspect_err(|ending| self.broke(cx.now, engine, false, *ending))
     }
 
     /// A connection to one of them came up.
@@ -136,8 +137,11 @@
         self.all.get_mut(&engine).and_then(|k| k.opening.as_mut()).into_iter().for_each(Opening::came_up);
     }
 
-    /// A connection to one of them was refused, or did not come up.
-    pub fn refused(&mut self, now: u64, engine: EngineId) {
+    /// A connection to one of them ended, which was up or not: refused, or never up, speaks against the engine.
+    pub fn broke(&mut self, now: u64, engine: EngineId, up: bool, ending: Ending) {
+        if up || !matches!(ending, Ending::Refused | Ending::Unreachable) {
+            return;
+        }
         let opening = self.all.get_mut(&engine).and_then(|k| k.opening.as_mut());
         opening.into_iter().for_each(|opening| opening.refused(now));
     }
--- a/crates/limits/src/escrow.rs
+++ b/crates/limits/src/escrow.rs
@@ -107,8 +107,8 @@
         self.borrowed.retain(|_, b| !b.covering.0.is_empty() || !b.settled);
     }
 
-    /// Own units that nobody else may use, at any time from `since` to `now` (count).
-    fn own(&self, since: u64) -> u32 {
+    /// Own units that nobody else may use from `since` on (count).
+    pub fn own(&self, since: u64) -> u32 {
         if since < self.quiet_until_ns {
             return 0;
         }
@@ -146,11 +146,6 @@
         self.borrowed.iter().map(|(owner, b)| (*owner, b.covering.units(0)))
     }
 
-    /// Own units that nobody else may use now (count).
-    pub fn own_now(&self, now: u64) -> u32 {
-        self.own(now)
-    }
-
     /// Asks to hold so many of an owner's units, under a number above all before. What is asked for less than is held is
     /// given up now: nothing may be out on it.
     pub fn ask(&mut self, now: u64, owner: u32, units: u32, number: u64) {
--- a/crates/limits/src/node.rs
+++ b/crates/limits/src/node.rs
@@ -266,6 +266,7 @@
     pub fn admit(&mut self, now: u64, wants: &[(u16, u64)]) -> Result<Ticket, Refused> {
         let again = 2 * self.terms.round_ns();
         let mut refused = None;
+        let mut allowed = Vec::with_capacity(wants.len());
         for (limit, key) in wants {
             if !self.track(now, *limit, *key) {
                 refused = refused.or(Some(Refused { limit: usize::from(*limit), after_ns: again }));
@@ -274,6 +275,7 @@
             let usable = self.settle(now, *limit, *key);
             let kind = self.limits[usize::from(*limit)].kind;
             let Some(entry) = self.keys.get_mut(&(*limit, *key)) else { continue };
+            allowed.push((kind, usable));
             let mut meter = entry.meter;
             let admits = meter.admit(kind, usable);
             match kind {
@@ -293,16 +295,12 @@
         if let Some(refused) = refused {
             return Err(refused);
         }
-        let mut ticket = Ticket::default();
-        for (limit, key) in wants {
-            let usable = self.settle(now, *limit, *key);
-            let kind = self.limits[usize::from(*limit)].kind;
-            if let Some(entry) = self.keys.get_mut(&(*limit, *key)) {
+        for (at, (kind, usable)) in wants.iter().zip(allowed) {
+            if let Some(entry) = self.keys.get_mut(at) {
                 entry.meter.admit(kind, usable);
-                ticket.0.push((*limit, *key));
             }
         }
-        Ok(ticket)
+        Ok(Ticket(wants.to_vec()))
     }
 
     /// A request that was admitted is over.
@@ -383,7 +381,7 @@
         let kind = self.limits[usize::from(limit)].kind;
         let Some(entry) = self.keys.get(&(limit, key)) else { return };
         let wanted = self.wanted(limit, entry);
-        let own = entry.escrow.own_now(now);
+        let own = entry.escrow.own(now);
         let mut left = wanted.saturating_sub(own);
         let mut asks: Vec<(u32, u32)> = Vec::new();
         let mut held: Vec<(u32, u32)> = entry.escrow.held().collect();
--- a/crates/peers/src/members.rs
+++ b/crates/peers/src/members.rs
@@ -220,8 +220,7 @@
 
     /// Takes a datagram.
     pub fn hear(&mut self, now: u64, datagram: &[u8]) {
-        let keys = self.keys.clone();
-        match keys.open(datagram) {
+        match self.keys.open(datagram) {
             Err(why) => *self.spoilt.entry(why).or_default() += 1,
             Ok((Kind::Members, content)) => {
                 // Guards against peers without end: what would add to a full table is passed over.
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -28,13 +28,7 @@
     /// Where the file can't be made or the program can't be started.
     pub fn start(program: &Path, environment: &[(&str, PathBuf)], log: &Path) -> Result<Process, String> {
         let file = File::create(log).map_err(|e| format!("{}: {e}", log.display()))?;
-        let mut command = if Path::new(SETPRIV).exists() {
-            let mut command = Command::new(SETPRIV);
-            command.args(["--pdeathsig", "KILL"]).arg(program);
-            command
-        } else {
-            Command::new(program)
-        };
+        let mut command = command(program);
         let own =
             |name: &str| name.starts_with("ROUTER_") || name.starts_with("MARLJUNCTION_") || name == "TMPDIR";
         for (name, _) in std::env::vars_os().filter(|(name, _)| name.to_str().is_some_and(own)) {
@@ -122,6 +116,16 @@
     }
 }
 
+/// A command for a program that ends with the thread that started it, whatever becomes of that.
+pub fn command(program: &Path) -> Command {
+    if !Path::new(SETPRIV).exists() {
+        return Command::new(program);
+    }
+    let mut command = Command::new(SETPRIV);
+    command.args(["--pdeathsig", "KILL"]).arg(program);
+    command
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- a/crates/rig/src/stage.rs
+++ b/crates/rig/src/stage.rs
@@ -181,7 +181,7 @@
             let path = dir.join(name);
             std::fs::write(&path, value.to_string()).map(|()| path).map_err(fault("file"))
         };
-        let mut command = Command::new(&setup.program);
+        let mut command = process::command(&setup.program);
         command.env("ROUTER_CONFIG", write("config.json", &config)?).stderr(Stdio::piped());
         command.env_remove("MARLJUNCTION_POSTGRES").env_remove("MARLJUNCTION_SETUP");
         if let Some(door) = &setup.door {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -36,7 +36,6 @@
 use marljunction_net::listener::Listen;
 use marljunction_net::phase::Phase;
 use marljunction_net::{Net, Owner, Room};
-use marljunction_pacing::opening::Openings;
 
 const MSGPACK: Token = Token(0);
 const POSTGRES: Token = Token(1);
@@ -107,7 +106,6 @@
     msgpack: MsgpackFront,
     postgres: Option<PostgresFront>,
     engines: Box<dyn Backend>,
-    openings: Option<Openings>,
     discovery: Option<Source>,
     callers: OperatorFront,
     bans: Bans,
@@ -243,7 +241,6 @@
             phase: Phase::Serving,
             quiet_since: None,
             engines,
-            openings: start.openings(pacing.pace),
             discovery,
             callers: OperatorFront::new(config.limits.sockets),
             bans: Bans::new(),
@@ -592,11 +589,7 @@
             discovery.set_pace(pace, start.stale_ns);
         }
         self.fleet.iter_mut().for_each(|side| side.reload(fleet.as_ref()));
-        let openings = start.openings(pace);
-        if openings != self.openings {
-            self.engines.set_openings(openings.map(|openings| (openings, config.own_seed())));
-            self.openings = openings;
-        }
+        self.engines.set_openings(start.openings(pace).map(|openings| (openings, config.own_seed())));
         let changes = match (&mut self.discovery, address) {
             (Some(discovery), Some(address)) => discovery.reload(now, &mut self.net, address, config.known),
             _ => Vec::new(),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The side of the program that talks to the fleet's other routers: membership and shared limits over one socket.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -221,7 +221,8 @@
                 let from = Peer { number: who.number, life: who.life };
                 let answers = messages.into_iter().flat_map(|message| limits.node().hear(now, from, message));
                 let answers = answers.collect();
-                self.say_at(who.address, answers);
+                // Nobody came or went by it.
+                return self.say_at(who.address, answers);
             }
             Event::Up(who) => self.log(format!("{} is there, at {}", who.name, who.address)),
             Event::Down(who) => self.log(format!("{} is gone, or can't be reached", who.name)),
@@ -246,14 +247,20 @@
     }
 
     fn say(&mut self, said: Vec<(u32, Message)>) {
-        let mut by_peer = std::collections::BTreeMap::<u32, Vec<Message>>::new();
+        let mut by_peer = BTreeMap::<u32, Vec<Message>>::new();
         for (to, message) in said {
             by_peer.entry(to).or_default().push(message);
         }
+        if by_peer.is_empty() {
+            return;
+        }
+        let addresses: BTreeMap<u32, SocketAddr> =
+            self.members.up().map(|who| (who.number, who.address)).collect();
         for (to, messages) in by_peer {
             // A number that nobody is known by hears nothing.
-            let address = self.members.up().find(|who| who.number == to).map(|who| who.address);
-            address.into_iter().for_each(|address| self.say_at(address, messages.clone()));
+            if let Some(address) = addresses.get(&to) {
+                self.say_at(*address, messages);
+            }
         }
     }
 
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -200,7 +201,7 @@
         std::fs::write(dir.join("config.json"), config.to_string()).unwrap();
         std::fs::write(dir.join("postgres.json"), file.to_string()).unwrap();
         std::fs::write(dir.join("door.conf"), DOOR).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_marljunction"))
+        let mut child = marljunction_rig::process::command(Path::new(env!("CARGO_BIN_EXE_marljunction")))
             .env("ROUTER_CONFIG", dir.join("config.json"))
             .env("MARLJUNCTION_POSTGRES", dir.join("postgres.json"))
             .envs(with("door").then(|| ("MARLJUNCTION_SETUP", dir.join("door.conf"))))
