--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -373,6 +373,8 @@
             writeln!(reply, "MEMO_TO {to} {}", if data.is_empty() { "-" } else { &data })
         }
         Action::Subscribe => writeln!(reply, "TRACK 1"),
+        // Nothing here tells shares, so nothing is told of what they bear.
+        Action::ColdSent { .. } => Ok(()),
         Action::Log(text) => writeln!(reply, "REMARK {}", text.replace(['\n', '\r'], " ")),
     };
 }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -195,8 +195,10 @@
     down: bool,
     /// Data sets sent here, the latest last.
     warm: VecDeque<u64>,
-    /// Usual work sent of late, while cold.
-    sent: Vec<(u64, f64)>,
+    /// Usual work sent of late, while cold, and its lane.
+    sent: Vec<(u64, f64, usize)>,
+    /// Shares of the light and heavy lane's budget that are this gateway's while cold, where it is told them.
+    cold_shares: Option<[f64; 2]>,
 }
 
 /// A request that is owed an answer, or has an attempt out.
@@ -274,6 +276,17 @@
     class.aim_ns as f64 * class.threads.max(1.0) * PRIOR_NEED
 }
 
+/// The lane of a class on a cold engine (0 for light ones, 1 for heavy), the engine's budget for a window as
+/// if it were warm, and what a query of the lane needs at most by settings alone.
+pub fn cold_lane(s: &Settings, cores: f64, class: ClassId) -> Option<(usize, f64, f64)> {
+    let (tip, start, fall_ns) = (s.tip_multiple?, s.start_capacity?, s.fall_ns?);
+    let full = tip * cores * CAPACITY_BUSY * fall_ns as f64 * COLD_SAFETY;
+    let heavy = |need: f64| need * COLD_LIGHT > full * start;
+    let lane = heavy(prior_need(&s.classes[class.0]));
+    let needs = s.classes.iter().map(prior_need).filter(|need| heavy(*need) == lane);
+    Some((usize::from(lane), full, needs.fold(1.0, f64::max)))
+}
+
 fn review_token(id: RequestId, attempt: u32) -> TimerToken {
     TimerToken(id.0 << 8 | u64::from(attempt.min(254)))
 }
@@ -323,6 +336,9 @@
             // A started stream belongs to the client: nothing is owed, nothing may be cancelled.
             Event::Started(id, _) => drop(self.pending.get_mut(&id).map(|p| p.concluded = true)),
             Event::Progress(id, n, Note::Progress(share)) => self.on_note(now_ns, id, n, share, out),
+            Event::ColdShares(engine, shares) => {
+                self.engines.entry(engine).and_modify(|e| e.cold_shares = Some(shares));
+            }
             Event::Progress(..) | Event::PeerMessage(..) => {}
             Event::Outcome(outcome) => self.on_outcome(now_ns, outcome, out),
             Event::Probed(engine, status, report) => {
@@ -698,7 +714,13 @@
         self.extra.extend((attempt > 0).then_some(now));
         self.own.2 += 1.0 / LIFE_NS;
         let fall_ns = self.settings.fall_ns.unwrap_or(0);
+        let warmth = self.engines.get(&engine).map_or(1.0, |e| self.warmth(now, e));
         let Some(e) = self.engines.get_mut(&engine) else { return };
+        let (lane, full, _) = cold_lane(&self.settings, e.cores, request.class).unwrap_or_default();
+        if e.cold_shares.is_some() && warmth < 1.0 {
+            let share = usual / (full * warmth / 2.0);
+            out.push(Action::ColdSent { request: id, engine, lane, share });
+        }
         // Memory is granted by the estimate, corrected by what answers told; 0 leaves it to the engine.
         let most = e.memory_mb * self.settings.max_grant_share.unwrap_or(1.0);
         let grant_mb = if granting { memory.min(most).ceil() as u64 } else { 0 };
@@ -706,7 +728,7 @@
         e.warm.retain(|set| Some(*set) != request.data_set);
         e.warm.extend(request.data_set);
         e.warm.drain(..e.warm.len().saturating_sub(WARM_SETS));
-        e.sent.push((now, usual));
+        e.sent.push((now, usual, lane));
         e.sent.retain(|s| s.0 + fall_ns >= now);
         if e.suspended {
             (self.trials, e.trial_ns) = (0.0, now + e.backoff_ns);
@@ -1005,31 +1027,34 @@
     }
 
     /// Whether a cold engine stays within this gateway's share of what does not push it over. Light and heavy
-    /// classes have half of the budget each, owned by as many gateways as whole queries of theirs fit in by
-    /// settings alone, so that all know the owners by their numbers and the engine's. An owner may send one
-    /// query in a window, or as many as its share holds. A gateway that restarted meanwhile waits for a
-    /// window. An engine back from refused connections has no owners until told.
+    /// classes have half of the budget each: the share that is told, or else it is owned by as many gateways
+    /// as whole queries of theirs fit in by settings alone, so that all know the owners by their numbers and
+    /// the engine's. An owner may send one query in a window, or as many as its share holds. A gateway that
+    /// restarted meanwhile waits for a window. An engine back from refused connections has no owners until
+    /// told.
     fn cold_budget(&self, now: u64, p: &Pending, e: &Engine) -> bool {
         let s = &self.settings;
         let (Some(since), Some(_)) = (e.cold_since_ns, self.warmed(now, e)) else { return true };
-        let rules = (s.tip_multiple, s.start_capacity, s.fall_ns);
-        let (Some(tip), Some(start), Some(fall_ns)) = rules else { return true };
+        let class = p.request.class;
+        let rules = (s.start_capacity, s.fall_ns, cold_lane(s, e.cores, class));
+        let (Some(start), Some(fall_ns), Some((lane, full, largest))) = rules else { return true };
         let gateways = u64::from(s.gateways.max(1));
         let place = (u64::from(s.gateway_index) + mix(e.entry.engine.0) % gateways) % gateways;
         let unknown = self.born_ns.is_some_and(|b| b > since && now < b.saturating_add(fall_ns));
-        let full = tip * e.cores * CAPACITY_BUSY * fall_ns as f64 * COLD_SAFETY;
         let half = full * self.warmth(now, e) / 2.0;
-        let heavy = |need: f64| need * COLD_LIGHT > full * start;
-        let class = p.request.class.0;
-        let lane = heavy(prior_need(&s.classes[class]));
-        let needs = s.classes.iter().map(prior_need).filter(|need| heavy(*need) == lane);
+        let usual = self.models[class.0].usual.value;
+        let recent = || e.sent.iter().filter(|s| s.0 + fall_ns >= now);
+        if let Some(shares) = e.cold_shares {
+            let sent: f64 = recent().filter(|s| s.2 == lane).map(|s| s.1).sum();
+            return sent + usual <= half * shares[lane] || sent <= 0.0 && shares[lane] >= 1.0;
+        }
         let started = e.entry.started_ns.zip(s.cold_ns);
         let told = started.is_some_and(|(at, cold)| now < at.saturating_add(cold));
         let most = if told { gateways as f64 } else { 1.0 };
-        let owners = (half / needs.fold(1.0, f64::max)).floor().clamp(1.0, most);
-        let recent = e.sent.iter().filter(|s| s.0 + fall_ns >= now && heavy(s.1) == lane);
-        let sent: f64 = recent.map(|s| s.1).sum();
-        let fits = sent <= 0.0 || sent + self.models[class].usual.value <= half / owners;
+        let owners = (half / largest).floor().clamp(1.0, most);
+        let same = |s: &&(u64, f64, usize)| usize::from(s.1 * COLD_LIGHT > full * start) == lane;
+        let sent: f64 = recent().filter(same).map(|s| s.1).sum();
+        let fits = sent <= 0.0 || sent + usual <= half / owners;
         fits && !unknown && (!told || (place as f64) < owners)
     }
 }
--- a/crates/control/src/interface.rs
+++ b/crates/control/src/interface.rs
@@ -352,6 +352,9 @@
     Outcome(Outcome),
     /// A probe has ended.
     Probed(EngineId, Status, Option<LoadReport>),
+    /// Parts of a cold engine's budgets for light and heavy classes that are this gateway's from here on (shares),
+    /// where gateways share them out among themselves.
+    ColdShares(EngineId, [f64; 2]),
     /// A peer has sent a message.
     PeerMessage(u32, Vec<u8>),
     /// The client has left.
@@ -372,6 +375,17 @@
         /// Time-out of the attempt.
         timeout_ns: u64,
     },
+    /// The attempt that follows takes so much of a cold engine's budget, where its shares were told.
+    ColdSent {
+        /// The request.
+        request: RequestId,
+        /// The engine.
+        engine: EngineId,
+        /// 0 for light classes, 1 for heavy ones.
+        lane: usize,
+        /// Part of the lane's budget (share).
+        share: f64,
+    },
     /// Cease waiting for an attempt.
     Cancel {
         /// The request.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod cold;
 pub mod counters;
 pub mod ending;
 pub mod limits;
@@ -405,6 +406,7 @@
 
     /// Hands all that was gathered, and all timers that are due, to the module; adds to `out` what is to be done.
     pub fn turn(&mut self, now_ns: u64, out: &mut Vec<Command>) {
+        self.tell_shares(now_ns, out);
         let mut batch = std::mem::take(&mut self.batch);
         for inbound in batch.drain(..) {
             self.inbound(now_ns, inbound, out);
@@ -467,6 +469,7 @@
     fn show(&mut self, now: u64, id: RequestId, out: &mut Vec<Command>) {
         let Some(open) = self.open.get(&id) else { return };
         let ask = &open.ask;
+        self.limits.iter_mut().for_each(|limits| limits.want(now, ask.class));
         let request = Request {
             id,
             class: ask.class,
@@ -481,6 +484,14 @@
         self.decide(now, Event::Arrival(request), out);
     }
 
+    /// Tells the module what it may count on of cold engines' budgets, where the fleet shares them.
+    fn tell_shares(&mut self, now: u64, out: &mut Vec<Command>) {
+        let shares = self.limits.as_mut().map_or_else(Vec::new, |limits| limits.shares(now));
+        for (engine, shares) in shares {
+            self.decide(now, Event::ColdShares(engine, shares), out);
+        }
+    }
+
     /// Whether the fleet's limits admit a request; one that they do not is refused, with the time when its share is due.
     fn admitted(&mut self, now: u64, id: RequestId, out: &mut Vec<Command>) -> bool {
         let (Some(limits), Some(open)) = (&mut self.limits, self.open.get_mut(&id)) else { return true };
@@ -541,7 +552,9 @@
                     let started_ms = e.started_ns.map(|ns| ns / 1_000_000);
                     debug!("{kind:?} list: engine {:016x} {:?} started {started_ms:?}", e.engine.0, e.state);
                 }
+                self.limits.iter_mut().for_each(|limits| limits.change(now, kind, &entries));
                 self.decide(now, Event::Membership(kind, entries), out);
+                self.tell_shares(now, out);
             }
         }
     }
@@ -684,6 +697,12 @@
                 let timeout_ns = due.saturating_sub(now);
                 out.push(Command::Start { attempt, engine, timeout_ns, priority, ask });
             }
+            Action::ColdSent { request, engine, lane, share } => {
+                let class = self.open.get(&request).map(|open| open.ask.class);
+                if let (Some(limits), Some(class)) = (&mut self.limits, class) {
+                    limits.sent(now, class, engine, lane, share);
+                }
+            }
             Action::Cancel { request, attempt } => {
                 if let Some(open) = self.open.get(&request) {
                     debug!("{} attempt {attempt} is given up", open.ask.name);
--- a/crates/lab/src/limits.rs
+++ b/crates/lab/src/limits.rs
@@ -111,7 +111,12 @@
     let terms =
         Terms { routers: routers as u32, lease_ns: SECOND_NS, longest_ns: LONGEST_NS, ..Terms::default() };
     let mode = if bounded { Mode::Bounded { over: 0.5, for_ns: 6 * SECOND_NS } } else { Mode::Strict };
-    let limit = Limit { name: "all".into(), kind: Kind::Concurrency { at_once: most as u32 }, mode };
+    let limit = Limit {
+        name: "all".into(),
+        whom: String::new(),
+        kind: Kind::Concurrency { at_once: most as u32 },
+        mode,
+    };
     if schedule == Schedule::Static {
         fleet.cut_into(&nobody);
         // Nobody can say what it holds, so that all of it has to run out first.
@@ -233,7 +238,7 @@
         ("rate", Kind::Rate { per_s: f64::from(units), burst: units }),
     ];
     let told = kinds.map(|(name, kind)| {
-        let limit = Limit { name: name.into(), kind, mode: Mode::Strict };
+        let limit = Limit { name: name.into(), whom: String::new(), kind, mode: Mode::Strict };
         let mut fleet = loans::Fleet::new(limit, terms, 0.01, seed);
         fleet.tell_reachable();
         fleet.routers[3].demand = f64::from(units) * 2.0;
@@ -248,6 +253,9 @@
         let used = match kind {
             Kind::Concurrency { .. } => out as f64 / f64::from(steps) / f64::from(units),
             Kind::Rate { per_s, .. } => (fleet.admitted - admitted) as f64 / seconds / per_s,
+            Kind::Window { units, window_ns } => {
+                (fleet.admitted - admitted) as f64 / seconds / f64::from(units) * window_ns as f64 / 1e9
+            }
         };
         let each = (fleet.messages - messages) as f64 / seconds / f64::from(routers);
         (
@@ -262,6 +270,7 @@
 fn alone() -> Value {
     let rate = |name: &str| Limit {
         name: name.into(),
+        whom: String::new(),
         kind: Kind::Rate { per_s: 1e9, burst: 1_000_000 },
         mode: Mode::Strict,
     };
@@ -279,8 +288,12 @@
     }
     let check_ns = began.elapsed().as_nanos() as f64 / count as f64;
     let before = crate::HEAP.current_usage();
-    let client =
-        Limit { name: "client".into(), kind: Kind::Rate { per_s: 10.0, burst: 20 }, mode: Mode::Strict };
+    let client = Limit {
+        name: "client".into(),
+        whom: "client".into(),
+        kind: Kind::Rate { per_s: 10.0, burst: 20 },
+        mode: Mode::Strict,
+    };
     let mut node = Node::new(0, me, terms, vec![client], 16_384);
     for key in 0..100_000u64 {
         if let Ok(ticket) = node.admit(60 * SECOND_NS, &[(0, key.wrapping_mul(0x9e37_79b9_7f4a_7c15))]) {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+mod cold;
 mod disciplines;
 mod door;
 mod fleet;
@@ -102,6 +103,21 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Engines that have just started, with each router's own part of their budgets and with shared ones.
+    Cold {
+        /// Twenty routers only: under 45 s in all.
+        #[arg(long)]
+        quick: bool,
+        /// Where to write the figures.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// The router's program; the one beside this one, if not given.
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+        /// Seed of all draws.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Ways to pace a fleet's calls compared in stepped time, without any socket.
     Pacing {
         /// Where to write the figures.
@@ -161,6 +177,9 @@
             let program = named_or_beside(program)?;
             write(json, &limits::run(&limits::Run { program: &program, quick, seed })?)
         }
+        Experiment::Cold { quick, json, program, seed } => {
+            write(json, &cold::run(&named_or_beside(program)?, quick, seed)?)
+        }
         Experiment::Pacing { json } => write(json, &ways::run()),
         Experiment::Disciplines { json, seed } => write(json, &disciplines::run(seed)),
     }
--- a/crates/limits/src/bound.rs
+++ b/crates/limits/src/bound.rs
@@ -55,6 +55,7 @@
     let out_ns = match limit.kind {
         Kind::Rate { .. } => 0,
         Kind::Concurrency { .. } => terms.longest_ns + terms.run_on_ns,
+        Kind::Window { window_ns, .. } => window_ns,
     };
     let allowed = match limit.mode {
         Mode::Strict => over(0.0, 0),
@@ -78,7 +79,7 @@
         // Everybody is asked as soon as it is found, and says what it holds; else all that was lent runs out. What ran
         // before runs on.
         Fault::AllDied => {
-            let found = limit.kind.run_out_ns(terms).min(terms.run_on_ns) + terms.detect_ns;
+            let found = limit.kind.run_on_ns(terms) + terms.detect_ns;
             (allowed, found.min(terms.quiet_ns(limit.kind)))
         }
         // Each uses the share for itself for as long as they are two.
@@ -87,6 +88,18 @@
     Bound { over_at_most, over_for_ns, stale_at_most_ns: stale_at_most_ns + asked }
 }
 
+/// How far over its new size a limit can be once the operator's file says another, until all routers have read it and for so long
+/// after the last of them did (ns): each goes by the size that it knows, and lends only to those that know the same.
+pub fn change(before: &Limit, after: &Limit, terms: &Terms) -> Bound {
+    let size = |limit: &Limit| match limit.kind {
+        Kind::Rate { per_s, .. } => per_s,
+        kind => f64::from(kind.units().max(1)),
+    };
+    let over_at_most = (size(before) / size(after) - 1.0).max(0.0);
+    let lent = terms.lender_ns() + after.kind.run_out_ns(terms);
+    Bound { over_at_most, over_for_ns: if over_at_most > 0.0 { lent } else { 0 }, stale_at_most_ns: lent }
+}
+
 /// Whole units beyond its own that a router may use while peers can't be reached, of a limit that may be over by this share.
 pub fn extra(share: u32, over: f64) -> u32 {
     (f64::from(share) * over) as u32
--- a/crates/limits/src/escrow.rs
+++ b/crates/limits/src/escrow.rs
@@ -96,6 +96,30 @@
         self.quiet_until_ns = self.quiet_until_ns.min(at_ns);
     }
 
+    /// The limit has another size from here on, of which so many units are owned. What was lent stays lent by the old size; where
+    /// a unit is worth another amount by the new one (`worth`), nothing is used or lent until that is over. Nothing more is
+    /// admitted on what is borrowed.
+    pub fn resize(&mut self, now: u64, owned: u32, worth: bool) {
+        self.pass(now);
+        self.owned = owned;
+        for borrowed in self.borrowed.values_mut() {
+            borrowed.usable.cut(0);
+            // Answers that are still on their way speak of the old size.
+            borrowed.asked.clear();
+            borrowed.settled = true;
+        }
+        if worth {
+            self.hold_back(
+                self.lent.values().flat_map(|l| &l.holdings.0).map(|(_, until)| *until).max().unwrap_or(0),
+            );
+        }
+    }
+
+    /// Nothing of its own is used or lent before then (ns).
+    pub fn hold_back(&mut self, until_ns: u64) {
+        self.quiet_until_ns = self.quiet_until_ns.max(until_ns);
+    }
+
     /// Passes time: what has run out is forgotten.
     pub fn pass(&mut self, now: u64) {
         self.lent.values_mut().for_each(|lent| lent.holdings.pass(now));
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod escrow;
 pub mod meter;
 pub mod node;
+pub mod sketch;
 pub mod terms;
 
 pub use node::{Message, Node};
--- a/crates/limits/src/meter.rs
+++ b/crates/limits/src/meter.rs
@@ -1,21 +1,40 @@
 //! What the units that a router may use admit.
 
+use std::collections::VecDeque;
+
 use crate::terms::Kind;
 
+/// Sent within this time of each other counts as sent together, at the last of them (ns).
+const SENT_TOGETHER_NS: u64 = 5_000_000;
+
 /// Admissions of one key.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Meter {
     /// Admissions that are out (count), of a concurrency.
     out: u32,
     /// What a rate's bucket holds (admissions), and up to when it was filled (ns).
     tokens: f64,
     filled_ns: u64,
+    /// What was sent within a window: until when the first and the last of it counts (ns), and how much it is (units).
+    sent: VecDeque<(u64, u64, f64)>,
+    /// Admissions that are out beside those of this meter (count): of before the key was tracked.
+    beside: u32,
 }
 
 impl Meter {
     /// A meter whose bucket was empty at `since` (ns): what an earlier life took is not known.
     pub fn new(since: u64) -> Meter {
-        Meter { out: 0, tokens: 0.0, filled_ns: since }
+        Meter { out: 0, tokens: 0.0, filled_ns: since, sent: VecDeque::new(), beside: 0 }
+    }
+
+    /// So many admissions are out beside its own.
+    pub fn set_beside(&mut self, beside: u32) {
+        self.beside = beside;
+    }
+
+    /// A bucket that holds so much at `now`, and nothing else that is known.
+    pub fn holding(now: u64, tokens: f64) -> Meter {
+        Meter { tokens, ..Meter::new(now) }
     }
 
     /// Up to when the bucket was filled (ns).
@@ -26,6 +45,11 @@
     /// Fills the bucket up to `now`, where `steady` units could be used all the time since it was last filled and `usable`
     /// can be now. The clock may run fast by `drift`.
     pub fn fill(&mut self, now: u64, kind: Kind, drift: f64, (steady, usable): (u32, u32)) {
+        if let Kind::Window { .. } = kind {
+            while self.sent.front().is_some_and(|(_, until, _)| *until <= now) {
+                self.sent.pop_front();
+            }
+        }
         let Kind::Rate { per_s, burst } = kind else { return };
         let passed = now.saturating_sub(self.filled_ns) as f64 / 1e9 / (1.0 + drift);
         let unit = per_s / f64::from(burst.max(1));
@@ -34,20 +58,36 @@
         self.filled_ns = self.filled_ns.max(now);
     }
 
-    /// Admits one, where the units allow it.
-    pub fn admit(&mut self, kind: Kind, usable: u32) -> bool {
-        match kind {
-            Kind::Rate { .. } => {
-                let admits = self.tokens >= 1.0;
-                self.tokens -= if admits { 1.0 } else { 0.0 };
-                admits
-            }
-            Kind::Concurrency { .. } => {
-                let admits = self.out < usable;
-                self.out += u32::from(admits);
-                admits
+    /// So many units' worth was sent, under a window's limit, and counts until then. Whoever sends holds it against the units
+    /// that may be used.
+    pub fn send(&mut self, until: u64, units: f64) {
+        // Many that are sent at once are one entry: the table is bounded by time.
+        match self.sent.back_mut() {
+            Some((first, last, sum)) if *first + SENT_TOGETHER_NS > until => {
+                (*last, *sum) = (until, *sum + units);
             }
+            _ => self.sent.push_back((until, until, units)),
+        }
+    }
+
+    /// Whether one is admitted, by these units.
+    pub fn admits(&self, kind: Kind, usable: u32) -> bool {
+        match kind {
+            Kind::Rate { .. } => self.tokens >= 1.0,
+            Kind::Concurrency { .. } | Kind::Window { .. } => self.out() < usable,
+        }
+    }
+
+    /// Admits one, where the units allow it; of a window's limit it counts until then.
+    pub fn admit(&mut self, until: u64, kind: Kind, usable: u32) -> bool {
+        let admits = self.admits(kind, usable);
+        match kind {
+            Kind::Rate { .. } => self.tokens -= if admits { 1.0 } else { 0.0 },
+            Kind::Concurrency { .. } => self.out += u32::from(admits),
+            Kind::Window { .. } if admits => self.send(until, 1.0),
+            Kind::Window { .. } => {}
         }
+        admits
     }
 
     /// One that was admitted is over.
@@ -55,9 +95,9 @@
         self.out = self.out.saturating_sub(1);
     }
 
-    /// Admissions that are out (count).
+    /// Admissions that are out, or units' worth that was sent within the window (count).
     pub fn out(&self) -> u32 {
-        self.out
+        self.out + self.beside + self.sent.iter().map(|(.., units)| units).sum::<f64>().ceil() as u32
     }
 
     /// When a refused one is worth another try, with these units (ns from now); none where only a loan can help.
@@ -71,7 +111,7 @@
     pub fn is_still(&self, kind: Kind, usable: u32) -> bool {
         match kind {
             Kind::Rate { .. } => self.tokens >= f64::from(usable),
-            Kind::Concurrency { .. } => self.out == 0,
+            Kind::Concurrency { .. } | Kind::Window { .. } => self.out() == 0,
         }
     }
 }
--- a/crates/limits/src/node.rs
+++ b/crates/limits/src/node.rs
@@ -7,6 +7,7 @@
 use crate::bound;
 use crate::escrow::{Escrow, Peer};
 use crate::meter::Meter;
+use crate::sketch::Sketch;
 use crate::terms::{Kind, Limit, Mode, Terms};
 
 /// What is asked for beyond what came of late (share): demand is uneven.
@@ -25,8 +26,10 @@
 pub enum Message {
     /// The sender wants to hold so many of the receiver's units.
     Ask {
-        /// The limit, by its place in the file.
-        limit: u16,
+        /// The limit ([`Limit::id`]).
+        limit: u64,
+        /// Its size ([`Limit::version`]).
+        version: u32,
         /// Hash of the key.
         key: u64,
         /// Grows with each ask of the sender.
@@ -37,7 +40,9 @@
     /// The sender may hold so many.
     Grant {
         /// The limit.
-        limit: u16,
+        limit: u64,
+        /// Its size.
+        version: u32,
         /// Hash of the key.
         key: u64,
         /// The ask's number.
@@ -59,11 +64,38 @@
         parts: u16,
         /// For how long the sender has been up (ns).
         up_ns: u64,
-        /// Limit, key, units, and for how long still (ns).
-        held: Vec<(u16, u64, u32, u64)>,
+        /// What is held.
+        held: Vec<Held>,
     },
 }
 
+/// A loan, as its borrower tells it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Held {
+    /// The limit, and its size as the borrower knows it.
+    limit: u64,
+    version: u32,
+    /// Hash of the key.
+    key: u64,
+    units: u32,
+    /// For how long still (ns).
+    left_ns: u64,
+}
+
+/// A limit in its place, which it keeps for as long as the router is up.
+#[derive(Clone, Debug)]
+struct Slot {
+    limit: Limit,
+    /// The operator's file has it no more: nothing is admitted by it, and what was lent is kept track of.
+    retired: bool,
+    /// Until when its own units count as lent for a start's sake (ns), and whether peers that say what they hold end that: they
+    /// were not understood before it was there.
+    quiet_until_ns: u64,
+    told: bool,
+    /// Keys that found no place in the table; none where all did.
+    sketch: Option<Sketch>,
+}
+
 /// How much of a key's units a router's own clients want.
 #[derive(Clone, Copy, Debug)]
 struct Demand {
@@ -114,7 +146,16 @@
 
 /// What a request was admitted by: to be given back once it is over.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Ticket(Vec<(u16, u64)>);
+pub struct Ticket(Vec<Admitted>);
+
+/// One limit that a request was admitted by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Admitted {
+    limit: u16,
+    key: u64,
+    /// The key was not tracked.
+    by_sketch: bool,
+}
 
 /// What one router knows of a key.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -136,11 +177,10 @@
 pub struct Node {
     me: Peer,
     terms: Terms,
-    limits: Vec<Limit>,
+    slots: Vec<Slot>,
     keys: BTreeMap<(u16, u64), Entry>,
     keys_most: usize,
     started_ns: u64,
-    quiet_until_ns: Vec<u64>,
     recovery: Option<Recovery>,
     /// Peers that can be reached, and since when some that are counted can't.
     reachable: BTreeSet<u32>,
@@ -157,15 +197,20 @@
         let others = (0..terms.routers).filter(|number| *number != me.number);
         let recovery =
             Recovery { missing: others.map(|number| (number, None)).collect(), run_on_until_ns: now };
-        let quiet_until_ns = limits.iter().map(|limit| now + terms.quiet_ns(limit.kind)).collect();
+        let slot = |limit: Limit| Slot {
+            quiet_until_ns: now + terms.quiet_ns(limit.kind),
+            limit,
+            retired: false,
+            told: true,
+            sketch: None,
+        };
         let mut node = Node {
             me,
             terms,
-            limits,
+            slots: limits.into_iter().map(slot).collect(),
             keys: BTreeMap::new(),
             keys_most,
             started_ns: now,
-            quiet_until_ns,
             recovery: Some(recovery),
             reachable: BTreeSet::new(),
             cut_since_ns: None,
@@ -178,6 +223,60 @@
         node
     }
 
+    /// The operator's file says other limits: gives each one's place, which those that stay keep. What is out and what is lent
+    /// stays counted.
+    pub fn resize(&mut self, now: u64, limits: Vec<Limit>) -> Vec<u16> {
+        self.slots.iter_mut().for_each(|slot| slot.retired = true);
+        let mut places = Vec::with_capacity(limits.len());
+        for limit in limits {
+            let id = limit.id();
+            let at = self.slots.iter().position(|slot| slot.limit.id() == id).unwrap_or_else(|| {
+                // Peers may hold units that an earlier life lent, and could not say so before.
+                let quiet_until_ns = self.started_ns + self.terms.quiet_ns(limit.kind);
+                let (retired, told, sketch) = (true, false, None);
+                self.slots.push(Slot { limit: limit.clone(), retired, quiet_until_ns, told, sketch });
+                self.slots.len() - 1
+            });
+            places.push(at as u16);
+            let slot = &mut self.slots[at];
+            slot.retired = false;
+            let changed = slot.limit.version() != limit.version();
+            // Fills buckets by the old size first.
+            if changed {
+                let keys: Vec<u64> = self.keys_of(at as u16).collect();
+                for key in &keys {
+                    self.settle(now, at as u16, *key);
+                }
+                let worth = !matches!(limit.kind, Kind::Concurrency { .. });
+                let (terms, me) = (self.terms, self.me.number);
+                for key in keys {
+                    let owned = terms.share(limit.kind.units(), me, key);
+                    if let Some(entry) = self.keys.get_mut(&(at as u16, key)) {
+                        entry.escrow.resize(now, owned, worth);
+                        entry.empty.clear();
+                    }
+                }
+            }
+            self.slots[at].limit = limit;
+        }
+        places
+    }
+
+    /// The keys of a limit that are tracked.
+    fn keys_of(&self, limit: u16) -> impl Iterator<Item = u64> + '_ {
+        self.keys.range((limit, 0)..=(limit, u64::MAX)).map(|((_, key), _)| *key)
+    }
+
+    fn kind(&self, limit: u16) -> Kind {
+        self.slots[usize::from(limit)].limit.kind
+    }
+
+    /// The place of a limit that a peer names, where this router has it in that size.
+    fn place(&self, id: u64, version: u32) -> Option<u16> {
+        let here = |slot: &Slot| slot.limit.id() == id && slot.limit.version() == version && !slot.retired;
+        self.slots.iter().position(here).map(|at| at as u16)
+    }
+
     /// The peers that can be reached now.
     pub fn set_reachable(&mut self, now: u64, peers: BTreeSet<u32>) {
         let counted = |number: &u32| *number < self.terms.routers && *number != self.me.number;
@@ -189,9 +288,10 @@
     /// Units beyond its own that a limit's mode allows now: none while what an earlier life had out may still run, or it
     /// would be over by as much again with each life.
     fn extra(&self, now: u64, limit: u16, owned: u32) -> u32 {
-        match (self.limits[usize::from(limit)].mode, self.cut_since_ns) {
+        let slot = &self.slots[usize::from(limit)];
+        match (slot.limit.mode, self.cut_since_ns) {
             (Mode::Bounded { over, for_ns }, Some(since))
-                if now < since.saturating_add(for_ns) && now >= self.quiet_until_ns[usize::from(limit)] =>
+                if now < since.saturating_add(for_ns) && now >= slot.quiet_until_ns =>
             {
                 bound::extra(owned, over)
             }
@@ -201,20 +301,22 @@
 
     /// Fills a key's bucket and forgets what has run out; gives the units that may be used now.
     fn settle(&mut self, now: u64, limit: u16, key: u64) -> u32 {
-        let kind = self.limits[usize::from(limit)].kind;
+        let kind = self.kind(limit);
         let owned = self.terms.share(kind.units(), self.me.number, key);
         let extra = self.extra(now, limit, owned);
-        let life_ns = match kind {
-            Kind::Rate { .. } => self.terms.lease_ns,
-            // A peak of what is out at once is over soon; units kept for it lie idle.
-            Kind::Concurrency { .. } => self.terms.lease_ns / 4,
-        };
+        let life_ns = self.demand_life_ns(kind);
+        let sketch = self.slots[usize::from(limit)].sketch.as_ref();
+        let beside = sketch.map_or(0.0, |sketch| sketch.used(now, key, (kind, owned, self.terms.drift)));
         let Some(entry) = self.keys.get_mut(&(limit, key)) else { return 0 };
+        if let Kind::Concurrency { .. } = kind {
+            entry.meter.set_beside(beside.ceil() as u32);
+        }
         let steady = entry.escrow.steady(entry.meter.filled_ns(), now);
         entry.escrow.pass(now);
         let usable = entry.escrow.usable(now) + extra;
         entry.meter.fill(now, kind, self.terms.drift, (steady + extra, usable));
-        entry.demand.pass(now, life_ns, f64::from(entry.meter.out()));
+        let least = if let Kind::Concurrency { .. } = kind { f64::from(entry.meter.out()) } else { 0.0 };
+        entry.demand.pass(now, life_ns, least);
         entry.empty.retain(|_, until| now < *until);
         usable
     }
@@ -227,13 +329,21 @@
         if self.keys.len() >= self.keys_most && !self.forget_one(now) {
             return false;
         }
-        let kind = self.limits[usize::from(limit)].kind;
+        let kind = self.kind(limit);
         let owned = self.terms.share(kind.units(), self.me.number, key);
-        let quiet = self.quiet_until_ns[usize::from(limit)];
+        let slot = &self.slots[usize::from(limit)];
+        let quiet = slot.quiet_until_ns;
+        let meter = match (&slot.sketch, kind) {
+            (Some(sketch), Kind::Rate { .. }) if now >= quiet => {
+                let used = sketch.used(now, key, (kind, owned, self.terms.drift));
+                Meter::holding(now, (f64::from(owned) - used).max(0.0))
+            }
+            // Nothing was admitted on it in this life; what an earlier one did is not known.
+            _ => Meter::new(self.started_ns.max(quiet.min(now))),
+        };
         let entry = Entry {
             escrow: Escrow::new(owned, quiet),
-            // Nothing was admitted on it in this life; what an earlier one did is not known.
-            meter: Meter::new(self.started_ns.max(quiet.min(now))),
+            meter,
             demand: Demand { wanted: 0.0, at_ns: now },
             empty: BTreeMap::new(),
         };
@@ -248,7 +358,7 @@
             behind.chain(self.keys.keys().copied()).take(LOOKED_AT.min(self.keys.len())).collect();
         for (limit, key) in some {
             let usable = self.settle(now, limit, key);
-            let kind = self.limits[usize::from(limit)].kind;
+            let kind = self.kind(limit);
             self.looked_at = (limit, key.wrapping_add(1));
             let entry = &self.keys[&(limit, key)];
             if entry.escrow.is_still(now) && entry.meter.is_still(kind, usable) {
@@ -268,52 +378,140 @@
         let mut refused = None;
         let mut allowed = Vec::with_capacity(wants.len());
         for (limit, key) in wants {
+            let kind = self.kind(*limit);
             if !self.track(now, *limit, *key) {
-                refused = refused.or(Some(Refused { limit: usize::from(*limit), after_ns: again }));
+                if !self.sketch_admits(now, *limit, *key, false) {
+                    refused = refused.or(Some(Refused { limit: usize::from(*limit), after_ns: again }));
+                }
+                allowed.push((kind, None));
                 continue;
             }
             let usable = self.settle(now, *limit, *key);
-            let kind = self.limits[usize::from(*limit)].kind;
             let Some(entry) = self.keys.get_mut(&(*limit, *key)) else { continue };
-            allowed.push((kind, usable));
-            let mut meter = entry.meter;
-            let admits = meter.admit(kind, usable);
+            allowed.push((kind, Some(usable)));
+            let admits = entry.meter.admits(kind, usable);
             match kind {
                 Kind::Rate { .. } => entry.demand.wanted += 1e9 / self.terms.lease_ns as f64,
                 Kind::Concurrency { .. } => {
                     let least = f64::from(entry.meter.out());
                     entry.demand.wanted = entry.demand.wanted.max(least) + if admits { 0.0 } else { 1.0 };
-                    entry.demand.wanted = entry.demand.wanted.max(f64::from(meter.out()));
+                    entry.demand.wanted = entry.demand.wanted.max(least + f64::from(u8::from(admits)));
                 }
+                Kind::Window { .. } => entry.demand.wanted += 1.0,
             }
             entry.demand.wanted = entry.demand.wanted.min(f64::from(u32::MAX));
             if !admits {
-                let after_ns = meter.again_ns(kind, usable).unwrap_or(again).max(1_000_000);
+                let after_ns = entry.meter.again_ns(kind, usable).unwrap_or(again).max(1_000_000);
                 refused = refused.or(Some(Refused { limit: usize::from(*limit), after_ns }));
             }
         }
         if let Some(refused) = refused {
             return Err(refused);
         }
-        for (at, (kind, usable)) in wants.iter().zip(allowed) {
-            if let Some(entry) = self.keys.get_mut(at) {
-                entry.meter.admit(kind, usable);
+        let mut ticket = Ticket(Vec::with_capacity(wants.len()));
+        for ((limit, key), (kind, usable)) in wants.iter().copied().zip(allowed) {
+            match (usable, self.keys.get_mut(&(limit, key))) {
+                (Some(usable), Some(entry)) => {
+                    entry.meter.admit(now.saturating_add(kind.counts_ns(&self.terms)), kind, usable);
+                }
+                _ => drop(self.sketch_admits(now, limit, key, true)),
             }
+            ticket.0.push(Admitted { limit, key, by_sketch: usable.is_none() });
+        }
+        Ok(ticket)
+    }
+
+    /// Whether a key that found no place in the table is admitted on its router's own share; it counts where it `counts`.
+    fn sketch_admits(&mut self, now: u64, limit: u16, key: u64, counts: bool) -> bool {
+        let kind = self.kind(limit);
+        let of = (kind, self.terms.share(kind.units(), self.me.number, key), self.terms.drift);
+        let slot = &mut self.slots[usize::from(limit)];
+        if now < slot.quiet_until_ns || matches!(kind, Kind::Window { .. }) {
+            return false;
+        }
+        let sketch = slot.sketch.get_or_insert_with(|| Sketch::new(now));
+        match counts {
+            true => sketch.admit(now, key, of),
+            false => sketch.used(now, key, of) + 1.0 <= f64::from(of.1),
         }
-        Ok(Ticket(wants.to_vec()))
+    }
+
+    /// Of a window's limit: the units that may be used from `now` to `until` (count), of loans those that last so long. What was
+    /// sent within the window is to be held against them by whoever sends.
+    pub fn budget(&mut self, now: u64, until: u64, limit: u16, key: u64) -> u32 {
+        if !self.track(now, limit, key) {
+            return 0;
+        }
+        self.settle(now, limit, key);
+        self.keys.get(&(limit, key)).map_or(0, |entry| entry.escrow.own(now) + entry.escrow.borrowed(until))
+    }
+
+    /// Units of a key that this router owns (count).
+    pub fn owned(&self, limit: u16, key: u64) -> u32 {
+        self.terms.share(self.kind(limit).units(), self.me.number, key)
+    }
+
+    /// Units' worth that its own clients would send under a window's limit (count).
+    pub fn wants(&self, now: u64, limit: u16, key: u64) -> f64 {
+        let Some(entry) = self.keys.get(&(limit, key)) else { return 0.0 };
+        let mut demand = entry.demand;
+        let kind = self.kind(limit);
+        demand.pass(now, self.demand_life_ns(kind), 0.0);
+        demand.wanted * self.in_window(kind)
+    }
+
+    /// How long demand is remembered (ns).
+    fn demand_life_ns(&self, kind: Kind) -> u64 {
+        match kind {
+            Kind::Rate { .. } => self.terms.lease_ns,
+            // A peak of what is out at once is over soon; units kept for it lie idle.
+            Kind::Concurrency { .. } => self.terms.lease_ns / 4,
+            Kind::Window { window_ns, .. } => window_ns.max(self.terms.lease_ns),
+        }
+    }
+
+    /// Part of the demand that is remembered that falls into one window (share).
+    fn in_window(&self, kind: Kind) -> f64 {
+        match kind {
+            Kind::Window { window_ns, .. } => window_ns as f64 / self.demand_life_ns(kind) as f64,
+            _ => 1.0,
+        }
+    }
+
+    /// Own clients would send so many units' worth under a window's limit, whether they may or not.
+    pub fn want(&mut self, now: u64, limit: u16, key: u64, units: f64) {
+        self.settle(now, limit, key);
+        let entry = self.keys.get_mut(&(limit, key));
+        entry.into_iter().for_each(|entry| entry.demand.wanted += units);
+    }
+
+    /// So many units' worth was sent under a window's limit.
+    pub fn sent(&mut self, now: u64, limit: u16, key: u64, units: f64) {
+        self.settle(now, limit, key);
+        let kind = self.slots.get(usize::from(limit)).map(|slot| slot.limit.kind);
+        let Some(kind @ Kind::Window { .. }) = kind else { return };
+        let counts_ns = kind.counts_ns(&self.terms);
+        let entry = self.keys.get_mut(&(limit, key));
+        entry.into_iter().for_each(|entry| entry.meter.send(now.saturating_add(counts_ns), units));
     }
 
     /// A request that was admitted is over.
     pub fn over(&mut self, ticket: Ticket) {
-        for at in ticket.0 {
-            self.keys.get_mut(&at).into_iter().for_each(|entry| entry.meter.over());
+        for Admitted { limit, key, by_sketch } in ticket.0 {
+            let kind = self.kind(limit);
+            let sketch = self.slots[usize::from(limit)].sketch.as_mut().filter(|_| by_sketch);
+            match (sketch, self.keys.get_mut(&(limit, key))) {
+                (Some(sketch), _) => sketch.over(key, kind),
+                (None, Some(entry)) => entry.meter.over(),
+                _ => {}
+            }
         }
     }
 
     /// What is known of a key.
     pub fn look(&mut self, now: u64, limit: u16, key: u64) -> Look {
         let usable = self.settle(now, limit, key);
-        let owned = self.terms.share(self.limits[usize::from(limit)].kind.units(), self.me.number, key);
+        let owned = self.terms.share(self.kind(limit).units(), self.me.number, key);
         let Some(entry) = self.keys.get(&(limit, key)) else {
             return Look { owned, ..Look::default() };
         };
@@ -344,7 +542,7 @@
 
     /// Units of a key that its own clients want (count).
     fn wanted(&self, limit: u16, entry: &Entry) -> u32 {
-        let kind = self.limits[usize::from(limit)].kind;
+        let kind = self.kind(limit);
         let wanted = match kind {
             Kind::Rate { per_s, burst } => {
                 entry.demand.wanted * (1.0 + SPARE) / (per_s / f64::from(burst.max(1)))
@@ -352,6 +550,9 @@
             Kind::Concurrency { .. } => {
                 (entry.demand.wanted * (1.0 + SPARE)).max(f64::from(entry.meter.out()))
             }
+            Kind::Window { .. } => {
+                (entry.demand.wanted * self.in_window(kind)).max(f64::from(entry.meter.out()))
+            }
         };
         (wanted.ceil() as u32).min(kind.units())
     }
@@ -378,7 +579,7 @@
 
     /// Asks for what a key's clients want beyond its own units, and gives back what they want no longer.
     fn ask_for(&mut self, now: u64, limit: u16, key: u64, out: &mut Vec<(u32, Message)>) {
-        let kind = self.limits[usize::from(limit)].kind;
+        let kind = self.kind(limit);
         let Some(entry) = self.keys.get(&(limit, key)) else { return };
         let wanted = self.wanted(limit, entry);
         let own = entry.escrow.own(now);
@@ -422,12 +623,15 @@
                 _ => {}
             }
         }
+        let of = &self.slots[usize::from(limit)].limit;
+        let (id, version) = (of.id(), of.version());
         let serial = &mut self.serial;
         let Some(entry) = self.keys.get_mut(&(limit, key)) else { return };
         for (owner, units) in asks {
             *serial += 1;
             entry.escrow.ask(now, owner, units, *serial);
-            out.push((owner, Message::Ask { limit, key, number: *serial, units }));
+            let number = *serial;
+            out.push((owner, Message::Ask { limit: id, version, key, number, units }));
         }
     }
 
@@ -444,20 +648,17 @@
             self.outlived(now, from);
         }
         match message {
-            Message::Ask { limit, key, number, units } => self.asked(now, from, limit, key, number, units),
-            Message::Grant { limit, key, number, units } => {
-                if usize::from(limit) < self.limits.len() && self.keys.contains_key(&(limit, key)) {
-                    self.settle(now, limit, key);
-                    let again = now + self.terms.empty_ns();
-                    let run_out_ns = self.limits[usize::from(limit)].kind.run_out_ns(&self.terms);
-                    if let Some(entry) = self.keys.get_mut(&(limit, key)) {
-                        let wanted =
-                            entry.escrow.granted(now, from, number, units, (&self.terms, run_out_ns));
-                        // It has nothing more for a while.
-                        if wanted.is_some_and(|wanted| units < wanted) {
-                            entry.empty.insert(from.number, again);
-                        }
-                    }
+            Message::Ask { limit, version, key, number, units } => {
+                // One that knows another size gets no answer: what it holds runs out by itself.
+                let place = self.place(limit, version);
+                place
+                    .and_then(|place| self.asked(now, from, place, key, (number, units)))
+                    .into_iter()
+                    .collect()
+            }
+            Message::Grant { limit, version, key, number, units } => {
+                if let Some(place) = self.place(limit, version) {
+                    self.granted(now, from, place, key, (number, units));
                 }
                 Vec::new()
             }
@@ -474,38 +675,66 @@
     /// A peer lives again: what its earlier lives had out runs on for a while, and then all that they held is free.
     fn outlived(&mut self, now: u64, peer: Peer) {
         for ((limit, _), entry) in &mut self.keys {
-            let run_on_ns = match self.limits[usize::from(*limit)].kind {
-                Kind::Rate { .. } => 0,
-                Kind::Concurrency { .. } => self.terms.run_on_ns,
-            };
+            let run_on_ns = self.slots[usize::from(*limit)].limit.kind.run_on_ns(&self.terms);
             let until = now + self.terms.by_any_clock(run_on_ns);
             entry.escrow.outlived(peer, until);
         }
     }
 
-    fn asked(&mut self, now: u64, from: Peer, limit: u16, key: u64, number: u64, units: u32) -> Vec<Message> {
-        if usize::from(limit) >= self.limits.len() || !self.track(now, limit, key) {
-            return Vec::new();
+    fn granted(&mut self, now: u64, from: Peer, limit: u16, key: u64, (number, units): (u64, u32)) {
+        if !self.keys.contains_key(&(limit, key)) {
+            return;
+        }
+        self.settle(now, limit, key);
+        let again = now + self.terms.empty_ns();
+        let run_out_ns = self.kind(limit).run_out_ns(&self.terms);
+        let Some(entry) = self.keys.get_mut(&(limit, key)) else { return };
+        let wanted = entry.escrow.granted(now, from, number, units, (&self.terms, run_out_ns));
+        // It has nothing more for a while.
+        if wanted.is_some_and(|wanted| units < wanted) {
+            entry.empty.insert(from.number, again);
+        }
+    }
+
+    fn asked(
+        &mut self,
+        now: u64,
+        from: Peer,
+        limit: u16,
+        key: u64,
+        (number, units): (u64, u32),
+    ) -> Option<Message> {
+        if !self.track(now, limit, key) {
+            return None;
         }
         self.settle(now, limit, key);
         let entry = &self.keys[&(limit, key)];
         let keep = self.wanted(limit, entry).max(entry.meter.out());
-        let run_out_ns = self.limits[usize::from(limit)].kind.run_out_ns(&self.terms);
-        let Some(entry) = self.keys.get_mut(&(limit, key)) else { return Vec::new() };
-        let granted = entry.escrow.asked(now, (from, number), units, keep, (&self.terms, run_out_ns));
+        let run_out_ns = self.kind(limit).run_out_ns(&self.terms);
+        let entry = self.keys.get_mut(&(limit, key))?;
+        let units = entry.escrow.asked(now, (from, number), units, keep, (&self.terms, run_out_ns))?;
         // Lent units take their part of the bucket with them.
         self.settle(now, limit, key);
-        granted.map(|units| Message::Grant { limit, key, number, units }).into_iter().collect()
+        let of = &self.slots[usize::from(limit)].limit;
+        Some(Message::Grant { limit: of.id(), version: of.version(), key, number, units })
     }
 
     fn tell_held(&mut self, now: u64, owner: Peer) -> Vec<Message> {
         let mut held = Vec::new();
         for ((limit, key), entry) in &mut self.keys {
             entry.escrow.pass(now);
+            let of = &self.slots[usize::from(*limit)].limit;
+            let (limit, version, key) = (of.id(), of.version(), *key);
             let told = entry.escrow.told(now, owner);
-            held.extend(told.into_iter().map(|(units, left)| (*limit, *key, units, left)));
+            held.extend(told.into_iter().map(|(units, left_ns)| Held {
+                limit,
+                version,
+                key,
+                units,
+                left_ns,
+            }));
         }
-        let mut chunks: Vec<Vec<(u16, u64, u32, u64)>> = held.chunks(HELD_MOST).map(<[_]>::to_vec).collect();
+        let mut chunks: Vec<Vec<Held>> = held.chunks(HELD_MOST).map(<[_]>::to_vec).collect();
         if chunks.is_empty() {
             chunks.push(Vec::new());
         }
@@ -522,7 +751,7 @@
         from: Peer,
         (round, part, parts): (u64, u16, u16),
         up_ns: u64,
-        held: Vec<(u16, u64, u32, u64)>,
+        held: Vec<Held>,
     ) {
         let Some(recovery) = &mut self.recovery else { return };
         let Some(missing) = recovery.missing.get_mut(&from.number) else { return };
@@ -535,12 +764,22 @@
         }
         left.remove(&part);
         // An earlier life of the peer may have had work out on our units.
-        let run_on = self.terms.by_any_clock(self.terms.run_on_ns);
+        let longest = self.slots.iter().map(|slot| slot.limit.kind.run_on_ns(&self.terms)).max().unwrap_or(0);
+        let run_on = self.terms.by_any_clock(longest);
         recovery.run_on_until_ns = recovery.run_on_until_ns.max(now + run_on.saturating_sub(up_ns));
-        for (limit, key, units, left) in held {
-            if usize::from(limit) < self.limits.len() && self.track(now, limit, key) {
-                let Some(entry) = self.keys.get_mut(&(limit, key)) else { continue };
-                entry.escrow.holds(now, from, units, left, &self.terms);
+        for Held { limit, version, key, units, left_ns } in held {
+            let Some(at) = self.slots.iter().position(|slot| slot.limit.id() == limit) else { continue };
+            let place = at as u16;
+            if !self.track(now, place, key) {
+                continue;
+            }
+            let of = &self.slots[at].limit;
+            // A unit of another size is worth something else.
+            let other = of.version() != version && !matches!(of.kind, Kind::Concurrency { .. });
+            let Some(entry) = self.keys.get_mut(&(place, key)) else { continue };
+            entry.escrow.holds(now, from, units, left_ns, &self.terms);
+            if other {
+                entry.escrow.hold_back(now.saturating_add(self.terms.by_any_clock(left_ns)));
             }
         }
         self.recovered(now);
@@ -551,21 +790,24 @@
         let Some(recovery) = &self.recovery else { return };
         let answered = recovery.missing.values().all(whole);
         if answered {
-            for (limit, until) in self.limits.iter().zip(&mut self.quiet_until_ns) {
-                let end = match limit.kind {
+            for slot in self.slots.iter_mut().filter(|slot| slot.told) {
+                let end = match slot.limit.kind {
                     Kind::Rate { .. } => now,
-                    Kind::Concurrency { .. } => {
-                        let own = self.terms.by_any_clock(self.terms.run_on_ns);
+                    kind @ (Kind::Concurrency { .. } | Kind::Window { .. }) => {
+                        let own = self.terms.by_any_clock(kind.run_on_ns(&self.terms));
                         recovery.run_on_until_ns.max(self.started_ns + own).max(now)
                     }
                 };
-                *until = (*until).min(end);
+                slot.quiet_until_ns = slot.quiet_until_ns.min(end);
             }
             for ((limit, _), entry) in &mut self.keys {
-                entry.escrow.end_quiet(self.quiet_until_ns[usize::from(*limit)]);
+                let slot = &self.slots[usize::from(*limit)];
+                if slot.told {
+                    entry.escrow.end_quiet(slot.quiet_until_ns);
+                }
             }
         }
-        if answered || self.quiet_until_ns.iter().all(|until| now >= *until) {
+        if answered || self.slots.iter().all(|slot| now >= slot.quiet_until_ns) {
             self.recovery = None;
         }
     }
--- a/crates/limits/src/terms.rs
+++ b/crates/limits/src/terms.rs
@@ -15,6 +15,13 @@
         /// How many.
         at_once: u32,
     },
+    /// What is sent within any window: it counts for a window's length from when it was sent, whatever becomes of it.
+    Window {
+        /// Parts that the whole is cut into (count).
+        units: u32,
+        /// The window (ns).
+        window_ns: u64,
+    },
 }
 
 /// How a limit fails.
@@ -36,12 +43,49 @@
 pub struct Limit {
     /// Its name.
     pub name: String,
+    /// Whom it is for, as text: limits of one name that are for others are two.
+    pub whom: String,
     /// What is limited.
     pub kind: Kind,
     /// How it fails.
     pub mode: Mode,
 }
 
+/// A stable hash of parts of text: the same in all builds.
+pub fn stable_hash<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for part in parts {
+        // A length tells where a part ends.
+        let bytes = part.iter().copied().chain((part.len() as u64).to_le_bytes());
+        hash = bytes.fold(hash, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    }
+    // The last bytes reach all bits.
+    let hash = (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    hash ^ (hash >> 29)
+}
+
+impl Limit {
+    /// What peers know it by: its name, whom it is for, and what is limited. How much it is may change under it.
+    pub fn id(&self) -> u64 {
+        let kind = match self.kind {
+            Kind::Rate { .. } => "rate",
+            Kind::Concurrency { .. } => "at once",
+            Kind::Window { .. } => "window",
+        };
+        stable_hash([self.name.as_bytes(), self.whom.as_bytes(), kind.as_bytes()])
+    }
+
+    /// Which of its sizes it has: units are lent only between routers that know it by the same.
+    pub fn version(&self) -> u32 {
+        let (a, b) = match self.kind {
+            Kind::Rate { per_s, burst } => (per_s.to_bits(), u64::from(burst)),
+            Kind::Concurrency { at_once } => (u64::from(at_once), 0),
+            Kind::Window { units, window_ns } => (u64::from(units), window_ns),
+        };
+        stable_hash([&a.to_le_bytes()[..], &b.to_le_bytes()[..]]) as u32
+    }
+}
+
 /// What all routers of a fleet agree on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Terms {
@@ -78,6 +122,7 @@
         match self {
             Kind::Rate { burst, .. } => burst,
             Kind::Concurrency { at_once } => at_once,
+            Kind::Window { units, .. } => units,
         }
     }
 
@@ -87,6 +132,24 @@
         match self {
             Kind::Rate { .. } => 0,
             Kind::Concurrency { .. } => terms.by_any_clock(terms.longest_ns + terms.run_on_ns),
+            Kind::Window { window_ns, .. } => terms.by_any_clock(window_ns),
+        }
+    }
+
+    /// For how long what we send under a window's limit counts, by our clock (ns).
+    pub fn counts_ns(self, terms: &Terms) -> u64 {
+        match self {
+            Kind::Window { window_ns, .. } => terms.by_own_clock(window_ns),
+            _ => 0,
+        }
+    }
+
+    /// For how long what a router had admitted goes on once it died (ns).
+    pub fn run_on_ns(self, terms: &Terms) -> u64 {
+        match self {
+            Kind::Rate { .. } => 0,
+            Kind::Concurrency { .. } => terms.run_on_ns,
+            Kind::Window { window_ns, .. } => window_ns,
         }
     }
 }
@@ -97,6 +160,11 @@
         (ns as f64 * (1.0 + self.drift) / (1.0 - self.drift)).ceil() as u64 + 1
     }
 
+    /// So much true time, by our clock (ns at most): it may be fast.
+    pub fn by_own_clock(&self, ns: u64) -> u64 {
+        (ns as f64 * (1.0 + self.drift)).ceil() as u64 + 1
+    }
+
     /// How often a router asks for what it wants and renews what it holds (ns): six times in a loan's life, so that lost
     /// datagrams do not end it.
     pub fn round_ns(&self) -> u64 {
@@ -118,11 +186,7 @@
     pub fn quiet_ns(&self, kind: Kind) -> u64 {
         let lent = self.lender_ns() + kind.run_out_ns(self);
         // By its own clock, which may be fast; and what it had out itself before it died runs on.
-        let own = match kind {
-            Kind::Rate { .. } => 0,
-            Kind::Concurrency { .. } => self.by_any_clock(self.run_on_ns),
-        };
-        lent.max(own)
+        lent.max(self.by_any_clock(kind.run_on_ns(self)))
     }
 
     /// The units that router `me` owns of a limit cut into `units`, of the key with this hash: whole ones, and over all
--- a/crates/limits/tests/fleet.rs
+++ b/crates/limits/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use marljunction_limits::bound::{bound, Fault, FAULTS};
+use marljunction_limits::bound::{bound, change, Fault, FAULTS};
 use marljunction_limits::escrow::Peer;
 use marljunction_limits::node::{Node, Ticket};
 use marljunction_limits::{Kind, Limit, Mode, Terms};
@@ -17,13 +17,14 @@
 }
 
 fn limit(kind: Kind, mode: Mode) -> Limit {
-    Limit { name: "l".into(), kind, mode }
+    Limit { name: "l".into(), whom: String::new(), kind, mode }
 }
 
 fn kinds(draws: &mut StdRng) -> Kind {
-    match draws.gen_bool(0.5) {
-        true => Kind::Concurrency { at_once: draws.gen_range(1..24) },
-        false => Kind::Rate { per_s: draws.gen_range(2.0..60.0), burst: draws.gen_range(1..24) },
+    match draws.gen_range(0..3) {
+        0 => Kind::Concurrency { at_once: draws.gen_range(1..24) },
+        1 => Kind::Rate { per_s: draws.gen_range(2.0..60.0), burst: draws.gen_range(1..24) },
+        _ => Kind::Window { units: draws.gen_range(1..24), window_ns: draws.gen_range(S / 5..3 * S) },
     }
 }
 
@@ -48,6 +49,88 @@
     }
 }
 
+/// A limit is read in another size by one router after the other while things break; how far over the larger of both the fleet
+/// is until all know it, and over the new one once that is over by what is stated.
+fn play_resized(seed: u64) -> (f64, f64, Kind, Kind) {
+    let mut draws = StdRng::seed_from_u64(seed ^ 0xc4a9);
+    let before = kinds(&mut draws);
+    let size = |draws: &mut StdRng| draws.gen_range(1..24u32);
+    let after = match before {
+        Kind::Concurrency { .. } => Kind::Concurrency { at_once: size(&mut draws) },
+        Kind::Rate { .. } => Kind::Rate { per_s: draws.gen_range(2.0..60.0), burst: size(&mut draws) },
+        Kind::Window { window_ns, .. } => Kind::Window { units: size(&mut draws), window_ns },
+    };
+    let [old, new] = [before, after].map(|kind| limit(kind, Mode::Strict));
+    let terms = terms(draws.gen_range(2..8));
+    let mut fleet = Fleet::new(old.clone(), terms, 0.01, seed);
+    fleet.routers[0].demand = f64::from(before.units().max(after.units())) * 2.0;
+    fleet.run(8_000);
+    // Until all know it: the larger in each respect.
+    fleet.limit = match (before, after) {
+        (Kind::Rate { per_s, burst }, Kind::Rate { per_s: to, burst: most }) => {
+            limit(Kind::Rate { per_s: per_s.max(to), burst: burst.max(most) }, Mode::Strict)
+        }
+        _ if before.units() > after.units() => old.clone(),
+        _ => new.clone(),
+    };
+    fleet.worst = 0.0;
+    for at in 0..terms.routers as usize {
+        fleet.resize(at, new.clone());
+        for _ in 0..4 {
+            let ms = fleet.draws.gen_range(50..800);
+            fleet.run(ms);
+            fleet.break_something();
+        }
+    }
+    let mixed = fleet.worst;
+    let left = change(&old, &new, &terms);
+    fleet.run(left.stale_at_most_ns / 1_000_000 + 1);
+    fleet.limit = new;
+    fleet.worst = 0.0;
+    for _ in 0..10 {
+        fleet.run(400);
+        fleet.break_something();
+    }
+    (mixed, fleet.worst, before, after)
+}
+
+#[test]
+fn a_limit_that_is_changed_on_one_router_after_the_other_is_never_over_the_larger_size() {
+    for seed in 0..300 {
+        let (mixed, settled, before, after) = play_resized(seed);
+        assert!(mixed <= 1.0 + 1e-9, "{mixed} while {before:?} becomes {after:?}, seed {seed}");
+        assert!(settled <= 1.0 + 1e-9, "{settled} once {before:?} is {after:?}, seed {seed}");
+    }
+}
+
+#[test]
+fn units_of_two_sizes_are_never_used_beside_each_other() {
+    // The same rate in coarse units and in fine ones, to and fro: a loan is worth what it was when it was made.
+    let of = |burst| limit(Kind::Rate { per_s: 100.0, burst }, Mode::Strict);
+    for (old, new) in [(10, 100), (100, 2)] {
+        for changed in [0, 1] {
+            let mut fleet = Fleet::new(of(old), terms(2), 0.0, 1);
+            fleet.tell_reachable();
+            fleet.routers[1].demand = 400.0;
+            fleet.run(4_000);
+            let look = |fleet: &mut Fleet, at: usize| {
+                let now = fleet.now;
+                fleet.routers[at].node.as_mut().unwrap().look(now, 0, 0)
+            };
+            assert!(look(&mut fleet, 0).lent >= old / 2 - 1 && look(&mut fleet, 1).borrowed >= old / 2 - 1);
+            fleet.resize(changed, of(new));
+            let after = look(&mut fleet, changed);
+            match changed {
+                0 => assert_eq!(after.usable, 0, "units are lent by their old worth still"),
+                _ => assert_eq!((after.borrowed, after.usable), (0, new / 2), "borrowed by their old worth"),
+            }
+            fleet.resize(1 - changed, of(new));
+            fleet.run(5_000);
+            assert!(look(&mut fleet, 1).usable >= new - 1, "lent again by the new size");
+        }
+    }
+}
+
 #[test]
 fn clocks_worse_than_the_terms_say_show_that_a_fault_is_seen() {
     let over = (0..300).filter(|seed| play(*seed, Mode::Strict, 0.6).0 > 1.0 + 1e-9).count();
@@ -78,6 +161,7 @@
         Kind::Rate { per_s, .. } => per_s,
         // A request is out for a second in the mean.
         Kind::Concurrency { at_once } => f64::from(at_once),
+        Kind::Window { units, window_ns } => f64::from(units) / window_ns as f64 * S as f64,
     }
 }
 
@@ -94,7 +178,7 @@
     }
     let share = match kind {
         Kind::Concurrency { at_once } => out as f64 / f64::from(steps) / f64::from(at_once),
-        Kind::Rate { per_s, .. } => (fleet.admitted - before) as f64 / 10.0 / per_s,
+        Kind::Rate { .. } | Kind::Window { .. } => (fleet.admitted - before) as f64 / 10.0 / per_s(kind),
     };
     assert!(fleet.worst <= 1.0 + 1e-9);
     (share, fleet)
@@ -102,7 +186,8 @@
 
 #[test]
 fn a_limit_is_used_where_its_demand_is_though_no_router_owns_much_of_it() {
-    for kind in [Kind::Concurrency { at_once: 100 }, Kind::Rate { per_s: 200.0, burst: 100 }] {
+    let window = Kind::Window { units: 100, window_ns: S };
+    for kind in [Kind::Concurrency { at_once: 100 }, Kind::Rate { per_s: 200.0, burst: 100 }, window] {
         for routers in [8, 40] {
             let (one, fleet) =
                 used(kind, routers, |at| if at == 3 { per_s(kind) * 2.0 } else { 0.0 }, |_| {});
@@ -184,11 +269,13 @@
     let now = 60 * S;
     node.tick(now);
     let held: Vec<Ticket> = (0..500).map(|key| node.admit(now, &[(0, key)]).unwrap()).collect();
-    for key in 1_000..101_000 {
-        if let Ok(ticket) = node.admit(now, &[(0, key)]) {
-            node.over(ticket);
-        }
-    }
+    // Light ones that find no place: each has its own share all the same, and what is out is counted.
+    let light: Vec<Ticket> = (1_000..101_000).filter_map(|key| node.admit(now, &[(0, key)]).ok()).collect();
+    assert!(light.len() >= 99_000, "{} of 100,000", light.len());
+    light.into_iter().for_each(|ticket| node.over(ticket));
+    // A heavy one among them is held to its share.
+    let heavy = (0..2_000).filter(|_| node.admit(now, &[(0, 77_777)]).is_ok()).count();
+    assert!((900..=1_000).contains(&heavy), "{heavy} of 1,000 that may be out");
     assert!(node.tracked() <= 1_000);
     assert!((0..500).all(|key| node.look(now, 0, key).out == 1));
     held.into_iter().for_each(|ticket| node.over(ticket));
--- a/crates/peers/src/members.rs
+++ b/crates/peers/src/members.rs
@@ -1,6 +1,6 @@
 //! Membership: who is there. SWIM by a library, with time and datagrams passed in and out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
@@ -23,6 +23,11 @@
 /// Timers that may be set at most (count): beyond these the farthest give way.
 const TIMERS_MOST: usize = 20_000;
 
+/// A router that comes back so often (count) within this time (ns) has a name that another has too: one that was cut off or
+/// stood still comes back once, and its peers believe that.
+const RETURNS: usize = 4;
+const RETURNS_NS: u64 = 20_000_000_000;
+
 /// How membership is set up.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -132,8 +137,10 @@
     Down(Who),
     /// A peer has started again under its name: the earlier life, and this one.
     Again(Who, Who),
-    /// Another router has this one's name.
-    SameName(Who),
+    /// Peers take this router for gone again and again, though it tells them that it is there: another has its name.
+    SameName,
+    /// Another router has this one's number under a name of its own.
+    SameNumber(Who),
     /// What a peer says of limits.
     Said(Who, Vec<u8>),
 }
@@ -151,6 +158,9 @@
     events: Vec<Event>,
     spoilt: BTreeMap<Spoilt, u64>,
     sent: (u64, u64),
+    /// When peers last took this router for gone (ns), as often as tells of another with its name.
+    returns: VecDeque<u64>,
+    told_ns: Option<u64>,
 }
 
 impl Members {
@@ -169,6 +179,8 @@
             events: Vec::new(),
             spoilt: BTreeMap::new(),
             sent: (0, 0),
+            returns: VecDeque::new(),
+            told_ns: None,
         }
     }
 
@@ -285,18 +297,17 @@
             }
         }
         while let Some(told) = runtime.to_notify() {
-            self.told(told);
+            self.told(now, told);
         }
         done
     }
 
-    fn told(&mut self, told: OwnedNotification<Who>) {
-        let mine = |who: &Who, me: &Who| who.name == me.name && who.life != me.life;
+    fn told(&mut self, now: u64, told: OwnedNotification<Who>) {
         match told {
-            OwnedNotification::MemberUp(who) if mine(&who, self.foca.identity()) => {
-                self.events.push(Event::SameName(who));
-            }
             OwnedNotification::MemberUp(who) => {
+                if who.number == self.foca.identity().number {
+                    self.events.push(Event::SameNumber(who.clone()));
+                }
                 self.up.insert(who.name.clone(), who.clone());
                 self.events.push(Event::Up(who));
             }
@@ -316,6 +327,20 @@
                     self.events.push(Event::Again(before, who));
                 }
             }
+            OwnedNotification::Rejoin(_) => {
+                self.returns.push_back(now);
+                if self.returns.len() > RETURNS {
+                    self.returns.pop_front();
+                }
+                let first = self.returns.front().copied().unwrap_or(now);
+                let often = self.returns.len() == RETURNS && now < first.saturating_add(RETURNS_NS);
+                // Once a while: it goes on for as long as there are two.
+                let quiet = self.told_ns.is_none_or(|at| now >= at.saturating_add(RETURNS_NS));
+                if often && quiet {
+                    self.told_ns = Some(now);
+                    self.events.push(Event::SameName);
+                }
+            }
             _ => {}
         }
     }
--- a/crates/peers/tests/fleet.rs
+++ b/crates/peers/tests/fleet.rs
@@ -182,17 +182,39 @@
         });
         fleet.cut.clear();
         fleet.until(60, "all know all", |f| f.all_know(|_| true));
+        assert!(!fleet.events.iter().any(|(_, e)| matches!(e, Event::SameName)), "a cut is no second name");
     }
 }
 
 #[test]
-fn a_name_that_two_have_is_told() {
-    let mut fleet = Fleet::new(6, 1);
-    fleet.until(60, "all know all", |f| f.all_know(|_| true));
-    fleet.start(5, 4);
-    fleet.until(60, "somebody is told", |f| {
-        f.events.iter().any(|(_, e)| matches!(e, Event::SameName(_) | Event::Again(..)))
-    });
+fn a_name_that_two_have_is_told_to_the_one_that_others_take_for_gone() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(6, seed);
+        fleet.until(60, "all know all", |f| f.all_know(|_| true));
+        fleet.events.clear();
+        // The last one's process is another's from here on; the one at 4 goes on under the same name.
+        fleet.start(5, 4);
+        fleet.until(60, "it is told", |f| {
+            f.events.iter().any(|(at, e)| *at == 4 && matches!(e, Event::SameName))
+        });
+        let others = fleet.events.iter().any(|(at, e)| *at != 4 && matches!(e, Event::SameName));
+        assert!(!others, "nobody else, seed {seed}");
+    }
+}
+
+#[test]
+fn a_router_that_starts_again_is_not_taken_for_two() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(5, seed);
+        fleet.until(60, "all know all", |f| f.all_know(|_| true));
+        fleet.start(2, 2);
+        fleet.until(60, "all know its new life", |f| {
+            f.events.iter().filter(|(_, e)| matches!(e, Event::Again(..))).count() >= 4
+        });
+        (0..10 * S / STEP).for_each(|_| fleet.step());
+        let twins = |e: &Event| matches!(e, Event::SameName | Event::SameNumber(_));
+        assert!(!fleet.events.iter().any(|(_, e)| twins(e)), "seed {seed}");
+    }
 }
 
 #[test]
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -51,6 +51,8 @@
     pub told_routers: Option<u32>,
     /// All routers have the first one's seed and number.
     pub same_identity: bool,
+    /// The last router has the first one's name and number, by mistake.
+    pub doubled: bool,
     /// Engines, and cores of each.
     pub engines: usize,
     /// Cores of an engine.
@@ -84,6 +86,7 @@
             routers,
             told_routers: None,
             same_identity: false,
+            doubled: false,
             engines: 4,
             cores: 8.0,
             cold: false,
@@ -192,6 +195,8 @@
     pub held_most: usize,
     dir: PathBuf,
     again: Vec<u64>,
+    /// What a router's operator's file says of limits, where that is not what all have.
+    limits: Vec<Option<String>>,
 }
 
 impl Fleet {
@@ -264,6 +269,7 @@
             held_most: 0,
             dir,
             again: Vec::new(),
+            limits: vec![None; setup.routers],
             setup,
         };
         if fleet.setup.cold {
@@ -342,13 +348,29 @@
         }
     }
 
+    /// A router's operator's file has other limits from here on, which it reads at once.
+    ///
+    /// # Errors
+    /// Where the file can't be written.
+    pub fn set_limits(&mut self, router: usize, limits: &str) -> Result<(), String> {
+        self.limits[router] = Some(limits.to_owned());
+        let text = self.fleet_file(router, limits, &self.dir.join(format!("key-{router}")));
+        let path = self.dir.join(format!("operator-{router}"));
+        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+        let process = self.routers[router].process.as_mut();
+        process.into_iter().for_each(|process| process.signal(Signal::SIGHUP));
+        Ok(())
+    }
+
     /// Starts a router's process, as a first start or after its end.
     ///
     /// # Errors
     /// Where its files or its process can't be made.
     pub fn start(&mut self, router: usize) -> Result<(), String> {
         let setup = &self.setup;
-        let me = if setup.same_identity { 0 } else { router };
+        let doubled = setup.doubled && router + 1 == setup.routers;
+        let me = if setup.same_identity || doubled { 0 } else { router };
+        let name = if doubled { 0 } else { router };
         let site = Site {
             classes: &setup.classes,
             tenants: &[("all", 100.0)],
@@ -365,7 +387,7 @@
             false => json!({"index": 0, "updates": []}),
         };
         let config = json!({
-            "name": format!("r{router}"), "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "seed": format!("{seed:016x}"),
+            "name": format!("r{name}"), "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "seed": format!("{seed:016x}"),
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
             "coordinator": self.list.address(router).to_string(), "known": known, "settings": settings(&site),
         });
@@ -377,7 +399,7 @@
         let mut environment = vec![("ROUTER_CONFIG", write("config", &config.to_string())?)];
         let mut operator = setup.operator.clone().unwrap_or_default();
         operator = operator.replace("{own}", &self.own(router).display().to_string());
-        if let Some(limits) = &setup.fleet {
+        if let Some(limits) = self.limits[router].as_ref().or(setup.fleet.as_ref()) {
             let key = write("key", KEY)?;
             operator.push_str(&self.fleet_file(router, limits, &key));
         }
@@ -558,6 +580,16 @@
         &self.states
     }
 
+    /// All engines start again, cold, and the list says so; what they hold runs on.
+    pub fn renew_engines(&mut self) {
+        let now = self.clock.now_ns();
+        let (start, warm_ns, tip, fall_ns) = COLD;
+        for engine in &mut self.engines {
+            engine.cold = Some(Cold::new(now, self.setup.cores, start, warm_ns, tip, fall_ns));
+        }
+        self.tell_again();
+    }
+
     /// Tells the list as it is once more, under a number of its own.
     pub fn tell_again(&mut self) {
         let (now, whole) = (self.clock.now_ns(), self.whole_list());
--- a/crates/rig/src/loans.rs
+++ b/crates/rig/src/loans.rs
@@ -1,7 +1,7 @@
 //! A fleet of routers that lend each other shares of one limit, in stepped time without sockets: messages are lost, doubled, late
 //! and out of order, links are cut one way or both, routers die, stand still and start again, clocks differ. Pure.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use marljunction_limits::escrow::Peer;
 use marljunction_limits::node::{Node, Ticket};
@@ -38,6 +38,8 @@
 pub struct Router {
     /// What it keeps; none while it is not there.
     pub node: Option<Node>,
+    /// The limit as its operator's file has it.
+    limit: Limit,
     life: u64,
     /// Its clock: true time times this, from where it started.
     rate: f64,
@@ -70,7 +72,9 @@
     lingering: Vec<u64>,
     /// A bucket that drains as fast as the rate allows: what it holds is what was admitted at once.
     level: f64,
-    /// The most that was out, or admitted at once, over the limit (ratio).
+    /// When what a window's limit still counts was admitted (ns).
+    sent: VecDeque<u64>,
+    /// The most that was out, or admitted at once or in a window, over the limit (ratio).
     pub worst: f64,
     /// Requests admitted.
     pub admitted: u64,
@@ -84,6 +88,7 @@
         let mut draws = StdRng::seed_from_u64(seed);
         let routers = (0..terms.routers).map(|_| Router {
             node: None,
+            limit: limit.clone(),
             life: 0,
             rate: 1.0 + draws.gen_range(-drift..=drift),
             frozen: false,
@@ -104,6 +109,7 @@
             serial: 0,
             lingering: Vec::new(),
             level: 0.0,
+            sent: VecDeque::new(),
             worst: 0.0,
             admitted: 0,
             messages: 0,
@@ -124,11 +130,21 @@
         if router.node.is_none() {
             let me = Peer { number: at as u32, life };
             (router.life, router.frozen) = (life, false);
-            router.node = Some(Node::new(now, me, self.terms, vec![self.limit.clone()], 100));
+            router.node = Some(Node::new(now, me, self.terms, vec![router.limit.clone()], 100));
             router.inbox.clear();
         }
     }
 
+    /// A router reads another size of the limit.
+    pub fn resize(&mut self, at: usize, limit: Limit) {
+        let now = self.clock(at);
+        let router = &mut self.routers[at];
+        router.limit = limit.clone();
+        if let Some(node) = &mut router.node {
+            node.resize(now, vec![limit]);
+        }
+    }
+
     /// Ends a router at once; what it had out runs on for a while.
     pub fn kill(&mut self, at: usize) {
         let run_on = self.now + self.terms.run_on_ns;
@@ -227,6 +243,7 @@
             if let Ok(ticket) = node.admit(now, &[(0, 0)]) {
                 self.admitted += 1;
                 self.level += 1.0;
+                self.sent.push_back(true_now);
                 let lasts = self.draws.gen_range(50 * MS..self.terms.longest_ns);
                 router.out.push((true_now + lasts, ticket));
             }
@@ -246,6 +263,13 @@
         let (is, most) = match self.limit.kind {
             Kind::Concurrency { at_once } => (self.out() as f64, f64::from(at_once)),
             Kind::Rate { burst, .. } => (self.level, f64::from(burst)),
+            Kind::Window { units, window_ns } => {
+                let ended = self.now.saturating_sub(window_ns);
+                while self.sent.front().is_some_and(|at| *at <= ended) {
+                    self.sent.pop_front();
+                }
+                (self.sent.len() as f64, f64::from(units))
+            }
         };
         self.worst = self.worst.max(is / most);
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -588,7 +588,9 @@
         if let Some(discovery) = &mut self.discovery {
             discovery.set_pace(pace, start.stale_ns);
         }
-        self.fleet.iter_mut().for_each(|side| side.reload(fleet.as_ref()));
+        if let (Some(side), Some(limits)) = (&mut self.fleet, self.router.limits()) {
+            side.reload(now, fleet.as_ref(), &config, limits);
+        }
         self.engines.set_openings(start.openings(pace).map(|openings| (openings, config.own_seed())));
         let changes = match (&mut self.discovery, address) {
             (Some(discovery), Some(address)) => discovery.reload(now, &mut self.net, address, config.known),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,8 +5,9 @@
 use std::path::PathBuf;
 
 use log::{info, warn};
+use marljunction_core::cold::ColdBudgets;
 use marljunction_core::limits::{By, FleetLimits, Rule};
-use marljunction_limits::bound::{bound, FAULTS};
+use marljunction_limits::bound::{bound, change, Fault, FAULTS};
 use marljunction_limits::escrow::Peer;
 use marljunction_limits::{Kind, Limit, Message, Mode, Node, Terms};
 use marljunction_net::datagrams::Datagrams;
@@ -56,6 +57,8 @@
     pub drift: f64,
     /// The limits.
     pub limits: Vec<LimitFile>,
+    /// Budgets of cold engines are shared too.
+    pub cold: bool,
 }
 
 impl FleetFile {
@@ -113,6 +116,20 @@
     }
 }
 
+/// What follows for a cold engine's budget, as operators read it.
+fn budget_told(limit: &Limit, terms: &Terms) -> String {
+    let stale = |fault| bound(limit, terms, fault).stale_at_most_ns as f64 / 1e9;
+    format!(
+        "{} units in any {:.1} s over {} routers, never over; idle for {:.1} s at most, {:.1} s in a cut, {:.1} s after all died",
+        limit.kind.units(),
+        limit.kind.run_on_ns(terms) as f64 / 1e9,
+        terms.routers,
+        stale(Fault::None),
+        stale(Fault::Cut),
+        stale(Fault::AllDied),
+    )
+}
+
 /// Reads a file of the fleet's keys.
 fn read_keys(path: &PathBuf) -> Result<Keys, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -150,28 +167,70 @@
         let seeds = file.seeds.iter().map(|at| address(at)).collect::<Result<_, _>>()?;
         let settings = Settings { routers: file.routers, seeds, ..Settings::default() };
         let members = Members::new(me, read_keys(&file.key)?, &settings, config.own_seed());
-        let deadline = config.settings.classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0);
-        let longest_ns = deadline + BEHIND_NS;
-        let limits = file.limits.iter().map(|l| l.limit.clone()).collect();
+        let longest_ns = longest_ns(config);
+        let mut limits: Vec<Limit> = file.limits.iter().map(|l| l.limit.clone()).collect();
+        let cold = file.cold.then(|| ColdBudgets::new(&config.settings, limits.len())).flatten();
+        let (cold, budgets) = cold.unzip();
+        for budget in budgets.into_iter().flatten() {
+            let terms = file.terms(longest_ns);
+            info!("{}: {}", budget.name, budget_told(&budget, &terms));
+            limits.push(budget);
+        }
         let node = Node::new(now, Peer { number, life: now }, file.terms(longest_ns), limits, KEYS_MOST);
         let rules = file.limits.iter().map(|l| rule(l, config)).collect::<Result<_, _>>()?;
-        let limits = FleetLimits::new(node, rules, &config.names.tenants, &config.names.classes);
+        let limits =
+            FleetLimits::new(node, rules, &config.names.tenants, &config.names.classes).with_cold(cold);
         info!("{} talks to the fleet on {local} as router {number} of {}", config.name, file.routers);
         file.bounds(longest_ns).iter().for_each(|line| info!("{line}"));
         Ok((FleetSide { datagrams, members, file, told: 0 }, limits))
     }
 
-    /// Reads the keys again: a reload may have changed them.
-    pub fn reload(&mut self, file: Option<&FleetFile>) {
+    /// Reads the keys again, and goes by the limits that the operator's file now has: a reload may have changed both.
+    pub fn reload(&mut self, now: u64, file: Option<&FleetFile>, config: &Config, limits: &mut FleetLimits) {
         match read_keys(&self.file.key) {
             Ok(keys) => self.members.set_keys(keys),
             Err(fault) => warn!("the fleet's keys stay as they were: {fault}"),
         }
-        if file != Some(&self.file) {
-            warn!("changes of the fleet need a restart");
+        let Some(file) = file else { return warn!("a fleet that is there no more needs a restart") };
+        if (FleetFile { limits: self.file.limits.clone(), ..file.clone() }) != self.file {
+            return warn!("changes of the fleet other than its limits need a restart");
+        }
+        if file.limits != self.file.limits {
+            self.resize(now, file.clone(), config, limits);
         }
     }
 
+    /// Goes by other limits from here on, and says what that means until all routers do.
+    fn resize(&mut self, now: u64, file: FleetFile, config: &Config, limits: &mut FleetLimits) {
+        let with_rule = |l: &LimitFile| rule(l, config).map(|rule| (l.limit.clone(), rule));
+        let read = match file.limits.iter().map(with_rule).collect::<Result<Vec<_>, String>>() {
+            Ok(read) => read,
+            Err(fault) => return warn!("the limits stay as they were: {fault}"),
+        };
+        let terms = file.terms(longest_ns(config));
+        for (limit, _) in &read {
+            let before = self.file.limits.iter().map(|l| &l.limit).find(|l| l.id() == limit.id());
+            match before {
+                None => info!(
+                    "limit {}: new, its shares are used once all that peers may hold is over",
+                    limit.name
+                ),
+                Some(before) if before.version() != limit.version() => {
+                    let b = change(before, limit, &terms);
+                    info!(
+                        "limit {}: changed; over by {:.1}% at most until all routers know it and for {:.1} s more",
+                        limit.name,
+                        b.over_at_most * 100.0,
+                        b.over_for_ns as f64 / 1e9
+                    );
+                }
+                Some(_) => {}
+            }
+        }
+        limits.resize(now, read);
+        self.file = file;
+    }
+
     /// Whether datagrams were left to be read.
     pub fn has_more(&self) -> bool {
         self.datagrams.more
@@ -226,13 +285,18 @@
             }
             Event::Up(who) => self.log(format!("{} is there, at {}", who.name, who.address)),
             Event::Down(who) => self.log(format!("{} is gone, or can't be reached", who.name)),
+            Event::Again(before, who) if before.address != who.address => self.log(format!(
+                "{} has started again, at {}; if the one at {} is there still, two have its name",
+                who.name, who.address, before.address
+            )),
             Event::Again(_, who) => self.log(format!("{} has started again", who.name)),
-            Event::SameName(who) => {
-                warn!(
-                    "the fleet: another router at {} has this one's name: its shares are used twice",
-                    who.address
-                )
-            }
+            Event::SameNumber(who) => warn!(
+                "the fleet: {} at {} has this one's number {}: its shares are used twice",
+                who.name, who.address, who.number
+            ),
+            Event::SameName => warn!(
+                "the fleet: peers take this router for gone again and again: another has this one's name, and shares are used twice"
+            ),
         }
         let reachable: BTreeSet<u32> = self.members.up().map(|who| who.number).collect();
         limits.node().set_reachable(now, reachable);
@@ -301,11 +365,11 @@
                 who.name, who.number, who.address
             ));
         }
-        let refused = limits.refused().to_vec();
-        for (at, file) in self.file.limits.iter().enumerate() {
-            let kind = file.limit.kind;
-            text.push_str(&format!("\nlimit {} {kind:?} refused {}", file.limit.name, refused[at]));
-            for (key, look) in limits.node().busiest(now, at as u16) {
+        let places: Vec<u16> = limits.places().collect();
+        for (at, file) in places.into_iter().zip(&self.file.limits) {
+            let (kind, refused) = (file.limit.kind, limits.refused(at));
+            text.push_str(&format!("\nlimit {} {kind:?} refused {refused}", file.limit.name));
+            for (key, look) in limits.node().busiest(now, at) {
                 text.push_str(&format!(
                     "\n  key {key:016x} owned {} lent {} borrowed {} usable {} out {}",
                     look.owned, look.lent, look.borrowed, look.usable, look.out
@@ -324,7 +388,7 @@
     /// Counters, as one line.
     pub fn line(&self, limits: &FleetLimits) -> String {
         let spoilt: u64 = self.members.spoilt().map(|(_, n)| n).sum();
-        let refused: u64 = limits.refused().iter().sum();
+        let refused = limits.refused_in_all();
         format!(
             "fleet_peers={} fleet_datagrams={} fleet_bytes={} fleet_spoilt={spoilt} fleet_limited={refused}",
             self.members.up().count(),
@@ -334,6 +398,11 @@
     }
 }
 
+/// The longest that a request is out, its given-up attempts included (ns).
+fn longest_ns(config: &Config) -> u64 {
+    config.settings.classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0) + BEHIND_NS
+}
+
 /// Which requests a limit counts, by the numbers of the settings.
 fn rule(file: &LimitFile, config: &Config) -> Result<Rule, String> {
     let find = |what: &str, names: &[String], name: &Option<String>| match name {
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -205,6 +205,7 @@
         routers: number(fleet, "routers")? as u32,
         lease_ns: number(fleet, "lease")? as u64,
         drift: number(fleet, "drift")?,
+        cold: text(fleet, "cold")? == "shared",
         limits: limits.fields.iter().map(|(name, f)| limit(name, &f.value)).collect::<Option<_>>()?,
     })
 }
@@ -216,6 +217,9 @@
     Some(LimitFile {
         limit: Limit {
             name: name.to_owned(),
+            whom: [text(limit, "by"), text(limit, "tenant"), text(limit, "class")]
+                .map(Option::unwrap_or_default)
+                .join("/"),
             kind: kind(number(limit, "rate"), number(limit, "burst"), number(limit, "at_once"))?,
             mode: mode(of("over"), of("for")),
         },
--- a/tests/fleet_limits.rs
+++ b/tests/fleet_limits.rs
@@ -6,7 +6,8 @@
 
 use marljunction::fleet::FleetFile;
 use marljunction::setup::Setup as Operator;
-use marljunction_limits::bound::{bound, Fault};
+use marljunction_limits::bound::{bound, change, Fault};
+use marljunction_limits::{Kind, Limit};
 use marljunction_rig::fleet::{classes, Fleet, Setup};
 use marljunction_rig::link::Shape;
 use marljunction_rig::load::Class;
@@ -198,6 +199,52 @@
     end(fleet);
 }
 
+#[test]
+fn a_limit_made_smaller_on_half_of_the_fleet_is_never_over_its_old_size_and_then_holds_for_all() {
+    let mut fleet = asked_at_one("resized");
+    let smaller = LIMITS.replace("at_once: 12", "at_once: 6");
+    let knows = |f: &Fleet, router: usize| f.said(router).contains("limit all: changed");
+    for router in [0, 2, 4] {
+        fleet.set_limits(router, &smaller).unwrap();
+    }
+    until(&mut fleet, LIMIT, "half of them know it", |f| [0, 2, 4].iter().all(|r| knows(f, *r)));
+    fleet.ask_at(&[60.0; ROUTERS]);
+    fleet.run(Duration::from_secs(4)).unwrap();
+    for router in [1, 3, 5] {
+        fleet.set_limits(router, &smaller).unwrap();
+    }
+    until(&mut fleet, LIMIT, "all of them know it", |f| (0..ROUTERS).all(|r| knows(f, r)));
+    // What was out and lent by the old size is over then.
+    let file = file();
+    let old = &file.limits[0].limit;
+    let new = Limit { kind: Kind::Concurrency { at_once: 6 }, ..old.clone() };
+    let left = change(old, &new, &file.terms(4_500_000_000));
+    assert!((left.over_at_most - 1.0).abs() < 1e-9, "twelve are one time over six");
+    fleet.run(Duration::from_nanos(left.over_for_ns)).unwrap();
+    fleet.held_most = 0;
+    fleet.run(Duration::from_secs(3)).unwrap();
+    assert!((4..=6).contains(&fleet.held_most), "{} were out, six may be", fleet.held_most);
+    end(fleet);
+}
+
+#[test]
+fn two_routers_with_one_name_are_over_by_one_share_at_most_and_the_log_says_so() {
+    let mut fleet = Fleet::new(Setup { doubled: true, ..setup("doubled") }).unwrap();
+    fleet.start_all().unwrap();
+    until(&mut fleet, LIMIT, "all routers are there", |f| f.ready() == ROUTERS);
+    fleet.ask_at(&[40.0; ROUTERS]);
+    let told =
+        |f: &Fleet| [0, ROUTERS - 1].iter().any(|r| f.said(*r).contains("another has this one's name"));
+    assert!(fleet.run_until(LIMIT, told).unwrap(), "neither is told of the other");
+    fleet.run(Duration::from_secs(6)).unwrap();
+    let file = file();
+    let b = bound(&file.limits[0].limit, &file.terms(4_500_000_000), Fault::SameNumber);
+    let most = MOST + (b.over_at_most * MOST as f64).round() as usize;
+    assert!(fleet.held_most <= most, "{} were out, {most} may be", fleet.held_most);
+    fleet.held_most = 0;
+    end(fleet);
+}
+
 #[test]
 fn what_a_router_knows_of_its_fleet_can_be_asked() {
     let mut fleet = asked_at_one("asked");
