Share verdicts on engines over the fleet: operators' words and evidence

Need: each router lost requests of its own to learn that an engine is silent, and a ban by the operators' door held for one router.

Change: crates/verdicts, pure: words by hybrid clock, evidence with one writer each, judgements by a function of both, gossip with digests, bounds by arithmetic. POST /fleet/engines/disable and enable answer once all have heard; words outlast all routers; a joiner is ready once it knows them. Off without verdicts in fleet.

Trials are rare now and evidence comes as an attempt is given up.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -199,6 +199,8 @@
     sent: Vec<(u64, f64, usize)>,
     /// Shares of the light and heavy lane's budget that are this gateway's while cold, where it is told them.
     cold_shares: Option<[f64; 2]>,
+    /// What all gateways together believe of it, where that is told.
+    verdict: Verdict,
 }
 
 /// A request that is owed an answer, or has an attempt out.
@@ -293,7 +295,8 @@
 
 /// How much longer than the average engine this one takes.
 fn slowness(e: &Engine, view: &View) -> f64 {
-    (e.stretch / view.stretch / SLOW_BAND).max(1.0)
+    let told = if let Verdict::Slow(ratio) = e.verdict { ratio } else { 0.0 };
+    ((e.stretch / view.stretch).max(told) / SLOW_BAND).max(1.0)
 }
 
 /// Part of what was known `since` then that still holds, at a life of `life_ns`.
@@ -339,6 +342,7 @@
             Event::ColdShares(engine, shares) => {
                 self.engines.entry(engine).and_modify(|e| e.cold_shares = Some(shares));
             }
+            Event::Judged(engine, verdict) => self.on_verdict(engine, verdict),
             Event::Progress(..) | Event::PeerMessage(..) => {}
             Event::Outcome(outcome) => self.on_outcome(now_ns, outcome, out),
             Event::Probed(engine, status, report) => {
@@ -380,6 +384,7 @@
                 // Told of a restart: what was held against the old process is void, what is cold is not.
                 (e.cold_since_ns, e.suspended, e.down) = (entry.started_ns, false, false);
                 (e.fail_share, e.stretch, e.others, e.heard_ns) = (0.0, 0.0, 0.0, None);
+                e.verdict = Verdict::Well;
                 e.warm.clear();
             }
             (e.entry, e.cores, e.memory_mb) = (entry, cores, memory_mb);
@@ -387,6 +392,16 @@
         self.forget_gone();
     }
 
+    /// One that was out for all is back for all: this gateway's own trials are not waited for.
+    fn on_verdict(&mut self, engine: EngineId, verdict: Verdict) {
+        let Some(e) = self.engines.get_mut(&engine) else { return };
+        let was_out = matches!(e.verdict, Verdict::Out | Verdict::Trial);
+        if was_out && !matches!(verdict, Verdict::Out | Verdict::Trial) {
+            (e.suspended, e.fail_share, e.backoff_ns) = (false, 0.0, TRIAL_NS[0]);
+        }
+        e.verdict = verdict;
+    }
+
     /// Guards against a table that grows with every engine that ever was, and against picks that draw from
     /// engines that are gone: those that no attempt is out on any more are forgotten.
     fn forget_gone(&mut self) {
@@ -668,8 +683,10 @@
                     let tie = mix(self.seed ^ id.0 ^ p.request.id.0.rotate_left(32));
                     // Few may send to a cold engine: they always look at it.
                     let drawn = self.preference(e) <= last && tie % among < DRAWN;
-                    let drawn = drawn || self.warmed(now, e).is_some();
+                    let tried = e.verdict == Verdict::Trial;
+                    let drawn = drawn || self.warmed(now, e).is_some() || tried;
                     let rank = pass.factor + CROSS_ZONE * f64::from(crosses) + f64::from(!drawn);
+                    let rank = rank - f64::from(tried);
                     if best.as_ref().is_none_or(|b| (rank, tie) < (b.0, b.1)) {
                         best = Some((rank, tie, *id, pass));
                     }
@@ -1020,7 +1037,11 @@
         let class = &self.settings.classes[p.request.class.0];
         let placed = class.only_zones.as_ref().is_none_or(|l| e.entry.zone.is_some_and(|z| l.contains(&z)))
             && class.only_kinds.as_ref().is_none_or(|l| e.entry.kind.is_some_and(|k| l.contains(&k)));
-        let healthy = !e.suspended || now >= e.trial_ns && self.trials >= 1.0;
+        let healthy = match e.verdict {
+            Verdict::Out => false,
+            Verdict::Trial => e.running.is_empty() && self.harmless(p.request.class, true),
+            _ => !e.suspended || now >= e.trial_ns && self.trials >= 1.0,
+        };
         let fresh = p.failed_at != Some(e.entry.engine);
         let ready = e.entry.state == EngineState::Ready && placed && healthy && fresh;
         ready && self.repeats(now, p, Some(&e.entry)) && self.cold_budget(now, p, e)
--- a/crates/control/src/interface.rs
+++ b/crates/control/src/interface.rs
@@ -337,6 +337,20 @@
     Waits,
 }
 
+/// What the gateways together believe of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Verdict {
+    /// Nothing against it.
+    #[default]
+    Well,
+    /// It gets nothing.
+    Out,
+    /// It is out, and this gateway may try it with one request that a repeat does not harm.
+    Trial,
+    /// It takes so much longer than others (ratio).
+    Slow(f64),
+}
+
 /// What happens to a controller.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -355,6 +369,8 @@
     /// Parts of a cold engine's budgets for light and heavy classes that are this gateway's from here on (shares),
     /// where gateways share them out among themselves.
     ColdShares(EngineId, [f64; 2]),
+    /// What the gateways together believe of an engine from here on, where they share it.
+    Judged(EngineId, Verdict),
     /// A peer has sent a message.
     PeerMessage(u32, Vec<u8>),
     /// The client has left.
--- a/crates/control/tests/failures.rs
+++ b/crates/control/tests/failures.rs
@@ -719,3 +719,42 @@
         );
     }
 }
+
+#[test]
+fn an_engine_that_the_gateways_left_out_gets_nothing_but_one_trial_at_a_time_and_is_back_at_once() {
+    let mut s = settings();
+    s.classes[1].effect = Effect::AtMostOnce;
+    let mut w = World::new(s, &[1]);
+    w.on(Event::Judged(EngineId(1), Verdict::Out));
+    assert!(refused(&w.arrive(request(1, 0, 100))));
+    w.on(Event::Judged(EngineId(1), Verdict::Trial));
+    assert_eq!(
+        sent(&w.arrive(request(2, 1, 100))),
+        None,
+        "nothing that a repeat may harm is sent as a trial"
+    );
+    assert_eq!(sent(&w.arrive(request(3, 0, 100))), Some(1));
+    assert!(refused(&w.arrive(request(4, 0, 100))), "one at a time");
+    // The trial failed: this gateway would wait for one of its own, but others were served meanwhile.
+    w.end(outcome(3, 0, 1, Status::Refused, 5));
+    w.on(Event::Judged(EngineId(1), Verdict::Well));
+    assert_eq!(sent(&w.arrive(request(5, 0, 100))), Some(1));
+    // A new life of the engine is nobody's verdict yet.
+    w.on(Event::Judged(EngineId(1), Verdict::Out));
+    let started = EngineEntry { started_ns: Some(T0 + 1), ..entry(1) };
+    w.on(Event::Membership(MembershipKind::Delta, vec![started]));
+    assert_eq!(sent(&w.arrive(request(6, 0, 100))), Some(1));
+}
+
+#[test]
+fn an_engine_that_others_found_slow_gets_less_than_its_part() {
+    let mut counts = [0; 2];
+    for (at, verdict) in [Verdict::Well, Verdict::Slow(4.0)].into_iter().enumerate() {
+        let mut w = World::new(settings(), &[1, 2]);
+        w.on(Event::Judged(EngineId(1), verdict));
+        for id in 0..12 {
+            counts[at] += usize::from(sent(&w.arrive(request(id, 0, 500))) == Some(1));
+        }
+    }
+    assert!(counts[1] * 2 <= counts[0], "{counts:?} of twelve");
+}
--- a/crates/control/tests/rules.rs
+++ b/crates/control/tests/rules.rs
@@ -522,3 +522,32 @@
     assert!(light >= 1.5, "{light} core-seconds of light queries: less than half of its capacity");
     assert!(light + heavy <= 6.8, "{light} and {heavy} core-seconds in a window");
 }
+
+#[test]
+fn shares_of_a_cold_engines_budget_that_are_told_are_held_to_and_said_as_they_are_used() {
+    let list = vec![EngineEntry { started_ns: Some(T0), ..entry(1) }];
+    let mut w = World::with(Settings { gateways: 100, ..cold() }, list);
+    w.on(Event::ColdShares(EngineId(1), [0.0, 0.0]));
+    assert!(refused(&w.arrive(request(0, 0, 100))), "none is told");
+    // 10 cores x 0.85 x 0.8 x 2 x 0.4: half of it is 2.7 core-seconds in a second for light ones.
+    w.on(Event::ColdShares(EngineId(1), [1.0, 0.0]));
+    let (mut used, mut count) = (0.0, 0);
+    for id in 1..200 {
+        for action in w.arrive(request(id, 0, 100)) {
+            match action {
+                Action::ColdSent { request, engine, lane, share } => {
+                    assert_eq!((request, engine, lane), (RequestId(id), EngineId(1), 0));
+                    used += share;
+                }
+                Action::Send { .. } => count += 1,
+                _ => {}
+            }
+        }
+    }
+    assert!(count > 3 && used <= 1.0, "{count} sent that took {used} of the share");
+    // A tenth of it holds a tenth as many.
+    w.now += S + 1;
+    w.on(Event::ColdShares(EngineId(1), [0.1, 0.0]));
+    let tenth = (200..400).filter(|id| sent(&w.arrive(request(*id, 0, 100))).is_some()).count();
+    assert!(tenth * 5 <= count, "{tenth} of {count}");
+}
--- a/crates/core/src/ending.rs
+++ b/crates/core/src/ending.rs
@@ -56,6 +56,19 @@
     Nothing,
 }
 
+/// What an ending shows of the engine itself, as evidence for all routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sight {
+    /// It served.
+    Served,
+    /// It gave no sign of life, as far as this shows.
+    Silent,
+    /// It answered what can't be read.
+    Spoilt,
+    /// Nothing of it.
+    Nothing,
+}
+
 /// All endings, for counters.
 pub const ENDINGS: [(Ending, &str); 19] = [
     (Ending::Served, "served"),
@@ -99,4 +112,28 @@
             Ending::Idle | Ending::Silent | Ending::Shutdown => Meaning::Nothing,
         }
     }
+
+    /// The one place where an ending becomes evidence of its engine.
+    pub fn sight(self) -> Sight {
+        match self {
+            Ending::Served => Sight::Served,
+            Ending::Refused | Ending::Unreachable | Ending::Cut | Ending::TimedOut | Ending::GivenUp => {
+                Sight::Silent
+            }
+            Ending::Garbled => Sight::Spoilt,
+            // It answered, or was never reached for reasons of this router's own.
+            Ending::EngineError
+            | Ending::Full
+            | Ending::Over
+            | Ending::Reset
+            | Ending::Unsent
+            | Ending::NoDescriptor
+            | Ending::Paced
+            | Ending::ClientGone
+            | Ending::Forgotten
+            | Ending::Idle
+            | Ending::Silent
+            | Ending::Shutdown => Sight::Nothing,
+        }
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ending;
 pub mod limits;
 pub mod statement;
+pub mod verdicts;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
@@ -26,6 +27,7 @@
 use marljunction_door::{Advice, Arrival, Door, Verdict};
 use marljunction_limits::node::Ticket;
 use statement::Statement;
+use verdicts::FleetVerdicts;
 
 /// Time past a request's own within which its answer must have been given, or the core gives it (ns).
 const FINAL_GRACE_NS: u64 = 5_000_000;
@@ -196,6 +198,7 @@
     number: u32,
     engine: EngineId,
     sent_ns: u64,
+    given_up_ns: Option<u64>,
 }
 
 struct Open {
@@ -236,6 +239,7 @@
     classes: Vec<ClassSettings>,
     door: Option<Door>,
     limits: Option<FleetLimits>,
+    verdicts: Option<FleetVerdicts>,
     open: HashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<(u64, u64, Timer)>>,
     batch: Vec<Inbound>,
@@ -257,6 +261,7 @@
             classes: settings.classes.clone(),
             door: None,
             limits: None,
+            verdicts: None,
             control: Controller::new(settings, seed),
             open: HashMap::new(),
             timers: BinaryHeap::new(),
@@ -282,6 +287,17 @@
         self
     }
 
+    /// Shares what is believed of engines with the fleet.
+    pub fn with_verdicts(mut self, verdicts: Option<FleetVerdicts>) -> Self {
+        self.verdicts = verdicts;
+        self
+    }
+
+    /// What the fleet believes of engines, where it shares that.
+    pub fn verdicts(&mut self) -> Option<&mut FleetVerdicts> {
+        self.verdicts.as_mut()
+    }
+
     /// The limits that hold for the fleet, where there are some.
     pub fn limits(&mut self) -> Option<&mut FleetLimits> {
         self.limits.as_mut()
@@ -407,6 +423,7 @@
     /// Hands all that was gathered, and all timers that are due, to the module; adds to `out` what is to be done.
     pub fn turn(&mut self, now_ns: u64, out: &mut Vec<Command>) {
         self.tell_shares(now_ns, out);
+        self.tell_verdicts(now_ns, out);
         let mut batch = std::mem::take(&mut self.batch);
         for inbound in batch.drain(..) {
             self.inbound(now_ns, inbound, out);
@@ -492,6 +509,15 @@
         }
     }
 
+    /// Tells the module what the fleet believes of engines by now, where that has changed.
+    fn tell_verdicts(&mut self, now: u64, out: &mut Vec<Command>) {
+        let verdicts = self.verdicts.as_mut().map_or_else(Vec::new, |verdicts| verdicts.verdicts(now));
+        for (engine, verdict) in verdicts {
+            debug!("the fleet's verdict on {:016x} is {verdict:?}", engine.0);
+            self.decide(now, Event::Judged(engine, verdict), out);
+        }
+    }
+
     /// Whether the fleet's limits admit a request; one that they do not is refused, with the time when its share is due.
     fn admitted(&mut self, now: u64, id: RequestId, out: &mut Vec<Command>) -> bool {
         let (Some(limits), Some(open)) = (&mut self.limits, self.open.get_mut(&id)) else { return true };
@@ -553,8 +579,12 @@
                     debug!("{kind:?} list: engine {:016x} {:?} started {started_ms:?}", e.engine.0, e.state);
                 }
                 self.limits.iter_mut().for_each(|limits| limits.change(now, kind, &entries));
+                if let Some(verdicts) = &mut self.verdicts {
+                    entries.iter().for_each(|entry| verdicts.tell_again(entry.engine));
+                }
                 self.decide(now, Event::Membership(kind, entries), out);
                 self.tell_shares(now, out);
+                self.tell_verdicts(now, out);
             }
         }
     }
@@ -581,6 +611,9 @@
         let Some(ran) = open.out.take_if(|o| o.number == at.number) else { return };
         self.counters.ended(ending);
         open.last = Some(ending);
+        if let Some(verdicts) = &mut self.verdicts {
+            verdicts.ended(now, (ran.engine, open.ask.class), (ran.sent_ns, ran.given_up_ns), ending);
+        }
         let Meaning::Outcome(status) = ending.meaning() else { return };
         if let (Ending::Served, Some(rows), false) = (ending, rows, open.concluded) {
             open.concluded = true;
@@ -687,7 +720,7 @@
                 let Some(open) = self.open.get_mut(&request) else { return };
                 let attempt = Attempt { request, number: open.attempts };
                 open.attempts += 1;
-                open.out = Some(Out { number: attempt.number, engine, sent_ns: now });
+                open.out = Some(Out { number: attempt.number, engine, sent_ns: now, given_up_ns: None });
                 let (priority, ask) = (open.priority, open.ask.clone());
                 let class = ask.class.0;
                 debug!("{} attempt {} of class {class} goes to {:016x}", ask.name, attempt.number, engine.0);
@@ -704,8 +737,15 @@
                 }
             }
             Action::Cancel { request, attempt } => {
-                if let Some(open) = self.open.get(&request) {
+                if let Some(open) = self.open.get_mut(&request) {
                     debug!("{} attempt {attempt} is given up", open.ask.name);
+                    let class = open.ask.class;
+                    if let Some(ran) = open.out.as_mut().filter(|ran| ran.number == attempt) {
+                        ran.given_up_ns = Some(now);
+                        if let Some(verdicts) = &mut self.verdicts {
+                            verdicts.given_up(now, ran.engine, class, ran.sent_ns);
+                        }
+                    }
                 }
                 out.push(Command::GiveUp(Attempt { request, number: attempt }))
             }
--- a/crates/discovery/src/bans.rs
+++ b/crates/discovery/src/bans.rs
@@ -32,6 +32,8 @@
 pub struct Bans {
     /// Banned engines, with the name that they were banned by.
     banned: BTreeMap<EngineId, String>,
+    /// Engines that the whole fleet was told to leave out, by an operator at any router.
+    fleet: BTreeMap<EngineId, String>,
     /// The latest entry of each engine that a list names, to tell again where a ban ends. Bounded by the lists:
     /// an engine that they call gone is dropped, unless it is banned.
     latest: HashMap<EngineId, Target>,
@@ -50,7 +52,42 @@
 
     /// Whether an engine is banned.
     pub fn holds(&self, engine: EngineId) -> bool {
-        self.banned.contains_key(&engine)
+        self.banned.contains_key(&engine) || self.fleet.contains_key(&engine)
+    }
+
+    /// Whether a list names an engine now.
+    pub fn knows(&self, name: &str) -> bool {
+        well_formed(name) && self.latest.contains_key(&engine_id(name))
+    }
+
+    /// The whole fleet leaves these engines out: what the module is to be told. An engine that a router's own ban holds too
+    /// stays out.
+    pub fn set_fleet<'a>(&mut self, names: impl Iterator<Item = &'a str>, now_ns: u64) -> Vec<Change> {
+        let names = names.filter(|n| well_formed(n)).map(|n| (engine_id(n), n.to_owned())).collect();
+        let before = std::mem::replace(&mut self.fleet, names);
+        let held = |of: &BTreeMap<EngineId, String>, id: &EngineId| of.contains_key(id);
+        let new: Vec<EngineId> =
+            self.fleet.keys().filter(|id| !held(&before, id) && !held(&self.banned, id)).copied().collect();
+        let ended: Vec<EngineId> = before.keys().filter(|id| !self.holds(**id)).copied().collect();
+        let begins = new.iter().filter_map(|id| self.leaves(*id));
+        let ends = ended.iter().filter_map(|id| self.returns(*id, now_ns));
+        begins.chain(ends).collect()
+    }
+
+    /// News that an engine drains.
+    fn leaves(&self, id: EngineId) -> Option<Change> {
+        let mut target = *self.latest.get(&id)?;
+        if target.entry.state == EngineState::Ready {
+            target.entry.state = EngineState::Draining;
+        }
+        Some(Change { kind: MembershipKind::Delta, targets: vec![target] })
+    }
+
+    /// News that an engine is back. Operators restart an engine while it is out: it comes back cold, whatever the list last said.
+    fn returns(&self, id: EngineId, now_ns: u64) -> Option<Change> {
+        let mut target = *self.latest.get(&id)?;
+        target.entry.started_ns = Some(now_ns.max(target.entry.started_ns.unwrap_or(0)));
+        Some(Change { kind: MembershipKind::Delta, targets: vec![target] })
     }
 
     /// Names of the banned engines, in the order of their ids.
@@ -62,8 +99,9 @@
     pub fn pass(&mut self, change: Change) -> Change {
         if change.kind == MembershipKind::Full || change.kind == MembershipKind::Cached {
             let named: BTreeSet<EngineId> = change.targets.iter().map(|t| t.entry.engine).collect();
-            let banned = &self.banned;
-            self.latest.retain(|id, _| named.contains(id) || banned.contains_key(id));
+            let (banned, fleet) = (&self.banned, &self.fleet);
+            let held = |id: &EngineId| banned.contains_key(id) || fleet.contains_key(id);
+            self.latest.retain(|id, _| named.contains(id) || held(id));
         }
         let mut change = change;
         for target in &mut change.targets {
@@ -91,20 +129,15 @@
         if !known_or_not && !self.latest.contains_key(&id) && !self.holds(id) {
             return Err(Refusal::Unknown);
         }
-        if self.holds(id) {
+        if self.banned.contains_key(&id) {
             return Ok(None);
         }
         if self.banned.len() >= BANNED_MOST {
             return Err(Refusal::Full);
         }
+        let was_out = self.holds(id);
         self.banned.insert(id, name.to_owned());
-        Ok(self.latest.get(&id).map(|target| {
-            let mut target = *target;
-            if target.entry.state == EngineState::Ready {
-                target.entry.state = EngineState::Draining;
-            }
-            Change { kind: MembershipKind::Delta, targets: vec![target] }
-        }))
+        Ok(if was_out { None } else { self.leaves(id) })
     }
 
     /// Puts an engine back: the module is told what the lists say of it, as of an engine that started at `now_ns`.
@@ -117,12 +150,7 @@
         if self.banned.remove(&id).is_none() {
             return if self.latest.contains_key(&id) { Ok(None) } else { Err(Refusal::Unknown) };
         }
-        Ok(self.latest.get(&id).map(|target| {
-            let mut target = *target;
-            // Operators restart an engine while it is out: it comes back cold, whatever the list last said.
-            target.entry.started_ns = Some(now_ns.max(target.entry.started_ns.unwrap_or(0)));
-            Change { kind: MembershipKind::Delta, targets: vec![target] }
-        }))
+        Ok(if self.holds(id) { None } else { self.returns(id, now_ns) })
     }
 
     /// Makes the bans those of `names`, as another process wrote them: what the module is to be told.
--- a/crates/discovery/tests/bans.rs
+++ b/crates/discovery/tests/bans.rs
@@ -97,3 +97,29 @@
     assert_eq!(bans.names().count(), BANNED_MOST);
     assert_eq!(bans.disable("s-extra", true), Err(Refusal::Full));
 }
+
+#[test]
+fn the_fleets_words_and_a_routers_own_bans_hold_beside_each_other() {
+    let mut bans = Bans::new();
+    bans.pass(list(MembershipKind::Full, &[("e1", EngineState::Ready), ("e2", EngineState::Ready)]));
+    let states = |changes: Vec<Change>| -> Vec<EngineState> { changes.iter().flat_map(states).collect() };
+    assert_eq!(states(bans.set_fleet(["e1", "nobody"].into_iter(), 5)), [EngineState::Draining]);
+    assert!(bans.holds(engine_id("e1")) && bans.holds(engine_id("nobody")));
+    // Its own ban adds nothing, and outlasts the fleet's word; its end changes nothing while that holds.
+    assert_eq!(bans.disable("e1", false), Ok(None));
+    assert_eq!(bans.enable("e1", 6), Ok(None));
+    assert_eq!(bans.disable("e1", false), Ok(None));
+    assert_eq!(bans.set_fleet(std::iter::empty(), 7), Vec::new());
+    assert!(bans.holds(engine_id("e1")));
+    assert_eq!(states(bans.enable("e1", 8).unwrap().into_iter().collect()), [EngineState::Ready]);
+    // Only its own are kept for a successor: the fleet's words have a file of their own.
+    bans.disable("e2", false).unwrap();
+    bans.set_fleet(["e1"].into_iter(), 9);
+    assert_eq!(bans.to_text(), "e2\n");
+    // A list that has the engine as ready changes nothing while it is out, and it is back cold.
+    let passed =
+        bans.pass(list(MembershipKind::Full, &[("e1", EngineState::Ready), ("e2", EngineState::Ready)]));
+    assert!(passed.targets.iter().all(|t| t.entry.state == EngineState::Draining));
+    let back = bans.set_fleet(std::iter::empty(), 10);
+    assert_eq!(back[0].targets[0].entry.started_ns, Some(10));
+}
--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -5,6 +5,8 @@
 //! | `GET /ready` | whether this process is ready to serve |
 //! | `POST /engines/disable`, body `ID` | leave engine `ID` out |
 //! | `POST /engines/enable`, body `ID` | put engine `ID` back |
+//! | `POST /fleet/engines/disable`, `POST /fleet/engines/enable`, body `ID` | the same for the whole fleet |
+//! | `GET /fleet`, `GET /fleet/verdicts` | what is known of the fleet, and what it believes of engines |
 //! | `POST /drain` | empty the router |
 //! | `POST /undrain` | end of the drain |
 //!
@@ -35,8 +37,14 @@
     Disable(String),
     /// `POST /engines/enable` with the engine's id.
     Enable(String),
+    /// `POST /fleet/engines/disable` with the engine's id.
+    DisableForAll(String),
+    /// `POST /fleet/engines/enable` with the engine's id.
+    EnableForAll(String),
     /// `GET /fleet`.
     Fleet,
+    /// `GET /fleet/verdicts`.
+    Verdicts,
     /// `POST /drain`.
     Drain,
     /// `POST /undrain`.
@@ -50,7 +58,10 @@
             Call::Ready => "ready",
             Call::Disable(_) => "disable",
             Call::Enable(_) => "enable",
+            Call::DisableForAll(_) => "disable_for_all",
+            Call::EnableForAll(_) => "enable_for_all",
             Call::Fleet => "fleet",
+            Call::Verdicts => "verdicts",
             Call::Drain => "drain",
             Call::Undrain => "undrain",
         }
@@ -148,10 +159,24 @@
         ("GET" | "HEAD", "/ready") => Call::Ready,
         ("POST", "/engines/disable") => Call::Disable(engine()?),
         ("POST", "/engines/enable") => Call::Enable(engine()?),
+        ("POST", "/fleet/engines/disable") => Call::DisableForAll(engine()?),
+        ("POST", "/fleet/engines/enable") => Call::EnableForAll(engine()?),
         ("GET", "/fleet") => Call::Fleet,
+        ("GET", "/fleet/verdicts") => Call::Verdicts,
         ("POST", "/drain") => Call::Drain,
         ("POST", "/undrain") => Call::Undrain,
-        (_, "/ready" | "/fleet" | "/engines/disable" | "/engines/enable" | "/drain" | "/undrain") => {
+        (
+            _,
+            "/ready"
+            | "/fleet"
+            | "/fleet/verdicts"
+            | "/fleet/engines/disable"
+            | "/fleet/engines/enable"
+            | "/engines/disable"
+            | "/engines/enable"
+            | "/drain"
+            | "/undrain",
+        ) => {
             return Err(Reply::new(405, format!("{method} is not for {path}")));
         }
         _ => return Err(Reply::new(404, format!("no call {path}"))),
@@ -244,7 +269,7 @@
         let counted = self.counters.calls.entry(call.name()).or_default();
         counted.0 += 1;
         counted.1 += u64::from((200..300).contains(&reply.status));
-        if !matches!(call, Call::Ready | Call::Fleet) {
+        if !matches!(call, Call::Ready | Call::Fleet | Call::Verdicts) {
             info!("the operators' door: {} {:?}: {} {}", call.name(), call, reply.status, reply.text);
         }
         self.end(now, net, conn, Some(reply));
--- a/crates/front/tests/operator.rs
+++ b/crates/front/tests/operator.rs
@@ -17,6 +17,9 @@
     assert_eq!(read_call(b"GET /ready?verbose=1 HTTP/1.0\r\n\r\n"), Ok(Some(Call::Ready)));
     assert_eq!(read_call(b"POST /drain HTTP/1.1\r\n\r\n"), Ok(Some(Call::Drain)));
     assert_eq!(read_call(b"POST /undrain HTTP/1.1\r\nContent-Length: 0\r\n\r\n"), Ok(Some(Call::Undrain)));
+    let fleet = b"POST /fleet/engines/disable HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-1";
+    assert_eq!(read_call(fleet), Ok(Some(Call::DisableForAll("s-1".into()))));
+    assert_eq!(read_call(b"GET /fleet/verdicts HTTP/1.1\r\n\r\n"), Ok(Some(Call::Verdicts)));
     let enable = b"POST /engines/enable HTTP/1.1\r\nContent-Length: 5\r\n\r\n s-1\n";
     assert_eq!(read_call(enable), Ok(Some(Call::Enable("s-1".into()))));
 }
@@ -25,6 +28,8 @@
 fn wrong_calls_get_a_clear_no() {
     assert_eq!(status(b"PUT /ready HTTP/1.1\r\n\r\n"), 405);
     assert_eq!(status(b"GET /drain HTTP/1.1\r\n\r\n"), 405);
+    assert_eq!(status(b"GET /fleet/engines/enable HTTP/1.1\r\n\r\n"), 405);
+    assert_eq!(status(b"POST /fleet/engines/enable HTTP/1.1\r\n\r\n"), 400);
     assert_eq!(status(b"GET / HTTP/1.1\r\n\r\n"), 404);
     assert_eq!(status(b"POST /engines/disable HTTP/1.1\r\n\r\n"), 400);
     assert_eq!(status(b"POST /engines/disable HTTP/1.1\r\nContent-Length: -1\r\n\r\n"), 400);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod memory;
 mod start;
+mod verdicts;
 mod ways;
 
 use std::path::PathBuf;
@@ -118,6 +119,21 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// What a fleet believes of its engines: each router alone beside routers that share what they see.
+    Verdicts {
+        /// Eight routers instead of forty: under 45 s in all.
+        #[arg(long)]
+        quick: bool,
+        /// Where to write the figures.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// The router's program; the one beside this one, if not given.
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+        /// Seed of all draws.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Ways to pace a fleet's calls compared in stepped time, without any socket.
     Pacing {
         /// Where to write the figures.
@@ -180,6 +196,10 @@
         Experiment::Cold { quick, json, program, seed } => {
             write(json, &cold::run(&named_or_beside(program)?, quick, seed)?)
         }
+        Experiment::Verdicts { quick, json, program, seed } => {
+            let program = named_or_beside(program)?;
+            write(json, &verdicts::run(&verdicts::Run { program: &program, quick, seed })?)
+        }
         Experiment::Pacing { json } => write(json, &ways::run()),
         Experiment::Disciplines { json, seed } => write(json, &disciplines::run(seed)),
     }
--- a/crates/peers/src/members.rs
+++ b/crates/peers/src/members.rs
@@ -141,8 +141,8 @@
     SameName,
     /// Another router has this one's number under a name of its own.
     SameNumber(Who),
-    /// What a peer says of limits.
-    Said(Who, Vec<u8>),
+    /// What a peer says of limits, or of engines.
+    Said(Who, Kind, Vec<u8>),
 }
 
 /// A router's view of its peers.
@@ -242,19 +242,19 @@
                     *self.spoilt.entry(Spoilt::Content).or_default() += 1;
                 }
             }
-            Ok((Kind::Limits, content)) => match unpack::<(Who, Vec<u8>)>(content) {
-                Ok((from, said)) => self.events.push(Event::Said(from, said)),
+            Ok((kind, content)) => match unpack::<(Who, Vec<u8>)>(content) {
+                Ok((from, said)) => self.events.push(Event::Said(from, kind, said)),
                 Err(_) => *self.spoilt.entry(Spoilt::Content).or_default() += 1,
             },
         }
     }
 
-    /// Says something of limits to a peer; false where it is larger than a datagram may be.
-    pub fn say(&mut self, to: SocketAddr, said: &[u8]) -> bool {
+    /// Says something of limits or engines to a peer; false where it is larger than a datagram may be.
+    pub fn say(&mut self, to: SocketAddr, kind: Kind, said: &[u8]) -> bool {
         let mut content = Vec::new();
         let packed = pack(&(self.me(), said), &mut content).is_ok() && content.len() <= CONTENT_MOST;
         if packed {
-            self.send(to, Kind::Limits, &content);
+            self.send(to, kind, &content);
         }
         packed
     }
--- a/crates/peers/src/seal.rs
+++ b/crates/peers/src/seal.rs
@@ -18,6 +18,8 @@
     Members,
     /// What routers say to each other of limits.
     Limits,
+    /// What they say of engines.
+    Verdicts,
 }
 
 /// Why a datagram is passed over.
@@ -129,6 +131,7 @@
         match head[3] {
             0 => Ok((Kind::Members, content)),
             1 => Ok((Kind::Limits, content)),
+            2 => Ok((Kind::Verdicts, content)),
             _ => Err(Spoilt::Content),
         }
     }
--- a/crates/peers/tests/fleet.rs
+++ b/crates/peers/tests/fleet.rs
@@ -287,11 +287,12 @@
     let mut fleet = Fleet::new(2, 1);
     fleet.until(60, "all know all", |f| f.all_know(|_| true));
     let members = fleet.members[0].as_mut().unwrap();
-    assert!(members.say(address(1), b"hello"));
-    assert!(!members.say(address(1), &vec![0; CONTENT_MOST]), "too large for a datagram");
+    assert!(members.say(address(1), Kind::Limits, b"hello"));
+    assert!(!members.say(address(1), Kind::Limits, &vec![0; CONTENT_MOST]), "too large for a datagram");
     fleet.until(5, "it is heard", |f| {
         f.events.iter().any(|(at, e)| {
-            *at == 1 && matches!(e, Event::Said(who, said) if who.number == 0 && said == b"hello")
+            *at == 1
+                && matches!(e, Event::Said(who, Kind::Limits, said) if who.number == 0 && said == b"hello")
         })
     });
 }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A whole fleet on loopback: router programs as processes of their own, a list service, engines and clients, all in one
 //! loop. Every wait is on a condition, with a limit.
 
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -30,6 +31,8 @@
 /// The key of all fleets of the rig: what it keeps out are strangers.
 const KEY: &str = "6d61726c6a756e6374696f6e2d7269672d6b65792d6f662d616c6c2d666c6565";
 const FIRST_CONN: u64 = 1_000_000;
+/// Longest wait for an answer of an operators' door.
+const CALL: Duration = Duration::from_secs(4);
 /// Longest wait of the loop (ns).
 const STEP_NS: u64 = 10_000_000;
 /// Longest advice to clients (ms).
@@ -298,6 +301,11 @@
         self.dir.join(format!("own-{router}"))
     }
 
+    /// The folder in which a router that talks to its fleet keeps what outlasts it.
+    pub fn kept(&self, router: usize) -> PathBuf {
+        self.dir.join(format!("kept-{router}"))
+    }
+
     /// Whether routers know the list as they start from here on.
     pub fn set_known(&mut self, known: bool) {
         self.setup.known = known;
@@ -396,7 +404,12 @@
             let at = path(name);
             std::fs::write(&at, text).map(|()| at.clone()).map_err(|e| format!("{}: {e}", at.display()))
         };
+        let kept = self.kept(router);
+        std::fs::create_dir_all(&kept).map_err(|e| format!("{}: {e}", kept.display()))?;
         let mut environment = vec![("ROUTER_CONFIG", write("config", &config.to_string())?)];
+        if setup.fleet.is_some() {
+            environment.push(("TMPDIR", kept));
+        }
         let mut operator = setup.operator.clone().unwrap_or_default();
         operator = operator.replace("{own}", &self.own(router).display().to_string());
         if let Some(limits) = self.limits[router].as_ref().or(setup.fleet.as_ref()) {
@@ -739,6 +752,46 @@
         Ok(())
     }
 
+    /// Calls a router's operators' door while all goes on; gives the status and the text of its answer.
+    ///
+    /// # Errors
+    /// Where there is no door, or no answer.
+    pub fn call(
+        &mut self,
+        router: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Result<(u16, String), String> {
+        let said = self.said(router);
+        let at = said.lines().find_map(|l| l.split_once("listens on ")?.1.strip_suffix(" for the operators"));
+        let at: SocketAddr = at.ok_or("no operators' door")?.parse().map_err(|e| format!("{e}"))?;
+        let length = body.len();
+        let call =
+            format!("{method} {path} HTTP/1.1\r\nHost: router\r\nContent-Length: {length}\r\n\r\n{body}");
+        let asked = std::thread::spawn(move || -> std::io::Result<String> {
+            let mut stream = std::net::TcpStream::connect_timeout(&at, CALL)?;
+            stream.set_read_timeout(Some(CALL))?;
+            stream.write_all(call.as_bytes())?;
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer)?;
+            Ok(answer)
+        });
+        while !asked.is_finished() {
+            self.step(Duration::from_millis(5))?;
+        }
+        let answer = asked.join().map_err(|_| "the call failed")?.map_err(|e| e.to_string())?;
+        let (head, text) = answer.split_once("\r\n\r\n").ok_or("no answer")?;
+        let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or("no status")?;
+        Ok((status, text.trim_end().to_owned()))
+    }
+
+    /// Calls that start queries at an engine within these times (ns).
+    pub fn sent_within(&self, engine: usize, from: u64, to: u64) -> usize {
+        let sends = self.engines[engine].sends.as_deref().unwrap_or_default();
+        sends.iter().filter(|sent| (from..to).contains(&sent.at_ns)).count()
+    }
+
     /// What a router says of its fleet, by the program's own command.
     ///
     /// # Errors
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod audit;
+pub mod beliefs;
 pub mod engine;
 pub mod fleet;
 pub mod herd;
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration: where to listen, the limits, the settings of the module and the engines known so far.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use log::LevelFilter;
 use marljunction_language::value::Value;
@@ -368,3 +368,10 @@
         })
     }
 }
+
+/// Writes a file aside and renames it, so that nobody reads half of it.
+pub fn write_aside(path: &Path, text: &str) -> std::io::Result<()> {
+    let mut aside = path.as_os_str().to_owned();
+    aside.push(".new");
+    std::fs::write(&aside, text).and_then(|()| std::fs::rename(&aside, path))
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 //! came back.
 
 use std::io::ErrorKind;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use log::{info, warn};
@@ -12,7 +12,7 @@
 use signal_hook_mio::v1_0::Signals;
 
 use crate::behaviour::effects;
-use crate::config::{EngineFile, Files, Limits, Read};
+use crate::config::{write_aside, EngineFile, Files, Limits, Read};
 use crate::fleet::{FleetFile, FleetSide};
 use crate::logger;
 use marljunction_control::interface::{Effect, Settings, TenantId};
@@ -36,6 +36,7 @@
 use marljunction_net::listener::Listen;
 use marljunction_net::phase::Phase;
 use marljunction_net::{Net, Owner, Room};
+use marljunction_verdicts::stamp::Stamp;
 
 const MSGPACK: Token = Token(0);
 const POSTGRES: Token = Token(1);
@@ -62,6 +63,9 @@
 const TICK_NS: u64 = 20_000_000;
 /// How often the bans that the other process of an upgrade may have written are read (ns).
 const BANS_READ_NS: u64 = 200_000_000;
+/// How long a caller whose word goes to the whole fleet waits for those who have heard it (ns): shorter than a caller may be
+/// at the door.
+const CONFIRM_NS: u64 = 1_500_000_000;
 /// The file of bans, in `$TMPDIR`.
 const BANS_FILE: &str = "marljunction-bans";
 
@@ -73,11 +77,13 @@
     settings: String,
 }
 
-/// Writes a file aside and renames it, so that nobody reads half of it.
-fn write_aside(path: &Path, text: &str) -> std::io::Result<()> {
-    let mut aside = path.as_os_str().to_owned();
-    aside.push(".new");
-    std::fs::write(&aside, text).and_then(|()| std::fs::rename(&aside, path))
+/// A caller at the operators' door whose word is on its way to the fleet.
+struct Confirming {
+    conn: u64,
+    call: Call,
+    stamp: Stamp,
+    /// When it is answered at the latest (ns).
+    until_ns: u64,
 }
 
 /// A running router.
@@ -116,6 +122,12 @@
     /// where it is not.
     /// What talks to the fleet's other routers; none where nothing does.
     fleet: Option<FleetSide>,
+    /// Callers that wait until the fleet has heard what they said.
+    confirming: Vec<Confirming>,
+    /// Engines that operators took out of the whole fleet, as they were last told to the bans.
+    fleet_out: Vec<String>,
+    /// The revision of the fleet's words that the bans follow.
+    followed: u64,
     kept: Kept,
     kept_file: Option<PathBuf>,
     /// Connections with input that no event tells of.
@@ -216,8 +228,13 @@
         };
         // Clients hold at most a third of the descriptors; the rest, less a few, is for engines.
         let sockets = config.limits.sockets.max(64);
-        let fleet = fleet.map(|file| FleetSide::start(now, &registry, FLEET, file, &config)).transpose()?;
-        let (fleet, limits) = fleet.unzip();
+        let kept_dir = files.kept.as_deref();
+        let fleet =
+            fleet.map(|file| FleetSide::start(now, &registry, FLEET, file, &config, kept_dir)).transpose()?;
+        let (fleet, limits, verdicts) = match fleet {
+            Some((side, limits, verdicts)) => (Some(side), Some(limits), verdicts),
+            None => (None, None, None),
+        };
         let bans_file = files.kept.as_ref().map(|dir| (dir.join(BANS_FILE), String::new()));
         let mut daemon = Daemon {
             poll,
@@ -225,7 +242,8 @@
             net: Net::new(registry, FIRST_CONN, Room::of(sockets, config.limits.memory_mb)),
             router: Router::new(config.settings.clone(), seed, config.limits.memory_mb)
                 .with_door(door)
-                .with_limits(limits),
+                .with_limits(limits)
+                .with_verdicts(verdicts),
             msgpack: MsgpackFront::new(directory.clone()),
             postgres: front,
             files,
@@ -247,6 +265,9 @@
             bans_file,
             bans_read_ns: 0,
             fleet,
+            confirming: Vec::new(),
+            fleet_out: Vec::new(),
+            followed: 0,
             kept: Kept::default(),
             kept_file: start.keep.clone(),
             unread: Vec::new(),
@@ -267,6 +288,9 @@
     /// Membership news, as the module is to hear it: through the bans.
     fn change(&mut self, change: Change) {
         self.kept.change(&change);
+        if let Some(verdicts) = self.router.verdicts() {
+            verdicts.change(change.kind, change.targets.iter().map(|target| target.entry));
+        }
         let change = self.bans.pass(change);
         self.tell(change);
     }
@@ -439,7 +463,21 @@
             Refusal::Full => Reply::new(409, "as many engines are out as may be"),
         };
         let reply = match &call {
+            Call::Ready if !self.knows_words(now) => {
+                Reply::new(503, "not ready: asks the fleet which engines are out")
+            }
             Call::Ready if self.phase.is_ready() => Reply::new(200, "ready"),
+            Call::DisableForAll(id) | Call::EnableForAll(id) => match self.say_word(now, id, &call) {
+                Ok(stamp) => {
+                    let until_ns = now + CONFIRM_NS;
+                    return self.confirming.push(Confirming { conn, call, stamp, until_ns });
+                }
+                Err(reply) => reply,
+            },
+            Call::Verdicts => match (&self.fleet, self.router.verdicts()) {
+                (Some(fleet), Some(verdicts)) => Reply::new(200, fleet.view_verdicts(now, verdicts)),
+                _ => Reply::new(404, "this router shares no verdicts"),
+            },
             Call::Ready => Reply::new(503, format!("not ready: {}", self.phase.name())),
             Call::Disable(id) => match self.bans.disable(id, false) {
                 Ok(change) => {
@@ -453,7 +491,10 @@
                 (true, Ok(change)) => {
                     change.into_iter().for_each(|change| self.tell(change));
                     self.write_bans();
-                    Reply::new(200, format!("{id} is back"))
+                    match self.bans.holds(engine_id(id)) {
+                        true => Reply::new(409, format!("the whole fleet leaves {id} out")),
+                        false => Reply::new(200, format!("{id} is back")),
+                    }
                 }
                 (false, Ok(_)) => Reply::new(200, format!("{id} was not out")),
                 (_, Err(refusal)) => refused(refusal, id),
@@ -477,6 +518,60 @@
         self.callers.answer(now, &mut self.net, conn, &call, reply);
     }
 
+    /// Whether it knows which engines the fleet was told to leave out.
+    fn knows_words(&mut self, now: u64) -> bool {
+        self.router.verdicts().is_none_or(|verdicts| verdicts.node().knows(now))
+    }
+
+    /// Says an operator's word to the fleet.
+    fn say_word(&mut self, now: u64, id: &str, call: &Call) -> Result<Stamp, Reply> {
+        let out = matches!(call, Call::DisableForAll(_));
+        let known = self.bans.knows(id);
+        let Some(verdicts) = self.router.verdicts() else {
+            return Err(Reply::new(404, "this router shares no verdicts"));
+        };
+        if !known && verdicts.node().words().get(id).is_none() {
+            return Err(Reply::new(404, format!("no engine {id}")));
+        }
+        let stamp = verdicts.node().say(now, id, out);
+        self.follow_words(now);
+        stamp.ok_or_else(|| Reply::new(409, "as many engines are out as may be"))
+    }
+
+    /// Makes the bans those that the fleet was told of.
+    fn follow_words(&mut self, now: u64) {
+        let Some(verdicts) = self.router.verdicts() else { return };
+        let revision = verdicts.node().revision();
+        if revision == self.followed {
+            return;
+        }
+        self.followed = revision;
+        let out: Vec<String> = verdicts.node().words().out().map(str::to_owned).collect();
+        if out == self.fleet_out {
+            return;
+        }
+        info!("the whole fleet leaves out: {}", out.join(" "));
+        let changes = self.bans.set_fleet(out.iter().map(String::as_str), now);
+        self.fleet_out = out;
+        changes.into_iter().for_each(|change| self.tell(change));
+    }
+
+    /// Answers callers whose word all peers have heard, and those that have waited long enough.
+    fn confirm(&mut self, now: u64) {
+        for waits in std::mem::take(&mut self.confirming) {
+            let Some(verdicts) = self.router.verdicts() else { continue };
+            let (heard, peers) = (verdicts.node().heard_by(waits.stamp), verdicts.node().peers());
+            if heard < peers && now < waits.until_ns {
+                self.confirming.push(waits);
+                continue;
+            }
+            let (Call::DisableForAll(id) | Call::EnableForAll(id)) = &waits.call else { continue };
+            let what = if matches!(waits.call, Call::DisableForAll(_)) { "out" } else { "back" };
+            let text = format!("{id} is {what}; heard by {heard} of {peers} other routers");
+            self.callers.answer(now, &mut self.net, waits.conn, &waits.call, Reply::new(200, text));
+        }
+    }
+
     /// Reads the bans that the other process of an upgrade may have written, where they changed.
     fn read_bans(&mut self, now: u64) {
         self.bans_read_ns = now;
@@ -662,19 +757,23 @@
             discovery.tick(now, &mut self.net);
         }
         self.write_kept(now);
-        if let (Some(fleet), Some(limits)) = (&mut self.fleet, self.router.limits()) {
-            fleet.tick(now, limits);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.tick(now, &mut self.router);
+            self.follow_words(now);
+            self.confirm(now);
         }
     }
 
     /// Datagrams of the fleet's other routers.
     fn hear_fleet(&mut self, now: u64) {
-        if let (Some(fleet), Some(limits)) = (&mut self.fleet, self.router.limits()) {
-            fleet.ready(now, limits);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.ready(now, &mut self.router);
             if fleet.has_more() {
                 self.unread.push(FLEET.0 as u64);
             }
         }
+        // A word counts from when it was heard.
+        self.follow_words(now);
     }
 
     /// Hands what was gathered to the module and carries out what came back; what fails at once is handed
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -10,7 +10,7 @@
 use marljunction_language::value::{Quantity, RecordValue, Value, What};
 use marljunction_language::{read, Outcome};
 
-use crate::fleet::{kind, mode, FleetFile, LimitFile};
+use crate::fleet::{kind, mode, FleetFile, LimitFile, VerdictsFile};
 use marljunction_core::limits::By;
 use marljunction_limits::Limit;
 
@@ -206,10 +206,21 @@
         lease_ns: number(fleet, "lease")? as u64,
         drift: number(fleet, "drift")?,
         cold: text(fleet, "cold")? == "shared",
+        verdicts: flat(fleet.fields.get("verdicts").map(|f| verdicts(&f.value)))?,
         limits: limits.fields.iter().map(|(name, f)| limit(name, &f.value)).collect::<Option<_>>()?,
     })
 }
 
+fn verdicts(value: &Value) -> Option<VerdictsFile> {
+    let verdicts = record(value)?;
+    Some(VerdictsFile {
+        witnesses: number(verdicts, "witnesses")? as u32,
+        out_most: number(verdicts, "out_most")?,
+        fade_ns: number(verdicts, "fade")? as u64,
+        remember_ns: number(verdicts, "remember")? as u64,
+    })
+}
+
 fn limit(name: &str, value: &Value) -> Option<LimitFile> {
     let limit = record(value)?;
     let over = field(limit, "fail").and_then(record);
