Take signals before the program says it is there; a liar among processes

Cause: Daemon::start opened and told its listeners before Signals::new, so that a signal between both ended the process, also a SIGTERM or SIGHUP of operators. Change: signals first. The test holds the program at its first word by a stderr that has no room, and fails without the change.

--- a/crates/core/src/verdicts.rs
+++ b/crates/core/src/verdicts.rs
@@ -84,6 +84,19 @@
         self.node.ended(now, (engine.0, *started), class.0, sent_ns, went);
     }
 
+    /// Counters, as one line.
+    pub fn line(&self) -> String {
+        let (counts, node) = (self.node.counts, &self.node);
+        format!(
+            "verdict_news={} verdict_refused={} verdict_suspected={} verdict_words={} verdict_evidence={}",
+            counts.news,
+            counts.refused,
+            counts.suspected,
+            node.words().len(),
+            node.evidence().len()
+        )
+    }
+
     /// What the module is to be told anew.
     pub fn verdicts(&mut self, now: u64) -> Vec<(EngineId, Verdict)> {
         if now < self.next_ns {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,7 +12,7 @@
 mod verdicts;
 mod ways;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
@@ -30,23 +30,38 @@
     experiment: Experiment,
 }
 
+/// What most experiments are told.
+#[derive(clap::Args)]
+struct Usual {
+    /// Fewer routers, shorter: under 45 s in all.
+    #[arg(long)]
+    quick: bool,
+    /// Where to write the figures.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// The router's program; the one beside this one, if not given.
+    #[arg(long, value_name = "FILE")]
+    program: Option<PathBuf>,
+    /// Seed of all draws.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+impl Usual {
+    /// Runs an experiment with it, and writes its figures.
+    fn run(
+        self,
+        experiment: impl FnOnce(&Path, bool, u64) -> Result<serde_json::Value, String>,
+    ) -> Result<(), String> {
+        let program = named_or_beside(self.program)?;
+        write(self.json, &experiment(&program, self.quick, self.seed)?)
+    }
+}
+
 #[derive(Subcommand)]
 enum Experiment {
     /// A heavy tenant floods two light ones: the door beside no door and one plain queue.
-    Door {
-        /// Shorter phases: under 40 s in all.
-        #[arg(long)]
-        quick: bool,
-        /// Where to write the figures.
-        #[arg(long, value_name = "FILE")]
-        json: Option<PathBuf>,
-        /// The router's program; the one beside this one, if not given.
-        #[arg(long, value_name = "FILE")]
-        program: Option<PathBuf>,
-        /// Seed of all draws.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-    },
+    Door(Usual),
     /// A whole small fleet on loopback, to be watched while things break; ends by itself or at Ctrl-C, with a summary.
     Fleet {
         /// Routers.
@@ -90,50 +105,11 @@
         capacity: Option<f64>,
     },
     /// Limits that hold for a whole fleet, under cuts, deaths and freezes.
-    Limits {
-        /// Eight routers instead of forty: under 45 s in all.
-        #[arg(long)]
-        quick: bool,
-        /// Where to write the figures.
-        #[arg(long, value_name = "FILE")]
-        json: Option<PathBuf>,
-        /// The router's program; the one beside this one, if not given.
-        #[arg(long, value_name = "FILE")]
-        program: Option<PathBuf>,
-        /// Seed of all draws.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-    },
+    Limits(Usual),
     /// Engines that have just started, with each router's own part of their budgets and with shared ones.
-    Cold {
-        /// Twenty routers only: under 45 s in all.
-        #[arg(long)]
-        quick: bool,
-        /// Where to write the figures.
-        #[arg(long, value_name = "FILE")]
-        json: Option<PathBuf>,
-        /// The router's program; the one beside this one, if not given.
-        #[arg(long, value_name = "FILE")]
-        program: Option<PathBuf>,
-        /// Seed of all draws.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-    },
+    Cold(Usual),
     /// What a fleet believes of its engines: each router alone beside routers that share what they see.
-    Verdicts {
-        /// Eight routers instead of forty: under 45 s in all.
-        #[arg(long)]
-        quick: bool,
-        /// Where to write the figures.
-        #[arg(long, value_name = "FILE")]
-        json: Option<PathBuf>,
-        /// The router's program; the one beside this one, if not given.
-        #[arg(long, value_name = "FILE")]
-        program: Option<PathBuf>,
-        /// Seed of all draws.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-    },
+    Verdicts(Usual),
     /// Ways to pace a fleet's calls compared in stepped time, without any socket.
     Pacing {
         /// Where to write the figures.
@@ -170,9 +146,7 @@
 
 fn run() -> Result<(), String> {
     match Arguments::parse().experiment {
-        Experiment::Door { quick, json, program, seed } => {
-            write(json, &door::run(quick, &named_or_beside(program)?, seed)?)
-        }
+        Experiment::Door(usual) => usual.run(|program, quick, seed| door::run(quick, program, seed)),
         Experiment::Start { quick, json, program, against, seed, routers, capacity } => {
             let program = named_or_beside(program)?;
             let (program, against) = (program.as_path(), against.as_deref());
@@ -189,16 +163,12 @@
                 Err("not all held: see above".into())
             }
         }
-        Experiment::Limits { quick, json, program, seed } => {
-            let program = named_or_beside(program)?;
-            write(json, &limits::run(&limits::Run { program: &program, quick, seed })?)
-        }
-        Experiment::Cold { quick, json, program, seed } => {
-            write(json, &cold::run(&named_or_beside(program)?, quick, seed)?)
+        Experiment::Limits(usual) => {
+            usual.run(|program, quick, seed| limits::run(&limits::Run { program, quick, seed }))
         }
-        Experiment::Verdicts { quick, json, program, seed } => {
-            let program = named_or_beside(program)?;
-            write(json, &verdicts::run(&verdicts::Run { program: &program, quick, seed })?)
+        Experiment::Cold(usual) => usual.run(cold::run),
+        Experiment::Verdicts(usual) => {
+            usual.run(|program, quick, seed| verdicts::run(&verdicts::Run { program, quick, seed }))
         }
         Experiment::Pacing { json } => write(json, &ways::run()),
         Experiment::Disciplines { json, seed } => write(json, &disciplines::run(seed)),
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -29,7 +29,7 @@
 const LINK_TOKEN: usize = 20_000;
 const BETWEEN_TOKEN: usize = 30_000;
 /// The key of all fleets of the rig: what it keeps out are strangers.
-const KEY: &str = "6d61726c6a756e6374696f6e2d7269672d6b65792d6f662d616c6c2d666c6565";
+pub const KEY: &str = "6d61726c6a756e6374696f6e2d7269672d6b65792d6f662d616c6c2d666c6565";
 const FIRST_CONN: u64 = 1_000_000;
 /// Longest wait for an answer of an operators' door.
 const CALL: Duration = Duration::from_secs(4);
@@ -826,6 +826,26 @@
         self.routers[router].process.as_ref().map(Process::said).unwrap_or_default()
     }
 
+    /// Ends a play: clients ask nothing more, all that was asked is answered once, nothing ran twice or went out late, and all
+    /// routers end by themselves and well, each step within `limit`. Gives the routers' last counters.
+    ///
+    /// # Errors
+    /// Says what is not so.
+    pub fn end_well(mut self, limit: Duration) -> Result<Vec<Counters>, String> {
+        if !self.quiet(limit)? {
+            return Err("something that was asked is not answered".into());
+        }
+        let audit = self.audit();
+        let (unanswered, twice) = (self.sum(|t| t.unanswered as f64), self.sum(|t| t.twice as f64));
+        if audit.sends == 0 || audit.late_sends + audit.double_runs > 0 || unanswered + twice > 0.0 {
+            return Err(format!("{audit:?}, {unanswered} unanswered, {twice} answered twice"));
+        }
+        match self.stop(limit)? {
+            (counters, true) => Ok(counters),
+            _ => Err("not all end by themselves, and well".into()),
+        }
+    }
+
     /// Ends all routers as planned stops; gives each one's last counters, and whether all ended well and in time.
     ///
     /// # Errors
--- a/crates/verdicts/src/node.rs
+++ b/crates/verdicts/src/node.rs
@@ -23,6 +23,10 @@
 const BUCKETS: usize = 32;
 /// Things that one comparison hands over at most (count).
 pub const HANDED_MOST: usize = 64;
+/// Parts of all words that are asked for, or handed over, at once (count): more would not find room where they come in.
+const PARTS_MOST: usize = 64;
+/// A peer that handed over no part for so long is asked no more (ns).
+const STUCK_NS: u64 = 1_000_000_000;
 /// Words whose hearers are counted (count).
 const COUNTED_MOST: usize = 64;
 /// How often one router praises one engine at most (ns).
@@ -58,6 +62,8 @@
     AskAll {
         /// Which of its asks.
         round: u32,
+        /// The parts that are missing still; none for the first ones.
+        wants: Vec<u16>,
     },
     /// All words, in parts.
     All {
@@ -84,7 +90,11 @@
 #[derive(Clone, Debug, Default)]
 struct Catching {
     round: u32,
-    missing: Option<BTreeSet<u16>>,
+    peer: u32,
+    /// When the last part came (ns), and how many there are in all.
+    progress_ns: u64,
+    parts: u16,
+    missing: BTreeSet<u16>,
     words: Words,
 }
 
@@ -355,7 +365,7 @@
             }
             return out;
         }
-        self.catch_up(&mut out);
+        self.catch_up(now, &mut out);
         for _ in 0..MESSAGES_MOST {
             let Some(news) = self.news(now) else { break };
             let mut told = BTreeSet::new();
@@ -372,17 +382,20 @@
         out
     }
 
-    /// Asks a peer for all words, each time another.
-    fn catch_up(&mut self, out: &mut Vec<(u32, Message)>) {
-        if self.catching.is_none() {
+    /// Asks a peer for all words: the same one for what is missing while it hands over something, else another.
+    fn catch_up(&mut self, now: u64, out: &mut Vec<(u32, Message)>) {
+        let Some(catching) = &self.catching else { return };
+        let goes_on = !catching.missing.is_empty()
+            && now < catching.progress_ns.saturating_add(STUCK_NS)
+            && self.peers.binary_search(&catching.peer).is_ok();
+        if goes_on {
+            let wants = catching.missing.iter().take(PARTS_MOST).copied().collect();
+            out.push((catching.peer, Message::AskAll { round: catching.round, wants }));
             return;
         }
-        let peer = self.peer();
-        if let Some(catching) = &mut self.catching {
-            let round = catching.round + 1;
-            *catching = Catching { round, ..Catching::default() };
-            out.push((peer, Message::AskAll { round }));
-        }
+        let (round, peer) = (catching.round + 1, self.peer());
+        self.catching = Some(Catching { round, peer, progress_ns: now, ..Catching::default() });
+        out.push((peer, Message::AskAll { round, wants: Vec::new() }));
     }
 
     /// What is hot, up to a datagram; each thing that is said so often is said no more.
@@ -517,11 +530,13 @@
             }
             // One that does not know itself has nothing to hand over.
             Message::AskAll { .. } if self.unsure => Vec::new(),
-            Message::AskAll { round } => {
+            Message::AskAll { round, wants } => {
                 let all = parts(self.words.iter().map(|(name, word)| (name.to_owned(), word)).collect());
                 let count = all.len() as u16;
                 let part = |(part, words)| Message::All { round, part: part as u16, parts: count, words };
-                to_sender(all.into_iter().enumerate().map(part).collect())
+                let wanted =
+                    |(at, _): &(usize, Vec<Named>)| wants.is_empty() || wants.contains(&(*at as u16));
+                to_sender(all.into_iter().enumerate().filter(wanted).take(PARTS_MOST).map(part).collect())
             }
             Message::All { round, part, parts, words } => {
                 self.caught(now, round, (part, parts), words);
@@ -558,12 +573,17 @@
     /// Takes a part of all words.
     fn caught(&mut self, now: u64, round: u32, (part, parts): (u16, u16), words: Vec<Named>) {
         let Some(catching) = self.catching.as_mut().filter(|c| c.round == round) else { return };
-        let missing = catching.missing.get_or_insert_with(|| (0..parts.max(1)).collect());
-        missing.remove(&part);
+        if catching.parts != parts.max(1) {
+            // The first part, or its words have changed so much that parts are others: what came counts, and all are asked for again.
+            catching.parts = parts.max(1);
+            catching.missing = (0..catching.parts).collect();
+        }
+        catching.progress_ns = now;
+        catching.missing.remove(&part);
         for (name, word) in words {
             catching.words.merge(&name, word);
         }
-        if !missing.is_empty() {
+        if !catching.missing.is_empty() {
             return;
         }
         let Some(Catching { words, .. }) = self.catching.take() else { return };
--- a/crates/verdicts/tests/fleet.rs
+++ b/crates/verdicts/tests/fleet.rs
@@ -263,6 +263,30 @@
     }
 }
 
+#[test]
+fn a_joiner_catches_up_with_thousands_of_words_though_a_third_is_lost() {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.kill(2);
+    let now = fleet.now;
+    for n in 0..5_000 {
+        fleet.node(0).say(now, &format!("engine-{n}"), true);
+    }
+    // The other has them from its disk.
+    fleet.kept[1] = (fleet.node(0).words().clone(), now);
+    fleet.kill(1);
+    fleet.start(1);
+    fleet.run(5 * S);
+    fleet.bad_wire();
+    fleet.kept[2] = Default::default();
+    fleet.start(2);
+    let took = fleet.until(20 * S, "it is ready", |f| {
+        let now = f.now;
+        f.node(2).knows(now)
+    });
+    assert_eq!(fleet.node(2).words().len(), 5_000);
+    println!("5,000 words after {:.1} s", took as f64 / 1e9);
+}
+
 #[test]
 fn a_joiner_that_meets_only_a_stale_peer_is_set_right_once_it_meets_others() {
     for seed in 0..30 {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -144,6 +144,9 @@
         let io = |what: &str, e: std::io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| io("poll", e))?;
         let registry = poll.registry().try_clone().map_err(|e| io("poll", e))?;
+        // Before anything says that this process is there: guards against a signal that ends it as it starts.
+        let mut signals = Signals::new([SIGTERM, SIGUSR1, SIGHUP]).map_err(|e| io("signals", e))?;
+        registry.register(&mut signals, SIGNALS, Interest::READABLE).map_err(|e| io("signals", e))?;
         let clients = Listen::of(&config.listen, files.inherited.as_deref())?;
         let listen = |how: Listen, token| {
             let mut listener = how.open().map_err(|e| io("listen", e))?;
@@ -166,8 +169,6 @@
         let second = second.map(|at| listen(Listen::of(at, None)?, POSTGRES)).transpose()?;
         let operator_at = config.operator.as_deref().or(files.operator.as_deref());
         let door_for_operators = operator_at.map(|at| listen(Listen::of(at, None)?, OPERATOR)).transpose()?;
-        let mut signals = Signals::new([SIGTERM, SIGUSR1, SIGHUP]).map_err(|e| io("signals", e))?;
-        registry.register(&mut signals, SIGNALS, Interest::READABLE).map_err(|e| io("signals", e))?;
         let clock = Clock::start();
         let who = door.as_ref().map(|d| d.client.clone()).unwrap_or_default();
         // A limit by client holds for the fleet only where all routers know a client by one number.
@@ -625,6 +626,10 @@
             list.push(' ');
             list.push_str(&fleet.line(limits));
         }
+        if let Some(verdicts) = self.router.verdicts() {
+            list.push(' ');
+            list.push_str(&verdicts.line());
+        }
         format!("{} {} {list}", self.router.counters.line(), self.callers.counters.line())
             .trim_end()
             .to_owned()
--- a/tests/fleet_limits.rs
+++ b/tests/fleet_limits.rs
@@ -75,13 +75,9 @@
 }
 
 #[track_caller]
-fn end(mut fleet: Fleet) {
+fn end(fleet: Fleet) {
     assert!(fleet.held_most <= MOST, "{} were out at once, {MOST} may be", fleet.held_most);
-    assert!(fleet.quiet(LIMIT).unwrap(), "all that was asked is answered");
-    let audit = fleet.audit();
-    assert_eq!((audit.late_sends, audit.double_runs), (0, 0));
-    assert_eq!((fleet.sum(|t| t.unanswered as f64), fleet.sum(|t| t.twice as f64)), (0.0, 0.0));
-    assert!(fleet.stop(LIMIT).unwrap().1, "all end by themselves, and well");
+    fleet.end_well(LIMIT).unwrap();
 }
 
 #[test]
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -92,15 +92,8 @@
 
 /// What holds at the end of every play.
 #[track_caller]
-fn end(mut fleet: Fleet) {
-    assert!(fleet.quiet(LIMIT).unwrap(), "all that was asked is answered");
-    let audit = fleet.audit();
-    assert_eq!((audit.late_sends, audit.double_runs), (0, 0), "{audit:?}");
-    assert!(audit.sends > 0, "nothing was sent");
-    assert_eq!((fleet.sum(|t| t.unanswered as f64), fleet.sum(|t| t.twice as f64)), (0.0, 0.0));
-    let (counters, well) = fleet.stop(LIMIT).unwrap();
-    assert!(well, "all end by themselves, and well");
-    assert_eq!(counters.len(), ROUTERS);
+fn end(fleet: Fleet) {
+    assert_eq!(fleet.end_well(LIMIT).unwrap().len(), ROUTERS);
 }
 
 #[test]
--- a/tests/fleet_verdicts.rs
+++ b/tests/fleet_verdicts.rs
@@ -2,13 +2,19 @@
 //! follows is seen at the engines, by what they are sent.
 
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
-use marljunction_rig::fleet::{classes, Fleet, Setup};
+use marljunction_discovery::engine_id;
+use marljunction_peers::seal::Kind;
+use marljunction_peers::{Keys, Members, Settings, Who};
+use marljunction_rig::fleet::{classes, Fleet, Setup, KEY};
 use marljunction_rig::link::Shape;
 use marljunction_rig::load::Class;
 use marljunction_verdicts::bound::{agree_within_ns, heard_within_ns};
-use marljunction_verdicts::Terms;
+use marljunction_verdicts::evidence::{Evidence, Finding};
+use marljunction_verdicts::{Message, Terms};
 
 const ROUTERS: usize = 6;
 const ENGINES: usize = 5;
@@ -98,12 +104,8 @@
 }
 
 #[track_caller]
-fn end(mut fleet: Fleet) {
-    assert!(fleet.quiet(LIMIT).unwrap(), "all that was asked is answered");
-    let audit = fleet.audit();
-    assert_eq!((audit.late_sends, audit.double_runs), (0, 0));
-    assert_eq!((fleet.sum(|t| t.unanswered as f64), fleet.sum(|t| t.twice as f64)), (0.0, 0.0));
-    assert!(fleet.stop(LIMIT).unwrap().1, "all end by themselves, and well");
+fn end(fleet: Fleet) {
+    fleet.end_well(LIMIT).unwrap();
 }
 
 #[test]
@@ -181,10 +183,77 @@
     end(fleet);
 }
 
+/// A router of the fleet that tells all others, as soon as it knows them, that it finds every engine silent.
+fn liar(seed: std::net::SocketAddr, stop: &AtomicBool) -> usize {
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+    let clock = marljunction_net::clock::Clock::start();
+    let life = clock.now_ns();
+    let number = ROUTERS as u32;
+    let me = Who { name: "liar".into(), number, address: socket.local_addr().unwrap(), life, renewal: 0 };
+    let settings = Settings { routers: number + 1, seeds: vec![seed], ..Settings::default() };
+    let mut members = Members::new(me, Keys::read(KEY).unwrap(), &settings, 1);
+    let (mut buffer, mut count, mut told) = ([0; 2_048], 0, 0);
+    while !stop.load(Ordering::Relaxed) {
+        if let Ok((size, _)) = socket.recv_from(&mut buffer) {
+            members.hear(clock.now_ns(), &buffer[..size]);
+        }
+        let now = clock.now_ns();
+        members.tick(now);
+        if now >= told + S / 4 {
+            told = now;
+            count += 1;
+            let lie = |engine: usize| Evidence {
+                engine: engine_id(&format!("e{engine}")).0,
+                started_ms: 0,
+                witness: number,
+                life,
+                number: count,
+                zone: 0,
+                finding: Finding::Silent,
+                since_ms: 0,
+                age_ms: 0,
+            };
+            let news = Message::News { words: Vec::new(), evidence: (0..ENGINES).map(lie).collect() };
+            let said = rmp_serde::to_vec(&[news]).unwrap();
+            let peers: Vec<_> = members.up().map(|who| who.address).collect();
+            for at in peers {
+                members.say(at, Kind::Verdicts, &said);
+            }
+        }
+        for (to, datagram) in members.take().0 {
+            let _ = socket.send_to(&datagram, to);
+        }
+    }
+    members.up().count()
+}
+
+#[test]
+fn a_router_that_lies_takes_out_nothing() {
+    let mut fleet = serving("liar");
+    let stop = Arc::new(AtomicBool::new(false));
+    let (until_then, seed) = (stop.clone(), fleet.between[0].address);
+    let liar = std::thread::spawn(move || liar(seed, &until_then));
+    let heard = format!("router {ROUTERS} Silent");
+    let end_ns = fleet.now() + LIMIT.as_nanos() as u64;
+    while !(0..ROUTERS).all(|r| fleet.call(r, "GET", "/fleet/verdicts", "").unwrap().1.contains(&heard)) {
+        assert!(fleet.now() < end_ns, "its word is not heard by all");
+    }
+    let from = fleet.now();
+    fleet.run(Duration::from_secs(6)).unwrap();
+    for router in 0..ROUTERS {
+        assert!(!fleet.said(router).contains("is out by what the fleet"), "router {router} believes it");
+    }
+    assert!((0..ENGINES).all(|e| fleet.sent_within(e, from, u64::MAX) > 10), "all engines are sent to");
+    stop.store(true, Ordering::Relaxed);
+    assert_eq!(liar.join().unwrap(), ROUTERS, "it was one of them");
+    end(fleet);
+}
+
 #[test]
 fn an_engine_that_falls_silent_is_out_for_all_tried_by_few_and_back_once_it_serves() {
     let mut fleet = serving("silent");
-    let name = |e: usize| format!("{:016x}", marljunction_discovery::engine_id(&format!("e{e}")).0);
+    let name = |e: usize| format!("{:016x}", engine_id(&format!("e{e}")).0);
     let out = format!("engine {} is out by what the fleet", name(2));
     let back = format!("engine {} is back by what the fleet", name(2));
     let cut = Shape { cut: true, ..Shape::default() };
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -4,8 +4,9 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::process::{Child, ChildStderr, Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use command_fds::{CommandFdExt, FdMapping};
 use serde_json::json;
@@ -77,11 +78,10 @@
     client
 }
 
-#[test]
-fn a_new_version_takes_over_the_handed_down_socket_and_the_bans() {
-    let dir = std::env::temp_dir().join(format!("marljunction-handover-{}", std::process::id()));
+/// A configuration in a folder of its own, with one engine.
+fn folder(name: &str, engine: &TcpListener) -> std::path::PathBuf {
+    let dir = std::env::temp_dir().join(format!("marljunction-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
-    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
     let target = json!({"uid": "e1", "endpoint": engine.local_addr().unwrap().to_string(), "az": "bldg-a",
         "model": "std-12", "state": "in_service", "capacity_hint": 1, "boot_ms": 0});
     let config = json!({"name": "n1", "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
@@ -89,6 +89,46 @@
         "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"all": true, "targets": [target]}}]},
         "settings": serde_json::from_str::<serde_json::Value>(SETTINGS).unwrap()});
     std::fs::write(dir.join("config.json"), config.to_string()).unwrap();
+    dir
+}
+
+#[test]
+fn signals_are_taken_before_the_first_word_that_the_program_is_there() {
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+    let dir = folder("signals", &engine);
+    // Its first word finds no room, so that it stands still just there.
+    let (mut full, _reader) = UnixStream::pair().unwrap();
+    full.set_nonblocking(true).unwrap();
+    while full.write(&[0; 4_096]).is_ok() {}
+    full.set_nonblocking(false).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_marljunction"))
+        .env("ROUTER_CONFIG", dir.join("config.json"))
+        .stderr(Stdio::from(OwnedFd::from(full)))
+        .spawn()
+        .unwrap();
+    // SIGHUP is signal 1 and SIGTERM 15: the lowest bits of the mask stand for the first signals.
+    let taken = |id: u32| {
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:")).map(str::trim);
+        let mask = mask.and_then(|mask| u64::from_str_radix(mask, 16).ok()).unwrap_or(0);
+        mask & 1 != 0 && mask & 1 << 14 != 0
+    };
+    let end = Instant::now() + PATIENCE;
+    let mut takes = false;
+    while !takes && Instant::now() < end {
+        takes = taken(child.id());
+        std::thread::yield_now();
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    let _ = std::fs::remove_dir_all(&dir);
+    assert!(takes, "it says that it is there while a signal would still end it");
+}
+
+#[test]
+fn a_new_version_takes_over_the_handed_down_socket_and_the_bans() {
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+    let dir = folder("handover", &engine);
     let socket = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = socket.local_addr().unwrap();
 
