Tell a module that an engine is back also where a list has just named it again

Seen on reading: a list that names an engine made the router forget what its module was told of it, so that it would be told once more. Where evidence cleared the engine before that, nothing told the module, and the engine stayed out at this router; also the log said at each list that it had gone out. Change: what is to be told again stands beside what was told. The test fails without it. The arm for given-up attempts is one condition instead of two.

--- a/crates/core/src/verdicts.rs
+++ b/crates/core/src/verdicts.rs
@@ -1,6 +1,6 @@
 //! What the fleet believes of engines, between the endings of attempts and the module.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use log::info;
 use marljunction_control::interface::{ClassId, EngineEntry, EngineId, EngineState, MembershipKind, Verdict};
@@ -22,6 +22,8 @@
     /// When each engine of the list started (ms), by what the list says.
     engines: BTreeMap<EngineId, u64>,
     told: BTreeMap<EngineId, Verdict>,
+    /// Engines of which the module is to be told once more, whatever it was told last.
+    again: BTreeSet<EngineId>,
     /// When all evidence is judged next (ns): news comes in many datagrams.
     next_ns: u64,
 }
@@ -29,7 +31,13 @@
 impl FleetVerdicts {
     /// What `node` keeps, before any list of engines.
     pub fn new(node: Node) -> FleetVerdicts {
-        FleetVerdicts { node, engines: BTreeMap::new(), told: BTreeMap::new(), next_ns: 0 }
+        FleetVerdicts {
+            node,
+            engines: BTreeMap::new(),
+            told: BTreeMap::new(),
+            again: BTreeSet::new(),
+            next_ns: 0,
+        }
     }
 
     /// What this router keeps and says.
@@ -67,15 +75,10 @@
         ending: Ending,
     ) {
         let Some(started) = self.engines.get(&engine) else { return };
+        let soon = |at: u64| now < at.saturating_add(ANSWERED_NS);
         let went = match ending.sight() {
             // The engine answered the call that ends it: else its end is taken for granted later.
-            Sight::Silent if given_up_ns.is_some_and(|at| now < at.saturating_add(ANSWERED_NS)) => {
-                if ending == Ending::GivenUp {
-                    Went::Alive
-                } else {
-                    Went::Silent
-                }
-            }
+            Sight::Silent if ending == Ending::GivenUp && given_up_ns.is_some_and(soon) => Went::Alive,
             Sight::Served => Went::Served(now.saturating_sub(sent_ns)),
             Sight::Silent => Went::Silent,
             Sight::Spoilt => Went::Spoilt,
@@ -105,6 +108,7 @@
         self.next_ns = now + JUDGED_NS;
         let judged = self.node.judged().engines.clone();
         if judged.is_empty() && self.told.is_empty() {
+            self.again.clear();
             return Vec::new();
         }
         let verdict = |(engine, judgement): (&u64, &Judgement)| {
@@ -119,7 +123,9 @@
         let now_so: BTreeMap<EngineId, Verdict> = judged.iter().map(verdict).collect();
         let ended = self.told.keys().filter(|id| !now_so.contains_key(id)).map(|id| (*id, Verdict::Well));
         let mut changed: Vec<(EngineId, Verdict)> = ended.collect();
-        changed.extend(now_so.iter().filter(|(id, v)| self.told.get(id) != Some(v)).map(|(id, v)| (*id, *v)));
+        let again = std::mem::take(&mut self.again);
+        let news = |id: &EngineId, v: &Verdict| self.told.get(id) != Some(v) || again.contains(id);
+        changed.extend(now_so.iter().filter(|(id, v)| news(id, v)).map(|(id, v)| (*id, *v)));
         let out = |v: Option<&Verdict>| matches!(v, Some(Verdict::Out | Verdict::Trial));
         // Turns to try it are no change of state.
         for (engine, verdict) in changed.iter().filter(|(id, v)| out(Some(v)) != out(self.told.get(id))) {
@@ -132,7 +138,7 @@
 
     /// An engine starts again, or comes back to the module: it is told what is believed of it once more.
     pub fn tell_again(&mut self, engine: EngineId) {
-        self.told.remove(&engine);
+        self.again.insert(engine);
         self.next_ns = 0;
     }
 }
