--- a/tests/fleet_limits.rs
+++ b/tests/fleet_limits.rs
@@ -2,6 +2,7 @@
 //! engines themselves.
 
 use std::path::Path;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use marljunction::fleet::FleetFile;
@@ -37,14 +38,18 @@
     }
 }
 
-/// What the operator's file of the plays says.
+/// What the operator's file of the plays says. Read once: plays run side by side, and one would read what another half wrote.
 fn file() -> FleetFile {
-    let path = std::env::temp_dir().join(format!("marljunction-limits-{}.conf", std::process::id()));
-    let text = format!(
-        "fleet: {{ listen: \"127.0.0.1:0\", key: \"key\", seeds: [], routers: {ROUTERS}, {LIMITS} }}\n"
-    );
-    std::fs::write(&path, text).unwrap();
-    Operator::of_file(&path).unwrap().fleet.unwrap()
+    static FILE: OnceLock<FleetFile> = OnceLock::new();
+    let read = || {
+        let path = std::env::temp_dir().join(format!("marljunction-limits-{}.conf", std::process::id()));
+        let text = format!(
+            "fleet: {{ listen: \"127.0.0.1:0\", key: \"key\", seeds: [], routers: {ROUTERS}, {LIMITS} }}\n"
+        );
+        std::fs::write(&path, text).unwrap();
+        Operator::of_file(&path).unwrap().fleet.unwrap()
+    };
+    FILE.get_or_init(read).clone()
 }
 
 /// For how long units may lie idle once this happened.
