Tidy limits and verdicts: sums of a digest made once, one check of an engine's name

Behaviour unchanged. A digest that came was compared with sums made three times over all words and evidence; what is news was copied whole to be ordered. One mixing function in crates/verdicts, one check of a name for bans and words, the owned share of a key and the keys of a limit by the functions that were there, and one look-up of counters and of used time in the rig for the lab's commands.

--- a/crates/core/src/cold.rs
+++ b/crates/core/src/cold.rs
@@ -49,6 +49,11 @@
     stale: bool,
 }
 
+/// The place of a lane's limit among all, where those of cold engines begin at `first`.
+fn place(first: usize, kind: usize, lane: usize) -> u16 {
+    (first + kind * LANES + lane) as u16
+}
+
 fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     (x ^ (x >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
@@ -105,7 +110,7 @@
     }
 
     fn limit(&self, kind: usize, lane: usize) -> u16 {
-        (self.first + kind * LANES + lane) as u16
+        place(self.first, kind, lane)
     }
 
     /// News of the engines.
@@ -183,7 +188,7 @@
         let first = self.first;
         for (id, engine) in &mut self.engines {
             let mut share = |lane: usize| {
-                let limit = (first + engine.kind * LANES + lane) as u16;
+                let limit = place(first, engine.kind, lane);
                 let usable = node.budget(now, now.saturating_add(AHEAD_NS), limit, id.0);
                 f64::from(usable) / f64::from(self.units[engine.kind][lane])
             };
--- a/crates/discovery/src/bans.rs
+++ b/crates/discovery/src/bans.rs
@@ -7,11 +7,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use marljunction_control::interface::{EngineId, EngineState, MembershipKind};
+use marljunction_verdicts::words::well_formed;
 
 use crate::{engine_id, Change, Target};
 
-/// Longest name of an engine that is taken (bytes).
-pub const NAME_MOST: usize = 128;
 /// Engines that may be banned at once (count). Guards against a file or callers that name engines without end;
 /// no fleet of the protocol holds so many.
 pub const BANNED_MOST: usize = 4096;
@@ -39,11 +38,6 @@
     latest: HashMap<EngineId, Target>,
 }
 
-/// Whether a text may be the id of an engine.
-fn well_formed(name: &str) -> bool {
-    !name.is_empty() && name.len() <= NAME_MOST && name.bytes().all(|b| b.is_ascii_graphic())
-}
-
 impl Bans {
     /// No engine banned.
     pub fn new() -> Self {
--- a/crates/lab/src/cold.rs
+++ b/crates/lab/src/cold.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use marljunction_rig::fleet::{Fleet, Setup};
+use marljunction_rig::process::mean;
 use serde_json::{json, Map, Value};
 
 use crate::start::{together, Play};
@@ -58,19 +59,14 @@
     let down = fleet.engines.iter().filter(|e| !e.is_up()).count();
     let counters = fleet.counters(Duration::from_secs(8))?;
     let seconds = (fleet.now() - began) as f64 / SECOND_NS as f64;
-    let mean = |name: &str| {
-        let of = |c: &Vec<(String, u64)>| c.iter().find(|(k, _)| k == name).map_or(0, |(_, v)| *v);
-        counters.iter().map(of).sum::<u64>() as f64 / counters.len().max(1) as f64
-    };
-    let used: Vec<(u64, u64)> =
-        fleet.routers.iter().filter_map(|r| r.process.as_ref()).map(|p| p.used()).collect();
+    let used = fleet.used();
     Ok(json!({
         "cold_peak_over_limit": peak,
         "engines_down": down,
         "worth_share": (after.0 - before.0) / (after.1 - before.1).max(1e-9),
-        "peers_known": mean("fleet_peers"),
-        "datagrams_a_router_s": mean("fleet_datagrams") / seconds,
-        "bytes_a_router_s": mean("fleet_bytes") / seconds,
+        "peers_known": mean(&counters, "fleet_peers"),
+        "datagrams_a_router_s": mean(&counters, "fleet_datagrams") / seconds,
+        "bytes_a_router_s": mean(&counters, "fleet_bytes") / seconds,
         "cpu_ms_a_router_s": used.iter().map(|u| u.1).sum::<u64>() as f64 / 1e3 / seconds / routers as f64,
         "double_runs": fleet.audit().double_runs,
     }))
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marljunction_rig::fleet::{Counters, Fleet, Setup};
+use marljunction_rig::fleet::{Fleet, Setup};
+use marljunction_rig::process::counter;
 use marljunction_rig::schedule::{self, Event};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
@@ -46,10 +47,6 @@
     pub seed: u64,
 }
 
-fn value(counters: &Counters, name: &str) -> u64 {
-    counters.iter().find(|(k, _)| k == name).map_or(0, |(_, v)| *v)
-}
-
 /// One line for each router: whether it is there, its stream, and what it says of itself.
 fn picture(fleet: &Fleet, now: u64, broken: &[String]) -> String {
     let mut text = String::new();
@@ -68,7 +65,7 @@
             continue;
         };
         let counters = process.counters();
-        let of = |name: &str| value(&counters, name);
+        let of = |name: &str| counter(&counters, name);
         let stream = match fleet.list.live_since(at) {
             Some(since) => format!("up {:>4.1} s", now.saturating_sub(since) as f64 / 1e9),
             None => "none".to_owned(),
--- a/crates/lab/src/limits.rs
+++ b/crates/lab/src/limits.rs
@@ -11,6 +11,7 @@
 use marljunction_rig::link::Shape;
 use marljunction_rig::load::Class;
 use marljunction_rig::loans;
+use marljunction_rig::process::mean;
 use serde_json::{json, Map, Value};
 
 use crate::start::{together, Play};
@@ -213,17 +214,13 @@
     let over = (fleet.held_most as f64 / most as f64 - 1.0).max(0.0);
     let counters = fleet.counters(Duration::from_secs(5))?;
     let seconds = (fleet.now() - fleet.routers[routers - 1].started_ns) as f64 / 1e9;
-    let sum = |name: &str| {
-        let of = |c: &Vec<(String, u64)>| c.iter().find(|(k, _)| k == name).map_or(0, |(_, v)| *v);
-        counters.iter().map(of).sum::<u64>() as f64 / counters.len().max(1) as f64
-    };
     told.insert("used_share".into(), json!(share));
     told.insert("over".into(), json!(over));
     told.insert("over_ratio".into(), json!(if allowed > 0.0 { over / allowed } else { 0.0 }));
     told.insert("most_at_once".into(), json!(fleet.held_most));
     told.insert("limit".into(), json!(most));
-    told.insert("datagrams_a_router_s".into(), json!(sum("fleet_datagrams") / seconds));
-    told.insert("bytes_a_router_s".into(), json!(sum("fleet_bytes") / seconds));
+    told.insert("datagrams_a_router_s".into(), json!(mean(&counters, "fleet_datagrams") / seconds));
+    told.insert("bytes_a_router_s".into(), json!(mean(&counters, "fleet_bytes") / seconds));
     told.insert("lost".into(), json!(fleet.sum(|t| t.unanswered as f64)));
     told.insert("double_answers".into(), json!(fleet.sum(|t| t.twice as f64)));
     Ok(Value::Object(told))
@@ -315,13 +312,11 @@
     fleet.start_all()?;
     fleet.run_until(LIMIT, |f| f.live() == routers)?;
     fleet.run(Duration::from_secs(8))?;
-    let used = |fleet: &Fleet| -> u64 {
-        fleet.routers.iter().filter_map(|r| r.process.as_ref()).map(|p| p.used().1).sum()
-    };
+    let used = |fleet: &Fleet| -> u64 { fleet.used().iter().map(|(_, time)| time).sum() };
     let (began, before) = (fleet.now(), used(&fleet));
     fleet.run(Duration::from_secs(5))?;
     let seconds = (fleet.now() - began) as f64 / 1e9;
-    let peak = fleet.routers.iter().filter_map(|r| r.process.as_ref()).map(|p| p.used().0).max().unwrap_or(0);
+    let peak = fleet.used().iter().map(|(memory, _)| *memory).max().unwrap_or(0);
     Ok(json!({
         "routers": routers,
         "cpu_us_a_router_s": (used(&fleet) - before) as f64 / seconds / routers as f64,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -82,22 +82,12 @@
     },
     /// A whole fleet starts at once, loses its list service, and gets it back.
     Start {
-        /// A hundred routers instead of three hundred: under 45 s in all.
-        #[arg(long)]
-        quick: bool,
-        /// Where to write the figures.
-        #[arg(long, value_name = "FILE")]
-        json: Option<PathBuf>,
-        /// The router's program; the one beside this one, if not given.
-        #[arg(long, value_name = "FILE")]
-        program: Option<PathBuf>,
+        #[command(flatten)]
+        usual: Usual,
         /// Another build of it, measured in the same run.
         #[arg(long, value_name = "FILE")]
         against: Option<PathBuf>,
-        /// Seed of all draws.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        /// Routers.
+        /// Routers; a hundred if quick, else three hundred.
         #[arg(long)]
         routers: Option<usize>,
         /// Calls a second that the list service takes.
@@ -147,11 +137,10 @@
 fn run() -> Result<(), String> {
     match Arguments::parse().experiment {
         Experiment::Door(usual) => usual.run(|program, quick, seed| door::run(quick, program, seed)),
-        Experiment::Start { quick, json, program, against, seed, routers, capacity } => {
-            let program = named_or_beside(program)?;
-            let (program, against) = (program.as_path(), against.as_deref());
-            write(json, &start::run(&start::Run { program, against, quick, seed, routers, capacity })?)
-        }
+        Experiment::Start { usual, against, routers, capacity } => usual.run(|program, quick, seed| {
+            let against = against.as_deref();
+            start::run(&start::Run { program, against, quick, seed, routers, capacity })
+        }),
         Experiment::Fleet { routers, faults, seconds, program, seed } => {
             let (program, time) = (named_or_beside(program)?, std::time::Duration::from_secs(seconds));
             let play = fleet::Play { program: &program, routers, faults: faults.as_deref(), time, seed };
--- a/crates/lab/src/start.rs
+++ b/crates/lab/src/start.rs
@@ -78,8 +78,7 @@
     let all_live = |fleet: &Fleet| fleet.live() == routers;
     let started = fleet.run_until(SETTLE, all_live)?;
     let settled = fleet.now();
-    let used: Vec<(u64, u64)> =
-        fleet.routers.iter().filter_map(|r| r.process.as_ref()).map(|p| p.used()).collect();
+    let used = fleet.used();
     let (start_calls, _) = calls_within(&fleet.list.calls, began, settled, SECOND_NS);
 
     let away = fleet.now();
--- a/crates/lab/src/verdicts.rs
+++ b/crates/lab/src/verdicts.rs
@@ -8,6 +8,7 @@
 use marljunction_rig::fleet::{Counters, Fleet, Setup};
 use marljunction_rig::link::Shape;
 use marljunction_rig::load::Class;
+use marljunction_rig::process::{counter, mean};
 use marljunction_verdicts::bound::heard_within_ns;
 use marljunction_verdicts::witness::Went;
 use marljunction_verdicts::{Node, Terms};
@@ -74,9 +75,7 @@
 /// Attempts that came to nothing at an engine that gave no sign of life, over the whole fleet.
 fn lost(counters: &[Counters]) -> f64 {
     let names = ["ended_given_up", "ended_timed_out", "ended_cut", "ended_unreachable", "ended_refused"];
-    let of = |c: &Counters| -> u64 {
-        c.iter().filter(|(name, _)| names.contains(&name.as_str())).map(|(_, count)| count).sum()
-    };
+    let of = |c: &Counters| names.iter().map(|name| counter(c, name)).sum::<u64>();
     counters.iter().map(of).sum::<u64>() as f64
 }
 
@@ -120,12 +119,7 @@
     let mut known: Vec<f64> = out_after.iter().flatten().copied().collect();
     known.sort_by(f64::total_cmp);
     let seconds = (fleet.now() - fleet.routers[0].started_ns) as f64 / SECOND_NS as f64;
-    let mean = |name: &str| {
-        let of = |c: &Counters| c.iter().find(|(k, _)| k == name).map_or(0, |(_, v)| *v);
-        counters.iter().map(of).sum::<u64>() as f64 / routers as f64 / seconds
-    };
-    let used: Vec<(u64, u64)> =
-        fleet.routers.iter().filter_map(|r| r.process.as_ref()).map(|p| p.used()).collect();
+    let used = fleet.used();
     Ok(json!({
         "lost": lost,
         "lost_a_router": lost / routers as f64,
@@ -135,8 +129,8 @@
         "time_to_out_worst_s": known.last(),
         "back_for_all": back,
         "back_s": back_s,
-        "datagrams_a_router_s": mean("fleet_datagrams"),
-        "bytes_a_router_s": mean("fleet_bytes"),
+        "datagrams_a_router_s": mean(&counters, "fleet_datagrams") / seconds,
+        "bytes_a_router_s": mean(&counters, "fleet_bytes") / seconds,
         "cpu_ms_a_router_s": used.iter().map(|u| u.1).sum::<u64>() as f64 / 1e3 / seconds / routers as f64,
         "memory_kb": used.iter().map(|u| u.0).max(),
         "unanswered": fleet.sum(|t| t.unanswered as f64),
--- a/crates/limits/src/node.rs
+++ b/crates/limits/src/node.rs
@@ -302,7 +302,7 @@
     /// Fills a key's bucket and forgets what has run out; gives the units that may be used now.
     fn settle(&mut self, now: u64, limit: u16, key: u64) -> u32 {
         let kind = self.kind(limit);
-        let owned = self.terms.share(kind.units(), self.me.number, key);
+        let owned = self.owned(limit, key);
         let extra = self.extra(now, limit, owned);
         let life_ns = self.demand_life_ns(kind);
         let sketch = self.slots[usize::from(limit)].sketch.as_ref();
@@ -330,7 +330,7 @@
             return false;
         }
         let kind = self.kind(limit);
-        let owned = self.terms.share(kind.units(), self.me.number, key);
+        let owned = self.owned(limit, key);
         let slot = &self.slots[usize::from(limit)];
         let quiet = slot.quiet_until_ns;
         let meter = match (&slot.sketch, kind) {
@@ -424,7 +424,7 @@
     /// Whether a key that found no place in the table is admitted on its router's own share; it counts where it `counts`.
     fn sketch_admits(&mut self, now: u64, limit: u16, key: u64, counts: bool) -> bool {
         let kind = self.kind(limit);
-        let of = (kind, self.terms.share(kind.units(), self.me.number, key), self.terms.drift);
+        let of = (kind, self.owned(limit, key), self.terms.drift);
         let slot = &mut self.slots[usize::from(limit)];
         if now < slot.quiet_until_ns || matches!(kind, Kind::Window { .. }) {
             return false;
@@ -511,7 +511,7 @@
     /// What is known of a key.
     pub fn look(&mut self, now: u64, limit: u16, key: u64) -> Look {
         let usable = self.settle(now, limit, key);
-        let owned = self.terms.share(self.kind(limit).units(), self.me.number, key);
+        let owned = self.owned(limit, key);
         let Some(entry) = self.keys.get(&(limit, key)) else {
             return Look { owned, ..Look::default() };
         };
@@ -521,8 +521,7 @@
 
     /// The keys of a limit that use most, and what is known of them.
     pub fn busiest(&mut self, now: u64, limit: u16) -> Vec<(u64, Look)> {
-        let of = (limit, 0)..=(limit, u64::MAX);
-        let keys: Vec<u64> = self.keys.range(of).map(|((_, key), _)| *key).collect();
+        let keys: Vec<u64> = self.keys_of(limit).collect();
         let mut all: Vec<(u64, Look)> =
             keys.into_iter().map(|key| (key, self.look(now, limit, key))).collect();
         all.sort_by_key(|(key, look)| (std::cmp::Reverse((look.out, look.borrowed, look.lent)), *key));
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -638,6 +638,11 @@
         self.engines.iter().map(Engine::held).sum()
     }
 
+    /// What each router's process that is there has used: memory at most (KB) and processor time (us).
+    pub fn used(&self) -> Vec<(u64, u64)> {
+        self.routers.iter().filter_map(|r| r.process.as_ref()).map(Process::used).collect()
+    }
+
     /// Routers that take clients.
     pub fn ready(&self) -> usize {
         self.routers.iter().filter(|r| r.listens.is_some()).count()
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -132,6 +132,16 @@
     }
 }
 
+/// A counter by its name; 0 where there is none.
+pub fn counter(counters: &[(String, u64)], name: &str) -> u64 {
+    counters.iter().find(|(known, _)| known == name).map_or(0, |(_, value)| *value)
+}
+
+/// The mean of a counter over routers.
+pub fn mean(counters: &[Vec<(String, u64)>], name: &str) -> f64 {
+    counters.iter().map(|of| counter(of, name)).sum::<u64>() as f64 / counters.len().max(1) as f64
+}
+
 /// The counters of a line.
 pub fn counters(line: &str) -> Vec<(String, u64)> {
     let pairs = line.split_whitespace().filter_map(|word| word.split_once('='));
--- a/crates/rig/src/stage.rs
+++ b/crates/rig/src/stage.rs
@@ -76,13 +76,12 @@
 impl Told {
     /// A counter.
     pub fn counter(&self, name: &str) -> u64 {
-        self.counters.iter().find(|(k, _)| k == name).map_or(0, |(_, v)| *v)
+        process::counter(&self.counters, name)
     }
 
     /// The sum of a counter of the door over all tenants.
     pub fn door(&self, name: &str) -> u64 {
-        let of = |fields: &[(String, u64)]| fields.iter().find(|(k, _)| k == name).map_or(0, |(_, v)| *v);
-        self.door.iter().map(|(_, fields)| of(fields)).sum()
+        self.door.iter().map(|(_, fields)| process::counter(fields, name)).sum()
     }
 }
 
--- a/crates/verdicts/src/judge.rs
+++ b/crates/verdicts/src/judge.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::evidence::{Finding, Held, Table};
-use crate::Terms;
+use crate::{mix, Terms};
 
 /// Part of those who say something new of an engine that must say the same (share).
 const AGREE: f64 = 0.6;
@@ -134,12 +134,6 @@
     judged
 }
 
-fn mix(x: u64) -> u64 {
-    let x = (x ^ (x >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let x = (x ^ (x >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x ^ (x >> 32)
-}
-
 /// How long a router's turn to try an engine lasts (ms).
 pub const TURN_MS: u64 = 1_000;
 /// Routers whose turn it is at once (count), before any was served since and after: enough to bring it back have to be.
--- a/crates/verdicts/src/node.rs
+++ b/crates/verdicts/src/node.rs
@@ -10,7 +10,7 @@
 use crate::stamp::{Stamp, StampClock};
 use crate::witness::{Went, Witness};
 use crate::words::{Merged, Word, Words};
-use crate::Terms;
+use crate::{mix, Terms};
 
 /// Bytes that one message fills about (bytes): it fits a datagram.
 const MESSAGE_BYTES: usize = 800;
@@ -84,12 +84,25 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Item {
-    // The gravest first.
     Word(String),
     Bad(u64, u32),
     Well(u64, u32),
 }
 
+impl Item {
+    /// How grave it is: the lowest is said first.
+    fn gravity(&self) -> u8 {
+        match self {
+            Item::Word(_) => 0,
+            Item::Bad(..) => 1,
+            Item::Well(..) => 2,
+        }
+    }
+}
+
+/// Hashes of words and of evidence, by bucket.
+type Sums = (Vec<u32>, Vec<u32>);
+
 /// What was said to a router that wants all words.
 #[derive(Clone, Debug, Default)]
 struct Catching {
@@ -152,12 +165,6 @@
     pub counts: Counts,
 }
 
-fn mix(x: u64) -> u64 {
-    let x = (x ^ (x >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let x = (x ^ (x >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x ^ (x >> 32)
-}
-
 fn name_hash(name: &str) -> u64 {
     mix(name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)))
 }
@@ -395,7 +402,8 @@
         if now >= self.beat_ns.saturating_add(beat_ns(&self.terms)) {
             self.beat_ns = now;
             let peer = self.peer();
-            out.push((peer, self.digest(false)));
+            let (words, evidence) = self.sums();
+            out.push((peer, Message::Digest { words, evidence, answers: false }));
         }
         out
     }
@@ -433,28 +441,17 @@
         let (mut words, mut evidence, mut size) = (Vec::new(), Vec::new(), 0);
         let mut said = Vec::new();
         // Those that were said least come first among the equally grave: all get their turn.
-        let mut order: Vec<(u8, std::cmp::Reverse<u32>, Item)> = self
-            .hot
-            .iter()
-            .map(|(item, left)| {
-                let grave = match item {
-                    Item::Word(_) => 0,
-                    Item::Bad(..) => 1,
-                    Item::Well(..) => 2,
-                };
-                (grave, std::cmp::Reverse(*left), item.clone())
-            })
-            .collect();
-        order.sort_unstable();
-        for (_, _, item) in order {
-            let bytes = match &item {
+        let mut order: Vec<(&Item, &u32)> = self.hot.iter().collect();
+        order.sort_unstable_by_key(|(item, left)| (item.gravity(), std::cmp::Reverse(**left), *item));
+        for (item, _) in order {
+            let bytes = match item {
                 Item::Word(name) => name.len() + WORD_BYTES,
                 _ => EVIDENCE_BYTES,
             };
             if size + bytes > MESSAGE_BYTES {
                 break;
             }
-            match &item {
+            match item {
                 Item::Word(name) if !self.unsure => {
                     words.extend(self.words.get(name).map(|word| (name.clone(), word)));
                 }
@@ -464,7 +461,7 @@
                 }
             }
             size += bytes;
-            said.push(item);
+            said.push(item.clone());
         }
         for item in said {
             if let Some(left) = self.hot.get_mut(&item) {
@@ -477,7 +474,8 @@
         (!words.is_empty() || !evidence.is_empty()).then_some(Message::News { words, evidence })
     }
 
-    fn digest(&self, answers: bool) -> Message {
+    /// Hashes of all words and of all evidence, by bucket.
+    fn sums(&self) -> Sums {
         let (mut words, mut evidence) = (vec![0u32; BUCKETS], vec![0u32; BUCKETS]);
         if !self.unsure {
             for (name, word) in self.words.iter() {
@@ -491,14 +489,13 @@
             let of = mix(engine ^ mix(u64::from(witness) ^ held.version.0)) ^ mix(u64::from(held.version.1));
             evidence[bucket(engine)] ^= mix(of) as u32;
         }
-        Message::Digest { words, evidence, answers }
+        (words, evidence)
     }
 
-    /// What this router holds in the buckets in which a peer's digest differs, in messages that fit datagrams.
-    fn difference(&mut self, now: u64, theirs: (&[u32], &[u32])) -> Vec<Message> {
-        let Message::Digest { words, evidence, .. } = self.digest(false) else { return Vec::new() };
+    /// What this router holds in the buckets in which a peer's sums differ from its own, in messages that fit datagrams.
+    fn difference(&mut self, now: u64, own: &Sums, theirs: &Sums) -> Vec<Message> {
         let differs = |own: &[u32], their: &[u32], at: usize| own.get(at) != their.get(at);
-        let in_words = |name: &str| differs(&words, theirs.0, bucket(name_hash(name)));
+        let in_words = |name: &str| differs(&own.0, &theirs.0, bucket(name_hash(name)));
         let all: Vec<Named> = self
             .words
             .iter()
@@ -515,7 +512,7 @@
             .filter(|part| !part.is_empty())
             .map(|words| Message::News { words, evidence: Vec::new() })
             .collect();
-        let of = self.table.iter().filter(|(engine, ..)| differs(&evidence, theirs.1, bucket(*engine)));
+        let of = self.table.iter().filter(|(engine, ..)| differs(&own.1, &theirs.1, bucket(*engine)));
         let all: Vec<(u64, u32)> = of.map(|(engine, witness, _)| (engine, witness)).collect();
         let from = self.draw(all.len());
         let some = all.iter().cycle().skip(from).take(all.len().min(HANDED_MOST));
@@ -545,10 +542,12 @@
                 words.into_iter().filter_map(|(name, word)| self.take(now, &name, word)).collect()
             }
             Message::Digest { words, evidence, answers } => {
-                let mut out = self.difference(now, (&words, &evidence));
+                let (own, theirs) = (self.sums(), (words, evidence));
+                let mut out = self.difference(now, &own, &theirs);
                 // Both hand over what the other lacks.
-                if !answers && self.digest(false) != (Message::Digest { words, evidence, answers: false }) {
-                    out.push(self.digest(true));
+                if !answers && own != theirs {
+                    let (words, evidence) = own;
+                    out.push(Message::Digest { words, evidence, answers: true });
                 }
                 to_sender(out)
             }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -241,12 +241,12 @@
         let mut limits: Vec<Limit> = file.limits.iter().map(|l| l.limit.clone()).collect();
         let cold = file.cold.then(|| ColdBudgets::new(&config.settings, limits.len())).flatten();
         let (cold, budgets) = cold.unzip();
+        let terms = file.terms(longest_ns);
         for budget in budgets.into_iter().flatten() {
-            let terms = file.terms(longest_ns);
             info!("{}: {}", budget.name, budget_told(&budget, &terms));
             limits.push(budget);
         }
-        let node = Node::new(now, Peer { number, life: now }, file.terms(longest_ns), limits, KEYS_MOST);
+        let node = Node::new(now, Peer { number, life: now }, terms, limits, KEYS_MOST);
         let rules = file.limits.iter().map(|l| rule(l, config)).collect::<Result<_, _>>()?;
         let limits =
             FleetLimits::new(node, rules, &config.names.tenants, &config.names.classes).with_cold(cold);
--- a/tests/fleet_verdicts.rs
+++ b/tests/fleet_verdicts.rs
@@ -78,7 +78,7 @@
     Duration::from_nanos(heard_within_ns(&terms()) + MACHINE_NS)
 }
 
-/// Waits until all routers follow a word, as their logs say it; `times` ago counts those before.
+/// Waits until all routers that are there leave out these engines and no others, as their logs say it.
 #[track_caller]
 fn all_leave_out(fleet: &mut Fleet, limit: Duration, engines: &str) {
     let last = |f: &Fleet, router: usize| {
