Hear who left and what drains before a round's calls go out; force each crossing in tests

Need: a request whose client left while it waited must not be sent on, and a draining engine gets nothing new, in rare moments too. Calls to engines now go out at the end of a round (`Net::release`). - A round took its news in the order of reading (core `turn`): an attempt was sent again for who had left, a request went to an engine whose drain stood behind it, an old call's answer was given to a new call by its number. `Inbound::place` orders them. - A connection that still came up was not looked at again when its engine drained (engine `change`): with a connect time over 500 ms, or a PostgreSQL session that opens, the send's first byte came too late. What has not begun is ended as never run. - Where settings forbid cancelling, what waited for a connection went out for nobody. `Command::Withdraw` takes it back. - A repeat of a deduplicated class could begin to go out after its window. It is told by when (`begin_by_ns`). - `rest` kept a connection to an address that had passed to another engine. It is kept only for the address it leads to. - An interrupted poll made a round of timers without news: attempts were given up and sent again before who left was heard. - A PostgreSQL client that went behind more than 72 KB of unread input was not noticed: `peer_closed` takes the hang-up's event. - The listener was closed 0.6 s after SIGTERM though over 64 connections stood in it: it is closed once it is empty. - A newcomer made room by a client whose request was unread; a quiet client could be closed on one; the exit reset what it had written to clients with unread input. Also: what a new connection has sent counts in its round, `left_unsent` and `ended_withdrawn` count what was not sent on. Changed test: a load cut before its engine read the call supposed that the call had been written; the engine's end of the connection now says whether it was, and both cases are required to be right.

--- a/crates/core/src/counters.rs
+++ b/crates/core/src/counters.rs
@@ -19,6 +19,8 @@
     pub failed: u64,
     /// Requests whose client left before its answer.
     pub left: u64,
+    /// Those of them that waited: nothing of them had wholly gone to an engine, and nothing did any more.
+    pub left_unsent: u64,
     /// Messages of clients that were turned away before they became requests.
     pub rejected: u64,
     /// Client connections accepted.
@@ -52,7 +54,7 @@
     /// One line with all of them.
     pub fn line(&self) -> String {
         let mut line = format!(
-            "taken={} sent={} served={} refused={} failed={} left={} rejected={} accepted={} opened={} \
+            "taken={} sent={} served={} refused={} failed={} left={} left_unsent={} rejected={} accepted={} opened={} \
              short_of_descriptors={} membership={} spoilt={} reloads={} reloads_failed={}",
             self.taken,
             self.sent,
@@ -60,6 +62,7 @@
             self.refused,
             self.failed,
             self.left,
+            self.left_unsent,
             self.rejected,
             self.accepted,
             self.opened,
--- a/crates/core/src/ending.rs
+++ b/crates/core/src/ending.rs
@@ -33,6 +33,8 @@
     TimedOut,
     /// The attempt was given up.
     GivenUp,
+    /// The attempt was given up before its call was wholly written: it never ran.
+    Withdrawn,
     /// The client closed its connection, or it broke.
     ClientGone,
     /// The client took back one request, or asked for its cancellation.
@@ -70,7 +72,7 @@
 }
 
 /// All endings, for counters.
-pub const ENDINGS: [(Ending, &str); 19] = [
+pub const ENDINGS: [(Ending, &str); 20] = [
     (Ending::Served, "served"),
     (Ending::EngineError, "engine_error"),
     (Ending::Full, "full"),
@@ -85,6 +87,7 @@
     (Ending::Garbled, "garbled"),
     (Ending::TimedOut, "timed_out"),
     (Ending::GivenUp, "given_up"),
+    (Ending::Withdrawn, "withdrawn"),
     (Ending::ClientGone, "client_gone"),
     (Ending::Forgotten, "forgotten"),
     (Ending::Idle, "idle"),
@@ -107,19 +110,31 @@
             }
             Ending::Cut => Meaning::Outcome(Status::Reset),
             Ending::TimedOut => Meaning::Outcome(Status::TimedOut),
-            Ending::GivenUp => Meaning::Outcome(Status::Cancelled),
+            Ending::GivenUp | Ending::Withdrawn => Meaning::Outcome(Status::Cancelled),
             Ending::ClientGone | Ending::Forgotten => Meaning::Left,
             Ending::Idle | Ending::Silent | Ending::Shutdown => Meaning::Nothing,
         }
     }
 
+    /// Whether an attempt that ended so may have run.
+    pub fn may_have_run(self) -> bool {
+        match self.meaning() {
+            Meaning::Outcome(Status::Busy | Status::Refused | Status::Skipped) => false,
+            Meaning::Outcome(_) => self != Ending::Withdrawn,
+            Meaning::Left | Meaning::Nothing => false,
+        }
+    }
+
     /// The one place where an ending becomes evidence of its engine.
     pub fn sight(self) -> Sight {
         match self {
             Ending::Served => Sight::Served,
-            Ending::Refused | Ending::Unreachable | Ending::Cut | Ending::TimedOut | Ending::GivenUp => {
-                Sight::Silent
-            }
+            Ending::Refused
+            | Ending::Unreachable
+            | Ending::Cut
+            | Ending::TimedOut
+            | Ending::GivenUp
+            | Ending::Withdrawn => Sight::Silent,
             Ending::Garbled => Sight::Spoilt,
             // It answered, or was never reached for reasons of this router's own.
             Ending::EngineError
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -185,9 +185,13 @@
         priority: u8,
         /// What to send.
         ask: Rc<Ask>,
+        /// It must not begin to go out later, as a repeat that engines would not drop any more (ns); none for any time.
+        begin_by_ns: Option<u64>,
     },
     /// Give an attempt up; it stays out until its ending is reported.
     GiveUp(Attempt),
+    /// Take an attempt back where its call was not wholly written yet; else leave it alone.
+    Withdraw(Attempt),
     /// Change the priority of an attempt that is out.
     Rank(Attempt, u8),
     /// Give a client its final answer.
@@ -206,6 +210,10 @@
     client: Client,
     /// The final answer was given, or is owed to nobody any more.
     concluded: bool,
+    /// Its client left before the final answer.
+    left: bool,
+    /// When the first attempt that may have run was sent (ns).
+    may_have_run_ns: Option<u64>,
     attempts: u32,
     out: Option<Out>,
     last: Option<Ending>,
@@ -226,6 +234,21 @@
     Membership(MembershipKind, Vec<EngineEntry>),
 }
 
+impl Inbound {
+    /// Its place among what one round brought. Who left is heard first, and then which engines there are: guards against an
+    /// attempt that goes out for nobody, or to an engine that drains, as its cause happened to be read before. A result that
+    /// came goes before a wish to end the request, which came too late then.
+    fn place(&self) -> u8 {
+        match self {
+            Inbound::Left(..) => 0,
+            Inbound::Membership(..) => 1,
+            Inbound::Ended(_, Ending::Served, ..) => 2,
+            Inbound::Cancelled(_) => 3,
+            Inbound::Arrival(_) | Inbound::Note(..) | Inbound::Ended(..) => 4,
+        }
+    }
+}
+
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     Module(TimerToken),
@@ -319,6 +342,8 @@
             ask: Rc::new(ask),
             client,
             concluded: false,
+            left: false,
+            may_have_run_ns: None,
             attempts: 0,
             out: None,
             last: None,
@@ -425,6 +450,7 @@
         self.tell_shares(now_ns, out);
         self.tell_verdicts(now_ns, out);
         let mut batch = std::mem::take(&mut self.batch);
+        batch.sort_by_key(Inbound::place);
         for inbound in batch.drain(..) {
             self.inbound(now_ns, inbound, out);
         }
@@ -553,7 +579,9 @@
             Inbound::Left(id, ending) => {
                 let Some(open) = self.open.get_mut(&id) else { return };
                 if !std::mem::replace(&mut open.concluded, true) {
+                    open.left = true;
                     self.counters.left += 1;
+                    self.counters.left_unsent += u64::from(open.out.is_none());
                     self.counters.ended(ending);
                     debug_assert_eq!(ending.meaning(), Meaning::Left);
                     self.left(now, id, out);
@@ -592,11 +620,21 @@
     /// Nobody waits for a request any more: the module hears of it where it was shown it.
     fn left(&mut self, now: u64, id: RequestId, out: &mut Vec<Command>) {
         if !self.door.as_mut().is_some_and(|d| d.leave(now, id.0)) {
-            self.decide(now, Event::Left(id), out);
+            self.unwanted(now, id, out);
         }
         self.tidy(id);
     }
 
+    /// The module hears that nobody waits for a request. Where it may not, or does not, give up what is out, that is still
+    /// taken back while it waits to be sent.
+    fn unwanted(&mut self, now: u64, id: RequestId, out: &mut Vec<Command>) {
+        self.decide(now, Event::Left(id), out);
+        if let Some(ran) = self.open.get(&id).and_then(|o| o.out.as_ref()).filter(|o| o.given_up_ns.is_none())
+        {
+            out.push(Command::Withdraw(Attempt { request: id, number: ran.number }));
+        }
+    }
+
     fn end_attempt(
         &mut self,
         now: u64,
@@ -611,6 +649,8 @@
         let Some(ran) = open.out.take_if(|o| o.number == at.number) else { return };
         self.counters.ended(ending);
         open.last = Some(ending);
+        self.counters.left_unsent += u64::from(open.left && ending == Ending::Withdrawn);
+        open.may_have_run_ns = open.may_have_run_ns.or(Some(ran.sent_ns).filter(|_| ending.may_have_run()));
         if let Some(verdicts) = &mut self.verdicts {
             verdicts.ended(now, (ran.engine, open.ask.class), (ran.sent_ns, ran.given_up_ns), ending);
         }
@@ -670,7 +710,7 @@
         let waits = self.door.as_ref().is_some_and(|d| d.waits(id.0));
         self.conclude(now, id, answer, out);
         if !waits {
-            self.decide(now, Event::Left(id), out);
+            self.unwanted(now, id, out);
         }
         self.tidy(id);
     }
@@ -721,14 +761,19 @@
                 let attempt = Attempt { request, number: open.attempts };
                 open.attempts += 1;
                 open.out = Some(Out { number: attempt.number, engine, sent_ns: now, given_up_ns: None });
-                let (priority, ask) = (open.priority, open.ask.clone());
+                let (priority, ask, may_have_run_ns) =
+                    (open.priority, open.ask.clone(), open.may_have_run_ns);
                 let class = ask.class.0;
                 debug!("{} attempt {} of class {class} goes to {:016x}", ask.name, attempt.number, engine.0);
                 let due = now.saturating_add(timeout_ns).min(open.expires_ns);
                 self.counters.sent += 1;
                 self.set_timer(due, Timer::TimeOut(attempt));
                 let timeout_ns = due.saturating_sub(now);
-                out.push(Command::Start { attempt, engine, timeout_ns, priority, ask });
+                let class = &self.classes[class];
+                let window_ns = class.dedup_window_ns.filter(|_| class.effect == Effect::Deduplicated);
+                let begin_by_ns =
+                    may_have_run_ns.zip(window_ns).map(|(sent, window)| sent.saturating_add(window));
+                out.push(Command::Start { attempt, engine, timeout_ns, priority, ask, begin_by_ns });
             }
             Action::ColdSent { request, engine, lane, share } => {
                 let class = self.open.get(&request).map(|open| open.ask.class);
--- a/crates/core/tests/door.rs
+++ b/crates/core/tests/door.rs
@@ -93,7 +93,8 @@
                         self.out.retain(|(a, _)| *a != at);
                         self.router.ended(at, Ending::GivenUp, None, None);
                     }
-                    Command::Rank(..) => {}
+                    // Engines have their calls whole at once here.
+                    Command::Rank(..) | Command::Withdraw(_) => {}
                 }
             }
             if !self.router.has_news() {
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -1,6 +1,7 @@
 //! Engines that speak HTTP/1.1: one call at a time on a connection, queries that belong to no connection.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use log::debug;
@@ -52,6 +53,8 @@
 
 struct Line {
     engine: EngineId,
+    /// Where it leads, which may be another's address by now.
+    to: SocketAddr,
     role: Role,
     up: bool,
     /// When its present call was made, or its last answer came.
@@ -71,6 +74,7 @@
     class: String,
     timeout_ns: u64,
     once: bool,
+    begin_by_ns: Option<u64>,
     /// The call that starts it was wholly written.
     whole: bool,
     /// The engine has answered something about it.
@@ -93,6 +97,11 @@
     leaving: Option<Leaving>,
 }
 
+/// Whether nothing of the call that starts a query has gone out.
+fn unbegun(cx: &Context, run: &Run) -> bool {
+    !run.whole && run.conn.is_none_or(|conn| cx.net.is_unbegun(conn))
+}
+
 /// The backend for such engines.
 pub struct HttpEngines {
     targets: Targets<Vec<u64>>,
@@ -118,6 +127,7 @@
     /// A connection for one call: an idle one that was of use just now, else a new one.
     fn line(&mut self, cx: &mut Context, engine: EngineId, role: Role, fresh: bool) -> Result<u64, Ending> {
         let known = self.targets.get(engine).ok_or(Ending::NoDescriptor)?;
+        let to = known.address;
         let age = |conn: &u64| self.lines.get(conn).map(|l| cx.now.saturating_sub(l.since_ns));
         let fit = |conn: &u64| age(conn).is_some_and(|age| (QUIET_NS..=REUSE_NS).contains(&age));
         if let Some(at) = known.own.iter().rposition(fit).filter(|_| !fresh) {
@@ -131,7 +141,7 @@
             Role::Post(_) => self.targets.connect_for_work(cx, engine)?,
             _ => self.targets.connect(cx, engine)?,
         };
-        self.lines.insert(conn, Line { engine, role, up: false, since_ns: cx.now });
+        self.lines.insert(conn, Line { engine, to, role, up: false, since_ns: cx.now });
         Ok(conn)
     }
 
@@ -152,7 +162,7 @@
     fn rest(&mut self, cx: &mut Context, conn: Option<u64>) {
         let Some((conn, line)) = conn.and_then(|c| Some((c, self.lines.get_mut(&c)?))) else { return };
         (line.role, line.since_ns) = (Role::Idle, cx.now);
-        match self.targets.get(line.engine).filter(|k| k.listed && k.own.len() < IDLE_MOST) {
+        match self.targets.keeps(line.engine, line.to).filter(|k| k.own.len() < IDLE_MOST) {
             Some(known) => known.own.push(conn),
             None => self.close(cx, conn),
         }
@@ -180,9 +190,20 @@
         }
     }
 
+    /// Ends an attempt whose call was not wholly written: without the rest it never runs, so closing its connection is enough.
+    fn take_back(&mut self, cx: &mut Context, at: Attempt, ending: Ending) {
+        let conn = self.runs.get_mut(&at).and_then(|r| r.conn.take());
+        self.end(cx, at, ending);
+        conn.into_iter().for_each(|conn| self.close(cx, conn));
+    }
+
     fn post(&mut self, cx: &mut Context, at: Attempt, fresh: bool) {
         let Some(run) = self.runs.get(&at) else { return };
         let engine = run.engine;
+        // Guards against new work for an engine that began to drain while the connections before came to nothing.
+        if !self.targets.serves(engine) {
+            return self.end(cx, at, Ending::Unsent);
+        }
         // An idle connection may close as it is written to, and then nobody knows what came of it.
         let conn = match self.line(cx, engine, Role::Post(at), fresh || run.once) {
             Ok(conn) => conn,
@@ -488,11 +509,15 @@
         self.targets.set_openings(openings);
     }
 
-    fn change(&mut self, change: &Change) {
+    fn change(&mut self, cx: &mut Context, change: &Change) {
         let (runs, lines) = (&self.runs, &self.lines);
         self.targets.change(change, |id| {
             runs.values().any(|r| r.engine == id) || lines.values().any(|l| l.engine == id)
         });
+        let targets = &self.targets;
+        let over = |r: &Run| unbegun(cx, r) && !targets.serves(r.engine);
+        let over: Vec<Attempt> = runs.iter().filter(|(_, r)| over(r)).map(|(at, _)| *at).collect();
+        over.into_iter().for_each(|at| self.take_back(cx, at, Ending::Unsent));
     }
 
     fn start(&mut self, cx: &mut Context, start: Start) {
@@ -502,6 +527,7 @@
             class: start.class,
             timeout_ns: start.timeout_ns,
             once: start.once,
+            begin_by_ns: start.begin_by_ns,
             whole: false,
             known: false,
             conn: None,
@@ -524,20 +550,22 @@
     }
 
     fn give_up(&mut self, cx: &mut Context, at: Attempt) {
+        self.withdraw(cx, at);
         let Some(run) = self.runs.get_mut(&at).filter(|r| r.leaving.is_none()) else { return };
-        if !run.whole {
-            // Not wholly written: closing the connection is enough, it never ran.
-            let conn = run.conn.take();
-            self.end(cx, at, Ending::GivenUp);
-            if let Some(conn) = conn {
-                self.close(cx, conn);
-            }
-            return;
-        }
         run.leaving = Some(Leaving { conn: None, again_ns: cx.now });
         self.tell_leaving(cx, at);
     }
 
+    fn withdraw(&mut self, cx: &mut Context, at: Attempt) {
+        if self.runs.get(&at).is_some_and(|r| !r.whole) {
+            self.take_back(cx, at, Ending::Withdrawn);
+        }
+    }
+
+    fn flushed(&mut self, cx: &mut Context, conn: u64) {
+        self.written(cx, conn);
+    }
+
     fn rank(&mut self, cx: &mut Context, at: Attempt, priority: u8) {
         self.runs.entry(at).and_modify(|r| r.priority = priority);
         self.tell_rank(cx, at);
@@ -599,6 +627,10 @@
         late.sort_unstable();
         stale.into_iter().for_each(|conn| self.close(cx, conn));
         late.into_iter().for_each(|(conn, ending)| self.lost(cx, conn, ending));
+        // Guards against a repeat that goes out, as its connection comes up late, when engines would run it again.
+        let late = |r: &Run| unbegun(cx, r) && r.begin_by_ns.is_some_and(|by| cx.now > by);
+        let late: Vec<Attempt> = self.runs.iter().filter(|(_, r)| late(r)).map(|(at, _)| *at).collect();
+        late.into_iter().for_each(|at| self.take_back(cx, at, Ending::Unsent));
         // Guards against waiting for a query on an engine that is cut off: since it could last have been asked it
         // has ended the query by itself, if it ever took it up.
         let over = |r: &Run| r.whole && r.leaving.is_none() && cx.now > r.asked_ns + FORGOTTEN_NS;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -31,6 +31,8 @@
     pub class: String,
     /// It must never run twice.
     pub once: bool,
+    /// It must not begin to go out later (ns); none for any time.
+    pub begin_by_ns: Option<u64>,
 }
 
 /// What a backend works with while it is called.
@@ -47,12 +49,16 @@
 pub trait Backend {
     /// Opens connections for new work at this pace from here on, drawn by this seed.
     fn set_openings(&mut self, openings: Option<(Openings, u64)>);
-    /// Takes news of the engines.
-    fn change(&mut self, change: &Change);
+    /// Takes news of the engines. What has not begun to go out to one that takes no new work any more never does.
+    fn change(&mut self, cx: &mut Context, change: &Change);
     /// Sends an attempt.
     fn start(&mut self, cx: &mut Context, start: Start);
     /// Gives an attempt up. Its ending is reported once the engine has been told.
     fn give_up(&mut self, cx: &mut Context, attempt: Attempt);
+    /// Takes an attempt back where its call was not wholly written yet, and reports its ending; else does nothing.
+    fn withdraw(&mut self, cx: &mut Context, attempt: Attempt);
+    /// Takes note of what was written to a connection of this backend at the end of a round.
+    fn flushed(&mut self, cx: &mut Context, conn: u64);
     /// Changes an attempt's priority.
     fn rank(&mut self, cx: &mut Context, attempt: Attempt, priority: u8);
     /// Takes what has happened on a connection of this backend.
@@ -74,6 +80,8 @@
     pub address: SocketAddr,
     /// The list names it.
     pub listed: bool,
+    /// It takes new work.
+    pub serves: bool,
     /// What the backend keeps for it.
     pub own: T,
     /// How fast connections for new work are opened to it; none for any pace.
@@ -91,18 +99,19 @@
     pub fn change(&mut self, change: &Change, busy: impl Fn(EngineId) -> bool) {
         use marljunction_control::interface::{EngineState, MembershipKind};
         if change.kind != MembershipKind::Delta {
-            self.all.values_mut().for_each(|k| k.listed = false);
+            self.all.values_mut().for_each(|k| (k.listed, k.serves) = (false, false));
         }
         for target in &change.targets {
             let listed = target.entry.state != EngineState::Gone;
-            let new = || Known { address: target.address, listed, own: T::default(), opening: None };
+            let serves = target.entry.state == EngineState::Ready;
+            let new = || Known { address: target.address, listed, serves, own: T::default(), opening: None };
             let known = self.all.entry(target.entry.engine).or_insert_with(new);
             if known.address != target.address {
                 // Guards against a call that goes to whoever has the engine's old address now.
                 known.own = T::default();
                 known.opening = None;
             }
-            (known.address, known.listed) = (target.address, listed);
+            (known.address, known.listed, known.serves) = (target.address, listed, serves);
         }
         // Guards against a table that grows with every engine that ever was.
         self.all.retain(|id, known| known.listed || busy(*id));
@@ -156,6 +165,17 @@
         Ok(conn)
     }
 
+    /// Whether one of them takes new work.
+    pub fn serves(&self, engine: EngineId) -> bool {
+        self.all.get(&engine).is_some_and(|k| k.serves)
+    }
+
+    /// One of them, where a connection to `to` may be kept for its further calls. Guards against one to an address that has
+    /// passed to another engine since.
+    pub fn keeps(&mut self, engine: EngineId, to: SocketAddr) -> Option<&mut Known<T>> {
+        self.get(engine).filter(|k| k.listed && k.address == to)
+    }
+
     /// One of them.
     pub fn get(&mut self, engine: EngineId) -> Option<&mut Known<T>> {
         self.all.get_mut(&engine)
--- a/crates/engine/src/postgres.rs
+++ b/crates/engine/src/postgres.rs
@@ -2,6 +2,7 @@
 //! `CancelRequest`. A session is used again only after `ReadyForQuery` in no transaction.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::BytesMut;
@@ -46,6 +47,8 @@
 
 struct Line {
     engine: EngineId,
+    /// Where it leads, which may be another's address by now.
+    to: SocketAddr,
     role: Role,
     up: bool,
     key: Option<(i32, i32)>,
@@ -56,6 +59,7 @@
     engine: EngineId,
     ask: Rc<Ask>,
     conn: u64,
+    begin_by_ns: Option<u64>,
     /// The query was handed to the connection, and wholly written to it.
     sent: bool,
     whole: bool,
@@ -126,6 +130,11 @@
     Some(bytes)
 }
 
+/// Whether nothing of an attempt's query has gone out.
+fn unbegun(cx: &Context, run: &Run) -> bool {
+    !run.whole && (!run.sent || cx.net.is_unbegun(run.conn))
+}
+
 impl PostgresEngines {
     /// No engines yet; sessions are opened as this user, on this database.
     pub fn new(user: String, database: String, connect_ns: u64) -> Self {
@@ -134,11 +143,12 @@
     }
 
     fn connect(&mut self, cx: &mut Context, engine: EngineId, role: Role) -> Result<u64, Ending> {
+        let to = self.targets.get(engine).ok_or(Ending::NoDescriptor)?.address;
         let conn = match role {
             Role::Opens(_) => self.targets.connect_for_work(cx, engine)?,
             _ => self.targets.connect(cx, engine)?,
         };
-        self.lines.insert(conn, Line { engine, role, up: false, key: None, since_ns: cx.now });
+        self.lines.insert(conn, Line { engine, to, role, up: false, key: None, since_ns: cx.now });
         Ok(conn)
     }
 
@@ -195,7 +205,7 @@
             Some(bytes) => {
                 run.sent = true;
                 cx.net.send(conn, &bytes);
-                run.whole = cx.net.drained(conn);
+                self.written(cx, conn);
             }
             None => {
                 run.failed = Some(Fault { state: "22021".into(), message: "the text is not UTF-8".into() });
@@ -205,10 +215,29 @@
         }
     }
 
+    /// Takes note of a query that has been wholly written.
+    fn written(&mut self, cx: &mut Context, conn: u64) {
+        if let Some(Role::Runs(at)) = self.lines.get(&conn).map(|l| l.role) {
+            let drained = cx.net.drained(conn);
+            self.runs.entry(at).and_modify(|r| r.whole |= r.sent && drained);
+        }
+    }
+
+    /// Ends an attempt whose query was not wholly written: it never ran, and without the rest it never will. A session that
+    /// still opens is kept for others.
+    fn take_back(&mut self, cx: &mut Context, at: Attempt, ending: Ending) {
+        let Some((conn, sent)) = self.runs.get(&at).map(|r| (r.conn, r.sent)) else { return };
+        self.end(cx, at, ending);
+        match self.lines.get_mut(&conn) {
+            Some(line) if !sent => line.role = Role::Opens(None),
+            _ => self.close(cx, conn),
+        }
+    }
+
     fn rest(&mut self, cx: &mut Context, conn: u64) {
         let Some(line) = self.lines.get_mut(&conn) else { return };
         (line.role, line.since_ns) = (Role::Idle, cx.now);
-        match self.targets.get(line.engine).filter(|k| k.listed && k.own.len() < IDLE_MOST) {
+        match self.targets.keeps(line.engine, line.to).filter(|k| k.own.len() < IDLE_MOST) {
             Some(known) => known.own.push(conn),
             None => self.close(cx, conn),
         }
@@ -333,11 +362,15 @@
         self.targets.set_openings(openings);
     }
 
-    fn change(&mut self, change: &Change) {
+    fn change(&mut self, cx: &mut Context, change: &Change) {
         let (runs, lines) = (&self.runs, &self.lines);
         self.targets.change(change, |id| {
             runs.values().any(|r| r.engine == id) || lines.values().any(|l| l.engine == id)
         });
+        let targets = &self.targets;
+        let over = |r: &Run| unbegun(cx, r) && !targets.serves(r.engine);
+        let over: Vec<Attempt> = runs.iter().filter(|(_, r)| over(r)).map(|(at, _)| *at).collect();
+        over.into_iter().for_each(|at| self.take_back(cx, at, Ending::Unsent));
     }
 
     fn start(&mut self, cx: &mut Context, start: Start) {
@@ -348,7 +381,7 @@
         };
         #[rustfmt::skip]
         let run = Run {
-            engine: start.engine, ask: start.ask, conn, sent: false, whole: false, starts: 1, columns: Vec::new(), rows: Vec::new(), bytes: 0,
+            engine: start.engine, ask: start.ask, conn, begin_by_ns: start.begin_by_ns, sent: false, whole: false, starts: 1, columns: Vec::new(), rows: Vec::new(), bytes: 0,
             complete: false, failed: None, leaving_ns: None,
         };
         self.runs.insert(at, run);
@@ -358,18 +391,9 @@
     }
 
     fn give_up(&mut self, cx: &mut Context, at: Attempt) {
+        self.withdraw(cx, at);
         let Some(run) = self.runs.get_mut(&at).filter(|r| r.leaving_ns.is_none()) else { return };
         let (conn, engine) = (run.conn, run.engine);
-        if !run.whole {
-            // Not wholly sent: it never ran, and without the rest it never will.
-            let sent = run.sent;
-            self.end(cx, at, Ending::GivenUp);
-            match self.lines.get_mut(&conn) {
-                Some(line) if !sent => line.role = Role::Opens(None),
-                _ => self.close(cx, conn),
-            }
-            return;
-        }
         run.leaving_ns = Some(cx.now);
         let Some((number, key)) = self.lines.get(&conn).and_then(|l| l.key) else {
             return self.lost(cx, conn, Ending::Cut);
@@ -381,6 +405,16 @@
         }
     }
 
+    fn withdraw(&mut self, cx: &mut Context, at: Attempt) {
+        if self.runs.get(&at).is_some_and(|r| !r.whole) {
+            self.take_back(cx, at, Ending::Withdrawn);
+        }
+    }
+
+    fn flushed(&mut self, cx: &mut Context, conn: u64) {
+        self.written(cx, conn);
+    }
+
     fn rank(&mut self, _: &mut Context, _: Attempt, _: u8) {
         // The protocol has no priorities.
     }
@@ -392,11 +426,8 @@
                 self.targets.came_up(line.engine);
             }
             line.up |= look.up;
-            if let Role::Runs(at) = line.role {
-                let drained = cx.net.drained(conn);
-                self.runs.entry(at).and_modify(|r| r.whole |= r.sent && drained);
-            }
         }
+        self.written(cx, conn);
         while self.lines.contains_key(&conn) {
             let input = cx.net.input(conn);
             let size = match Header::parse(input) {
@@ -441,5 +472,9 @@
         }
         over.sort_unstable();
         over.into_iter().for_each(|(conn, ending)| self.lost(cx, conn, ending));
+        // Guards against a repeat that goes out, as its session opens late, when engines would run it again.
+        let late = |r: &Run| unbegun(cx, r) && r.begin_by_ns.is_some_and(|by| cx.now > by);
+        let late: Vec<Attempt> = self.runs.iter().filter(|(_, r)| late(r)).map(|(at, _)| *at).collect();
+        late.into_iter().for_each(|at| self.take_back(cx, at, Ending::Unsent));
     }
 }
--- a/crates/engine/tests/give_up.rs
+++ b/crates/engine/tests/give_up.rs
@@ -30,17 +30,18 @@
     fn new() -> World {
         let poll = Poll::new().unwrap();
         let registry = poll.registry().try_clone().unwrap();
-        let net = Net::new(registry, 10, Room::of(64, 64.0));
+        let mut net = Net::new(registry, 10, Room::of(64, 64.0));
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let entry = EngineEntry { engine: EngineId(1), state: EngineState::Ready, ..EngineEntry::default() };
         let target = Target { entry, address: listener.local_addr().unwrap() };
         let mut engines = HttpEngines::new(30_000 * MS, 250 * MS);
-        engines.change(&Change { kind: MembershipKind::Full, targets: vec![target] });
         let class = ClassSettings { aim_ns: 9_000 * MS, deadline_ns: 9_000 * MS, ..ClassSettings::default() };
         let settings = Settings { classes: vec![class], may_cancel: true, ..Settings::default() };
         let mut router = Router::new(settings, 1, 64.0);
         router.membership(MembershipKind::Full, vec![entry]);
         router.turn(T0, &mut Vec::new());
+        let mut cx = Context { now: T0, net: &mut net, router: &mut router };
+        engines.change(&mut cx, &Change { kind: MembershipKind::Full, targets: vec![target] });
         World { poll, net, router, engines, listener, now: T0 }
     }
 
@@ -115,6 +116,7 @@
             ask: Rc::new(ask),
             class: "lookup".into(),
             once: false,
+            begin_by_ns: None,
         };
         let mut cx = Context { now: self.now, net: &mut self.net, router: &mut self.router };
         self.engines.start(&mut cx, start);
--- a/crates/front/src/msgpack.rs
+++ b/crates/front/src/msgpack.rs
@@ -198,7 +198,7 @@
     /// in which each would push out the one before it with its call under way.
     pub fn idle(&self, now: u64) -> Option<u64> {
         let settled = |c: &Caller| c.called || now > c.since_ns + FRESH_NS;
-        let idle = self.callers.iter().filter(|(_, c)| c.open.is_empty() && settled(c));
+        let idle = self.callers.iter().filter(|(_, c)| c.open.is_empty() && !c.more && settled(c));
         idle.min_by_key(|(conn, c)| (c.called && c.rejected == 0, c.since_ns, **conn)).map(|(conn, _)| *conn)
     }
 
@@ -233,7 +233,9 @@
         let mut over: Vec<u64> = self.callers.iter().filter(|(_, c)| quiet(c)).map(|(c, _)| *c).collect();
         over.sort_unstable();
         for conn in over {
-            if net.input(conn).is_empty() {
+            // Guards against closing one on a request that has come since it was last looked at.
+            self.ready(now, net, router, conn);
+            if self.callers.get(&conn).is_some_and(quiet) && net.input(conn).is_empty() {
                 self.forget(router, conn, Ending::Idle);
                 net.finish(now, conn);
             }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -78,6 +78,8 @@
     connecting: bool,
     /// It has more to read than was taken so far.
     more: bool,
+    /// Its peer has closed its side, whatever it sent before that was not read yet.
+    closed: bool,
     ended: Option<Ending>,
     /// While it is being ended: what it may still send, and until when.
     discard: (usize, u64),
@@ -94,6 +96,9 @@
     room: Room,
     leavers: Vec<u64>,
     scratch: Vec<u8>,
+    /// Calls to engines wait for [`Net::release`].
+    holds: bool,
+    held: Vec<u64>,
 }
 
 /// What became of a connection when it was last looked at.
@@ -120,6 +125,50 @@
             room,
             leavers: Vec::new(),
             scratch: vec![0; 64 << 10],
+            holds: false,
+            held: Vec::new(),
+        }
+    }
+
+    /// From here on, calls to engines are written by [`Net::release`] only, at the end of a round. Guards against a call that
+    /// goes out as its connection comes up, in the very round that also brings its client's leaving, or a drain of its engine.
+    pub fn hold_calls(&mut self) {
+        self.holds = true;
+    }
+
+    /// Writes what waits for engines, as far as it can be written; gives the connections that it was written to.
+    pub fn release(&mut self) -> Vec<u64> {
+        let mut held = std::mem::take(&mut self.held);
+        held.sort_unstable();
+        held.dedup();
+        held.iter().for_each(|id| self.flush(*id));
+        held
+    }
+
+    /// Writes what can be written, or has it wait for the end of the round.
+    fn put(&mut self, id: u64) {
+        match self.conns.get(&id) {
+            Some(conn) if self.holds && conn.owner == Owner::Engine => {
+                if !conn.connecting && !conn.output.is_empty() {
+                    self.held.push(id);
+                }
+            }
+            _ => self.flush(id),
+        }
+    }
+
+    /// Whether something waits to be written of which no byte has gone out.
+    pub fn is_unbegun(&self, id: u64) -> bool {
+        self.conns.get(&id).is_some_and(|c| c.written == 0 && !c.output.is_empty())
+    }
+
+    /// The peer has closed its side. Guards against a client that has gone, unseen behind what it sent before: reading from it
+    /// may be at rest for as long as its request runs.
+    pub fn peer_closed(&mut self, id: u64) {
+        if let Some(conn) =
+            self.conns.get_mut(&id).filter(|c| matches!(c.owner, Owner::Msgpack | Owner::Postgres))
+        {
+            conn.closed = true;
         }
     }
 
@@ -151,7 +200,7 @@
         self.client_conns += usize::from(owner.is_client());
         #[rustfmt::skip]
         let conn = Conn {
-            stream, owner, connecting, input: Vec::new(), output: Vec::new(), written: 0, more: false, ended: None,
+            stream, owner, connecting, input: Vec::new(), output: Vec::new(), written: 0, more: false, closed: false, ended: None,
             discard: (0, 0),
         };
         self.conns.insert(self.serial, conn);
@@ -199,6 +248,14 @@
         self.close(id);
     }
 
+    /// Ends all clients' connections behind what was written to them, as the program ends. Guards against answers that are
+    /// reset away: what ends with unread input resets its connection.
+    pub fn finish_all(&mut self, now: u64) {
+        let clients = |(id, c): (&u64, &Conn)| c.owner.is_client().then_some(*id);
+        let clients: Vec<u64> = self.conns.iter().filter_map(clients).collect();
+        clients.into_iter().for_each(|id| self.finish(now, id));
+    }
+
     /// Closes the oldest connection that is being ended, to make room; false where there is none.
     pub fn drop_leaver(&mut self) -> bool {
         let oldest = self.leavers.iter().copied().find(|id| self.conns.contains_key(id));
@@ -245,7 +302,7 @@
         }
         conn.output.extend_from_slice(bytes);
         self.waiting += bytes.len();
-        self.flush(id);
+        self.put(id);
         true
     }
 
@@ -301,9 +358,12 @@
                 }
             }
         }
-        self.flush(id);
+        self.put(id);
         let Some(conn) = self.conns.get_mut(&id) else { return lost };
         conn.more = false;
+        if conn.closed {
+            conn.ended = conn.ended.or(Some(Ending::Cut));
+        }
         while conn.ended.is_none() {
             if conn.input.len() >= INPUT_MOST {
                 conn.more = true;
--- a/crates/net/tests/close.rs
+++ b/crates/net/tests/close.rs
@@ -20,3 +20,44 @@
         "the engine saw {read:?}, not a reset"
     );
 }
+
+#[test]
+fn what_was_written_to_a_client_outlives_the_program_s_end_though_it_sent_more() {
+    let poll = mio::Poll::new().unwrap();
+    let mut net = Net::new(poll.registry().try_clone().unwrap(), 1, Room::of(64, 64.0));
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    client.set_read_timeout(Some(std::time::Duration::from_secs(8))).unwrap();
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let id = net.adopt(mio::net::TcpStream::from_std(stream), Owner::Msgpack).unwrap();
+    assert!(net.send(id, b"the answer"));
+    std::io::Write::write_all(&mut client, b"more than was asked for").unwrap();
+    net.finish_all(0);
+    drop(net);
+    let mut got = Vec::new();
+    client.read_to_end(&mut got).expect("an end, not a reset");
+    assert_eq!(got, b"the answer");
+}
+
+#[test]
+fn a_client_that_has_closed_is_gone_though_no_more_is_read_from_it() {
+    let mut poll = mio::Poll::new().unwrap();
+    let mut net = Net::new(poll.registry().try_clone().unwrap(), 1, Room::of(64, 64.0));
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let id = net.adopt(mio::net::TcpStream::from_std(stream), Owner::Postgres).unwrap();
+    // More than is read before its owner takes some of it.
+    std::io::Write::write_all(&mut client, &[b'x'; 100 << 10]).unwrap();
+    assert_eq!(net.service(id).ended, None);
+    drop(client);
+    let mut events = mio::Events::with_capacity(4);
+    while !events.iter().any(|e| e.is_read_closed()) {
+        poll.poll(&mut events, Some(std::time::Duration::from_secs(8))).unwrap();
+        assert!(!events.is_empty(), "no event tells of the end");
+    }
+    net.peer_closed(id);
+    assert!(net.service(id).ended.is_some());
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -275,6 +275,7 @@
             ticked_ns: 0,
             commands: Vec::new(),
         };
+        daemon.net.hold_calls();
         daemon.read_bans(daemon.clock.now_ns());
         let told = config.known.iter().any(|update| !update.change.targets.is_empty());
         for update in config.known {
@@ -297,7 +298,9 @@
     }
 
     fn tell(&mut self, change: Change) {
-        self.engines.change(&change);
+        let now = self.clock.now_ns();
+        let mut cx = Context { now, net: &mut self.net, router: &mut self.router };
+        self.engines.change(&mut cx, &change);
         let entries = change.targets.iter().map(|t| t.entry).collect();
         self.router.membership(change.kind, entries);
     }
@@ -348,12 +351,20 @@
         loop {
             match self.poll.poll(&mut events, Some(self.wait())) {
                 Ok(()) => {}
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // Guards against a process that stood still and finds its timers past and its news unread: what is due is looked at
+                // with what came, never before it.
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
                 Err(e) => return Err(format!("poll: {e}")),
             }
             let now = self.clock.now_ns();
+            for event in events.iter().filter(|e| e.is_read_closed()) {
+                self.net.peer_closed(event.token().0 as u64);
+            }
             let mut tokens: Vec<usize> = events.iter().map(|e| e.token().0).collect();
             tokens.extend(std::mem::take(&mut self.unread).into_iter().map(|conn| conn as usize));
+            // Who is connected has its turn before who comes. Guards against a connection that makes room for another with its
+            // request unread.
+            tokens.sort_by_key(|token| matches!(Token(*token), MSGPACK | POSTGRES | OPERATOR));
             for token in tokens {
                 match Token(token) {
                     MSGPACK | POSTGRES => self.accept(now),
@@ -372,7 +383,9 @@
             }
             self.turn();
             self.end_all(now);
+            self.release();
             if self.finished(now) {
+                self.net.finish_all(now);
                 self.tell_counters();
                 let line = self.counters_line();
                 info!("ends; {line}");
@@ -395,7 +408,7 @@
         self.accept_at = None;
         for (owner, at) in [(Owner::Msgpack, 0), (Owner::Postgres, 1)] {
             let mut accepted = 0;
-            while let Some(listener) = &self.listeners[at] {
+            while self.listeners[at].is_some() {
                 // Guards against hundreds that connect at once: who is connected already has its turn first.
                 accepted += 1;
                 if accepted > ACCEPT_MOST {
@@ -404,11 +417,12 @@
                 }
                 let full = self.net.clients() >= self.clients_most && !self.net.drop_leaver();
                 // Guards against running out of descriptors: who has nothing open makes room, else all wait.
-                let idle = if full { self.msgpack.idle(now) } else { None };
+                let idle = if full { self.idle(now) } else { None };
                 if full && idle.is_none() {
                     self.accept_at = Some(now + ACCEPT_AGAIN_NS);
                     return;
                 }
+                let Some(listener) = &self.listeners[at] else { break };
                 match listener.accept().map(|(stream, from)| (self.net.adopt(stream, owner), from.ip())) {
                     Ok((Ok(conn), peer)) => {
                         self.router.counters.accepted += 1;
@@ -420,6 +434,9 @@
                             (Owner::Postgres, Some(front)) => front.accept(now, conn, peer),
                             _ => self.msgpack.accept(now, conn, peer),
                         }
+                        // What it has sent counts in this round: guards against a cancel that is heard only after what it ends has
+                        // gone out.
+                        self.ready(now, conn);
                     }
                     Ok((Err(_), _)) => {}
                     Err(e) if e.kind() == ErrorKind::WouldBlock => break,
@@ -436,6 +453,17 @@
         }
     }
 
+    /// The client that makes room for another, looked at once more: a request may have come since.
+    fn idle(&mut self, now: u64) -> Option<u64> {
+        loop {
+            let idle = self.msgpack.idle(now)?;
+            self.ready(now, idle);
+            if self.msgpack.idle(now) == Some(idle) {
+                return Some(idle);
+            }
+        }
+    }
+
     /// Callers at the operators' door: taken at once, however busy the router is, within the door's bound.
     fn accept_operators(&mut self, now: u64) {
         for _ in 0..ACCEPT_MOST {
@@ -801,13 +829,14 @@
     fn carry_out(&mut self, now: u64, command: Command) {
         let mut cx = Context { now, net: &mut self.net, router: &mut self.router };
         match command {
-            Command::Start { attempt, engine, timeout_ns, priority, ask } => {
+            Command::Start { attempt, engine, timeout_ns, priority, ask, begin_by_ns } => {
                 let class = self.directory.class_name(ask.class).to_owned();
                 let once = self.settings.classes[ask.class.0].effect == Effect::AtMostOnce;
-                let start = Start { attempt, engine, timeout_ns, priority, ask, class, once };
+                let start = Start { attempt, engine, timeout_ns, priority, ask, class, once, begin_by_ns };
                 self.engines.start(&mut cx, start);
             }
             Command::GiveUp(attempt) => self.engines.give_up(&mut cx, attempt),
+            Command::Withdraw(attempt) => self.engines.withdraw(&mut cx, attempt),
             Command::Rank(attempt, priority) => self.engines.rank(&mut cx, attempt, priority),
             Command::Answer(client, answer) => match (self.net.owner(client.conn), &mut self.postgres) {
                 (Some(Owner::Msgpack), _) => {
@@ -821,31 +850,52 @@
         }
     }
 
+    /// Lets out what the round has for engines.
+    fn release(&mut self) {
+        let now = self.clock.now_ns();
+        for conn in self.net.release() {
+            let mut cx = Context { now, net: &mut self.net, router: &mut self.router };
+            self.engines.flushed(&mut cx, conn);
+        }
+    }
+
     /// Guards against requests that SIGKILL finds unanswered: they get an answer while there is time.
     fn end_all(&mut self, now: u64) {
-        let longest = self.settings.classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0);
-        let end_ns = longest.min(END_DEADLINE_NS) + END_NS;
-        if self.phase.stopping_since().is_some_and(|since| now >= since + end_ns) && self.router.owed() > 0 {
+        if self.is_last(now) && self.router.owed() > 0 {
             let mut commands = Vec::new();
             self.router.end_all(&mut commands, now);
             commands.into_iter().for_each(|command| self.carry_out(now, command));
         }
     }
 
+    /// Whether the process has been told to stop for so long that it may be killed soon.
+    fn is_last(&self, now: u64) -> bool {
+        let longest = self.settings.classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0);
+        let end_ns = longest.min(END_DEADLINE_NS) + END_NS;
+        self.phase.stopping_since().is_some_and(|since| now >= since + end_ns)
+    }
+
     /// After SIGTERM: takes nothing new past a while, and ends once all is answered and written.
     fn finished(&mut self, now: u64) -> bool {
         let Some(since) = self.phase.stopping_since() else { return false };
-        if now >= since + ACCEPT_ON_NS {
-            // The operators' door stays open to the end: it tells that the process is not ready.
-            (self.listeners[0], self.listeners[1]) = (None, None);
+        let listens = |daemon: &Daemon| daemon.listeners[..2].iter().any(Option::is_some);
+        if now >= since + ACCEPT_ON_NS && listens(self) {
+            // Guards against connections that the machine has accepted and a listener that closes would reset, with the
+            // requests on them: it is closed once nothing waits in it.
+            self.accept(now);
+            if self.accept_at.is_none() {
+                // The operators' door stays open to the end: it tells that the process is not ready.
+                (self.listeners[0], self.listeners[1]) = (None, None);
+            }
         }
-        if self.router.owed() > 0 || !self.net.all_written() {
+        let answered = self.router.owed() == 0 && self.net.all_written() && self.unread.is_empty();
+        if !answered {
             self.quiet_since = None;
         }
         // Guards against an answer that is reset away: an exit with unread input resets its connection, so the
         // client gets time to read what was just written.
         let quiet = *self.quiet_since.get_or_insert(now);
-        let answered = self.router.owed() == 0 && self.net.all_written();
-        now >= since + STAY_NS && answered && now >= quiet + LINGER_NS
+        let listens = listens(self) && !self.is_last(now);
+        now >= since + STAY_NS && answered && !listens && now >= quiet + LINGER_NS
     }
 }
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -152,6 +152,10 @@
     peers: BTreeMap<String, Peer>,
     kept: HashMap<String, Vec<u8>>,
     filling: Vec<TcpStream>,
+    /// When the program was told to end.
+    termed: Option<Instant>,
+    /// What must never have reached an engine.
+    never: Vec<Vec<u8>>,
 }
 
 impl Stage {
@@ -179,6 +183,13 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": if with("few sockets") { 64 } else { 1024 }},
             "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"all": true, "targets": targets[..count]}}]},
             "settings": serde_json::from_str::<serde_json::Value>(SETTINGS).unwrap()});
+        // Far longer than a handshake that comes late takes.
+        if with("late connections") {
+            config["settings"]["limits"]["connect_timeout_ns"] = json!(20_000_000_000_u64);
+        }
+        if with("no cancelling") {
+            config["settings"]["limits"]["cancelling"] = json!(false);
+        }
         if with("coordinator") {
             config["coordinator"] = json!(coordinator);
         }
@@ -223,8 +234,12 @@
         }
         let port = |l: &TcpListener| l.local_addr().unwrap().port().to_string().into_bytes();
         let kept = listeners.iter().map(|(name, l)| (format!("address of {name}"), port(l))).collect();
-        let (peers, filling) = (BTreeMap::new(), Vec::new());
-        Stage { child, log, dir, config, postgres: file, fronts, listeners, peers, kept, filling }
+        let (peers, filling, termed, never) = (BTreeMap::new(), Vec::new(), None, Vec::new());
+        #[rustfmt::skip]
+        let stage = Stage {
+            child, log, dir, config, postgres: file, fronts, listeners, peers, kept, filling, termed, never,
+        };
+        stage
     }
 
     /// Plays one line.
@@ -265,7 +280,56 @@
                 self.filling
                     .extend(std::iter::from_fn(|| TcpStream::connect_timeout(&at, short).ok()).take(5_000));
             }
-            ["term"] => self.signal("-TERM"),
+            // Takes all that fills the listener, so that connections come up again, late.
+            ["free", listener] => {
+                let filling = std::mem::take(&mut self.filling);
+                filling.iter().for_each(|_| drop(accept(&self.listeners[listener])));
+            }
+            ["term"] => {
+                self.termed.get_or_insert_with(Instant::now);
+                self.signal("-TERM");
+            }
+            ["hup"] => self.signal("-HUP"),
+            // The program stands still from here on, and what comes meanwhile waits for it; then one round finds all of it.
+            ["freeze"] => {
+                self.signal("-STOP");
+                let stat = format!("/proc/{}/stat", self.child.id());
+                self.until("stands still", |_| std::fs::read_to_string(&stat).unwrap().contains(") T "));
+            }
+            ["thaw"] => self.signal("-CONT"),
+            // So long after the program was told to end.
+            ["past", ms] => {
+                let long = Duration::from_millis(ms.parse().unwrap());
+                self.until("time passes", |s| s.termed.is_some_and(|since| since.elapsed() >= long));
+            }
+            // Ends a connection by a reset.
+            ["reset", name] => {
+                let peer = self.peers.remove(name).unwrap();
+                socket2::SockRef::from(&peer.stream).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+            // Ends one side of a connection, and goes on reading from the other.
+            ["shut", name] => self.peers[name].stream.shutdown(std::net::Shutdown::Write).unwrap(),
+            // Sends so many bytes of simple queries that nobody reads yet, as far as they go.
+            ["flood", name, bytes] => {
+                let query = b"Q\0\0\0\x0dselect 2\0";
+                let many = query.repeat(bytes.parse::<usize>().unwrap() / query.len());
+                self.peers.get_mut(name).unwrap().stream.write_all(&many).unwrap();
+            }
+            // Waits until the program counts so many.
+            ["await", count] => {
+                let (key, value) = count.split_once('=').unwrap();
+                let wanted = format!(" {key}={value} ");
+                self.until(count, |s| {
+                    s.signal("-USR1");
+                    let mut line = String::new();
+                    while !line.contains(" rejected=") {
+                        line.clear();
+                        assert!(s.log.read_line(&mut line).unwrap() > 0, "the program ended");
+                    }
+                    line.contains(&wanted)
+                });
+            }
+            ["never", ..] => self.never.push(line.split_once(' ').unwrap().1.as_bytes().to_vec()),
             // The operator's file says something else; SIGHUP.
             ["setup", ..] => {
                 let text = line.split_once(' ').unwrap().1;
@@ -346,6 +410,15 @@
         self.signal("-HUP");
     }
 
+    /// Waits until something is so.
+    fn until(&mut self, what: &str, mut so: impl FnMut(&mut Stage) -> bool) {
+        let since = Instant::now();
+        while !so(self) {
+            assert!(since.elapsed() < PATIENCE, "waited in vain: {what}");
+            std::thread::yield_now();
+        }
+    }
+
     /// Ends the program as a planned restart does; gives its counters and all that reached any engine.
     pub fn stop(mut self) -> (BTreeMap<String, u64>, Vec<u8>) {
         self.signal("-TERM");
@@ -371,6 +444,10 @@
             peer.drain();
             engines.extend(&peer.all);
         }
+        for never in &self.never {
+            let found = engines.windows(never.len()).any(|w| w == never);
+            assert!(!found, "engines got {:?}", String::from_utf8_lossy(never));
+        }
         (counters, engines)
     }
 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -72,14 +72,22 @@
         lines.iter().map(|l| l.replace("accept e e1", &format!("accept e {engine}"))).collect();
     lines[..step.min(lines.len())].iter().for_each(|line| stage.step(line));
     let welcomed = stage.got_so_far("c");
+    // A connection that ends before its engine has read the call may have carried it or not: its other end tells.
+    let unread = cut == "engine" && name == "load_http" && step <= query;
     match cut {
         "client" => stage.step("close c"),
+        "engine" if unread => stage.step("shut e"),
         "engine" => stage.step("close e"),
         _ => [format!("gone {engine}"), "close e".into()].iter().for_each(|line| stage.step(line)),
     }
     if cut == "engine" && name == "load_http" && step < lines.len() {
-        // The query belongs to no connection: the engine is asked, and does not know it.
+        // The query belongs to no connection: the engine is asked, and does not know it. One that never went out goes anew.
         stage.step(&format!("accept e2 {engine}"));
+        if unread && times(&stage.got("e", b"\0"), b"POST /o ") == 0 {
+            stage.step(lines[query].replace("e < ", "e2 < ").as_str());
+            stage.step("close e2");
+            stage.step(&format!("accept e2 {engine}"));
+        }
         stage.step("e2 < GET /o/{16}/{1} HTTP/1.1\\r\\nHost: {*}\\r\\n\\r\\n");
         stage.step("e2 > HTTP/1.1 500 No\\r\\nContent-Length: 0\\r\\n\\r\\n");
     }
@@ -93,3 +101,69 @@
     let runs = times(&engines, b"E\0\0\0\x09\0\0\0\0\0") + times(&engines, b"POST /o ");
     assert!(runs <= 1, "{runs} runs");
 }
+
+/// A client's request waits for its engine, and the client leaves. Nothing of the request goes out any more: neither where the
+/// way to the engine opens afterwards, nor where one round brings both, in either order.
+#[rstest]
+#[case::forget("msgpack", &[r"c > \x93\x02\xa6forget\x91\x01"])]
+#[case::close("msgpack", &["close c"])]
+#[case::reset("msgpack", &["reset c"])]
+#[case::shut("msgpack", &["shut c"])]
+#[case::close_session("postgres", &["close c"])]
+#[case::reset_session("postgres", &["reset c"])]
+#[case::cancel("postgres", &["open d postgres", r"d > \0\0\0\x10\x04\xd2\x16\x2e{key}"])]
+#[case::close_behind_more("postgres", &["flood c 100000", "close c"])]
+fn what_nobody_waits_for_is_not_sent_on(
+    #[case] front: &str,
+    #[case] leave: &[&str],
+    #[values("a connection", "a session")] waits_for: &str,
+    #[values("later", "before", "behind")] opens: &str,
+    #[values("", "no cancelling")] settings: &str,
+) {
+    let session = waits_for == "a session";
+    let begin: &[&str] = match front {
+        "msgpack" => &[
+            r"c > \x94\x00\x01\xa6lookup\x92\x83\xa3rid\xb09b1f03aa5c7e2d41\xa6budget\xa45000\xa4acct\xb2gulf-coast-comfort\xc4\x1dselect * from sales_17.orders",
+        ],
+        _ => &[
+            r"c > [|\0\x03\0\0user\0shop\0\0]",
+            r"c < [R|\0\0\0\0]{*}K\0\0\0\x0c{8=key}[Z|I]",
+            r"c > [Q|select * from sales_17.orders\0]",
+        ],
+    };
+    // The connection comes up, or the session is ready, in a round that the program finds when it goes on.
+    let (ready, open): (&[&str], &[&str]) = match session {
+        true => (
+            &["accept e e1", r"e < [|\0\x03\0\0user\0u\0database\0d\0application_name\0marljunction\0\0]"],
+            &[r"e > [R|\0\0\0\0][K|\0\0\0\x07\0\0\0\x09][Z|I]"],
+        ),
+        false => (&["await opened=1"], &["free e1", "accept e e1"]),
+    };
+    let counted = ["await ended_withdrawn=1"];
+    let steps: Vec<&str> = match (opens, session) {
+        ("later", true) => [leave, &counted, open].concat(),
+        ("later", false) => [leave, &counted, &["free e1"]].concat(),
+        ("before", _) => [&["freeze"], open, leave, &["thaw"], &counted[..]].concat(),
+        _ => [&["freeze"], leave, open, &["thaw"], &counted[..]].concat(),
+    };
+    let mut script = "with late connections\n".to_owned();
+    for (word, on) in [
+        ("postgres front", front == "postgres"),
+        ("postgres engines", session),
+        (settings, !settings.is_empty()),
+    ] {
+        script.push_str(&if on { format!("with {word}\n") } else { String::new() });
+    }
+    script.push_str(if session { "" } else { "fill e1\n" });
+    script.push_str(&format!("open c {front}\n"));
+    let way = leave.join("").replace(|c: char| !c.is_ascii_alphanumeric(), "");
+    let label = format!("left-{way}-{front}-{session}-{opens}-{}", settings.len());
+    let mut stage = play(&label, &script, usize::MAX);
+    [begin, ready, &["never sales_17"], &steps].concat().iter().for_each(|line| stage.step(line));
+    let (counters, _) = stage.stop();
+    balanced(&counters);
+    let key = if leave.len() == 2 && leave[0].starts_with("open") { "failed" } else { "left" };
+    assert_eq!((counters[key], counters["sent"]), (1, 1), "{counters:?}");
+    // One that asked for its end is answered; of the others it is told that they waited.
+    assert_eq!(counters["left_unsent"], u64::from(key == "left"), "{counters:?}");
+}
