--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -58,6 +58,8 @@
 pub struct Ask {
     /// The client's own id of the request, passed on to engines.
     pub name: String,
+    /// The token by which engines drop its repeats, passed on to them; none where its class has no such thing.
+    pub token: Option<String>,
     /// Its class.
     pub class: ClassId,
     /// Its tenant, where there are tenants.
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -211,8 +211,9 @@
         };
         let Some(run) = self.runs.get_mut(&at) else { return };
         (run.conn, run.asked_ns, run.starts) = (Some(conn), cx.now, run.starts + 1);
+        let token = run.ask.token.as_ref().map_or_else(String::new, |token| format!("Once-Key: {token}\r\n"));
         let fields = format!(
-            "Request-Id: {}\r\nKind: {}\r\nTimeout-Ms: {}\r\nPool-Rank: {}\r\n",
+            "Request-Id: {}\r\nKind: {}\r\nTimeout-Ms: {}\r\nPool-Rank: {}\r\n{token}",
             run.ask.name,
             run.class,
             (run.timeout_ns / 1_000_000).max(1),
--- a/crates/engine/tests/crossings.rs
+++ b/crates/engine/tests/crossings.rs
@@ -177,3 +177,12 @@
     }
     panic!("nothing came");
 }
+
+#[test]
+fn an_engine_that_has_begun_to_drain_gets_nothing_new() {
+    let at = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut w = World::new();
+    w.engine(&at, EngineState::Draining);
+    w.start("aaaabbbbccccdddd", None);
+    assert!(matches!(at.accept(), Err(e) if e.kind() == ErrorKind::WouldBlock));
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,7 +9,7 @@
 
 use std::net::IpAddr;
 
-use marljunction_control::interface::{ClassId, Settings, TenantId};
+use marljunction_control::interface::{ClassId, Effect, Settings, TenantId};
 use marljunction_door::settings::{Identity, Who};
 use marljunction_settings::{index_of, Names};
 
@@ -23,6 +23,7 @@
 pub struct Directory {
     names: Names,
     deadlines_ns: Vec<u64>,
+    drops_repeats: Vec<bool>,
     who: Who,
     identity: Identity,
 }
@@ -31,7 +32,8 @@
     /// Of a router's settings.
     pub fn new(names: Names, settings: &Settings) -> Self {
         let deadlines_ns = settings.classes.iter().map(|c| c.deadline_ns).collect();
-        Directory { names, deadlines_ns, ..Directory::default() }
+        let drops_repeats = settings.classes.iter().map(|c| c.effect == Effect::Deduplicated).collect();
+        Directory { names, deadlines_ns, drops_repeats, ..Directory::default() }
     }
 
     /// The names behind the module's numbers.
@@ -80,6 +82,11 @@
         self.names.tenants.get(tenant.0).map_or("", |n| n)
     }
 
+    /// Whether engines drop repeats of a class's requests, by their tokens.
+    pub fn drops_repeats(&self, class: ClassId) -> bool {
+        self.drops_repeats.get(class.0) == Some(&true)
+    }
+
     /// How long clients of a class wait at most.
     pub fn deadline_ns(&self, class: ClassId) -> u64 {
         self.deadlines_ns.get(class.0).copied().unwrap_or(0)
--- a/crates/front/src/msgpack.rs
+++ b/crates/front/src/msgpack.rs
@@ -31,6 +31,8 @@
 const TAKEN_MOST: usize = 64;
 /// Messages in a row that are turned away on one connection before it is closed (count).
 const REJECTED_MOST: u32 = 100;
+/// Longest token by which engines drop repeats (bytes).
+const TOKEN_MOST: usize = 64;
 /// A client's time may pass its class's deadline by this factor: it is rounded.
 const BUDGET_SLACK: f64 = 1.01;
 
@@ -416,6 +418,13 @@
         let longest = self.deadline_ns(class) as f64 * BUDGET_SLACK;
         let budget = number("budget")?.ok_or("no budget")? * 1e6;
         let budget_ns = Some(budget).filter(|b| *b > 0.0 && *b <= longest).ok_or("bad budget")? as u64;
+        let token = field("token").map(str::to_owned);
+        // Guards against a token that could not stand in a head of HTTP.
+        let fits =
+            |t: &String| (1..=TOKEN_MOST).contains(&t.len()) && t.bytes().all(|b| b.is_ascii_alphanumeric());
+        if !token.iter().all(fits) {
+            return Err("bad token".into());
+        }
         let work = number("est")?.map(|ms| (ms * 1e6) as u64);
         if work == Some(0) {
             return Err("bad est".into());
@@ -426,6 +435,7 @@
         };
         Ok(Ask {
             name: name.to_owned(),
+            token,
             class,
             tenant,
             client: self.client(peer, |who| if let Who::Field(name) = who { field(name) } else { None }),
--- a/crates/front/src/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -552,6 +552,8 @@
             _ => None,
         });
         let ask = Ask {
+            // Its clients give none; each statement is one of its own.
+            token: self.directory.drops_repeats(class).then(|| name.clone()),
             name,
             class,
             tenant: settings.tenant,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -362,9 +362,6 @@
             }
             let mut tokens: Vec<usize> = events.iter().map(|e| e.token().0).collect();
             tokens.extend(std::mem::take(&mut self.unread).into_iter().map(|conn| conn as usize));
-            // Who is connected has its turn before who comes. Guards against a connection that makes room for another with its
-            // request unread.
-            tokens.sort_by_key(|token| matches!(Token(*token), MSGPACK | POSTGRES | OPERATOR));
             for token in tokens {
                 match Token(token) {
                     MSGPACK | POSTGRES => self.accept(now),
@@ -453,7 +450,7 @@
         }
     }
 
-    /// The client that makes room for another, looked at once more: a request may have come since.
+    /// The client that makes room for another, looked at once more. Guards against one that does so with its request unread.
     fn idle(&mut self, now: u64) -> Option<u64> {
         loop {
             let idle = self.msgpack.idle(now)?;
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -152,6 +152,8 @@
     peers: BTreeMap<String, Peer>,
     kept: HashMap<String, Vec<u8>>,
     filling: Vec<TcpStream>,
+    /// Connections by the ports of this end and the program's, but those with more on its way than fits.
+    links: HashMap<(u16, u16), String>,
     /// When the program was told to end.
     termed: Option<Instant>,
     /// What must never have reached an engine.
@@ -187,6 +189,11 @@
         if with("late connections") {
             config["settings"]["limits"]["connect_timeout_ns"] = json!(20_000_000_000_u64);
         }
+        if with("deduplicated") {
+            let class = &mut config["settings"]["request_classes"][0];
+            (class["effect"], class["dedup_scope"]) = (json!("deduplicated"), json!("all"));
+            class["dedup_window_ns"] = json!(5_000_000_000_u64);
+        }
         if with("no cancelling") {
             config["settings"]["limits"]["cancelling"] = json!(false);
         }
@@ -237,7 +244,7 @@
         let (peers, filling, termed, never) = (BTreeMap::new(), Vec::new(), None, Vec::new());
         #[rustfmt::skip]
         let stage = Stage {
-            child, log, dir, config, postgres: file, fronts, listeners, peers, kept, filling, termed, never,
+            child, log, dir, config, postgres: file, fronts, listeners, peers, kept, filling, links: HashMap::new(), termed, never,
         };
         stage
     }
@@ -296,7 +303,10 @@
                 let stat = format!("/proc/{}/stat", self.child.id());
                 self.until("stands still", |_| std::fs::read_to_string(&stat).unwrap().contains(") T "));
             }
-            ["thaw"] => self.signal("-CONT"),
+            ["thaw"] => {
+                self.until("all has reached the program", |s| s.has_arrived());
+                self.signal("-CONT");
+            }
             // So long after the program was told to end.
             ["past", ms] => {
                 let long = Duration::from_millis(ms.parse().unwrap());
@@ -311,6 +321,7 @@
             ["shut", name] => self.peers[name].stream.shutdown(std::net::Shutdown::Write).unwrap(),
             // Sends so many bytes of simple queries that nobody reads yet, as far as they go.
             ["flood", name, bytes] => {
+                self.links.retain(|_, named| named != name);
                 let query = b"Q\0\0\0\x0dselect 2\0";
                 let many = query.repeat(bytes.parse::<usize>().unwrap() / query.len());
                 self.peers.get_mut(name).unwrap().stream.write_all(&many).unwrap();
@@ -377,6 +388,8 @@
     }
 
     fn add(&mut self, name: &str, stream: TcpStream) {
+        let ends = (stream.local_addr().unwrap().port(), stream.peer_addr().unwrap().port());
+        self.links.insert(ends, name.to_owned());
         self.peers.insert(name.to_owned(), Peer::new(stream));
     }
 
@@ -410,6 +423,28 @@
         self.signal("-HUP");
     }
 
+    /// Whether the machine has carried all that was sent, closed and reset to the program's sockets, by the kernel's table: what
+    /// a frozen program finds is forced then, on a busy machine too.
+    fn has_arrived(&self) -> bool {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let port = |text: &str| text.rsplit(':').next().and_then(|hex| u16::from_str_radix(hex, 16).ok());
+        let mut rows: HashMap<(u16, u16), (String, bool)> = HashMap::new();
+        for row in table.lines().skip(1) {
+            let fields: Vec<&str> = row.split_whitespace().collect();
+            let ends = (port(fields[1]).unwrap(), port(fields[2]).unwrap());
+            rows.insert(ends, (fields[3].to_owned(), fields[4].starts_with("00000000:")));
+        }
+        self.links.iter().all(|((own, its), name)| {
+            let (ours, theirs) = (rows.get(&(*own, *its)), rows.get(&(*its, *own)));
+            let established = theirs.is_some_and(|(state, _)| state == "01");
+            let shut = ours.is_some_and(|(state, _)| state == "04" || state == "05");
+            match self.peers.contains_key(name) && !shut {
+                true => ours.is_none_or(|(_, empty)| *empty) && theirs.is_none_or(|(state, _)| state != "03"),
+                false => !established,
+            }
+        })
+    }
+
     /// Waits until something is so.
     fn until(&mut self, what: &str, mut so: impl FnMut(&mut Stage) -> bool) {
         let since = Instant::now();
