--- /dev/null
+++ b/crates/discovery/tests/silent.rs
@@ -0,0 +1,63 @@
+//! A coordinator whose streams fall silent: what it has to tell counts as told 7 s later at the latest, so a call that may be answered
+//! comes before. Times are passed in, only the sockets are real.
+
+use std::io::Write;
+use std::net::TcpListener;
+
+use marljunction_discovery::stream::Stream;
+use marljunction_discovery::Pacing;
+use marljunction_net::{Net, Room};
+use marljunction_pacing::pace::TOLD_NS;
+use marljunction_pacing::Pace;
+use marljunction_settings::Names;
+use mio::{Events, Poll};
+
+const MS: u64 = 1_000_000;
+const T0: u64 = 1_700_000_000_000 * MS;
+
+/// When the third call is made, where the first two are silent from their start (ns); the first gives a head before where `head`.
+fn third_call(seed: u64, callers: u32, head: bool) -> u64 {
+    let mut poll = Poll::new().unwrap();
+    let mut net = Net::new(poll.registry().try_clone().unwrap(), 1, Room::of(64, 64.0));
+    let coordinator = TcpListener::bind("127.0.0.1:0").unwrap();
+    let pace = Pace { callers: Some(callers), me: seed as u32 % callers, ..Pace::default() };
+    let pacing = Pacing { pace, seed, stale_ns: TOLD_NS };
+    let mut stream = Stream::new(T0, coordinator.local_addr().unwrap(), Names::default(), 1, pacing);
+    let (mut now, mut first, mut answered) = (T0, None, None);
+    while stream.view().0 .0 < 3 {
+        now += 20 * MS;
+        stream.tick(now, &mut net);
+        if head && stream.view().0 .0 == 1 && answered.is_none() {
+            let (mut up, _) = coordinator.accept().unwrap();
+            up.write_all(b"HTTP/1.1 200 OK\r\n\r\n:hi\n").unwrap();
+            let mut events = Events::with_capacity(4);
+            while stream.view().1.age_ns(now) > 0 {
+                poll.poll(&mut events, Some(std::time::Duration::from_secs(8))).unwrap();
+                assert!(!events.is_empty(), "the head does not come");
+                for conn in events.iter().map(|e| e.token().0 as u64).collect::<Vec<_>>() {
+                    stream.ready(now, &mut net, conn);
+                }
+            }
+            answered = Some(up);
+        }
+        // The silence begins with the first call, or with what was heard on it.
+        if stream.view().0 .0 >= 1 {
+            first.get_or_insert(now);
+        }
+        assert!(now < T0 + 60_000 * MS, "no third call");
+    }
+    now - first.unwrap_or(now)
+}
+
+#[test]
+fn two_silent_calls_in_a_row_leave_time_for_a_third() {
+    for callers in [1, 6, 300] {
+        for seed in 0..40 {
+            for head in [false, true] {
+                let at = third_call(seed, callers, head);
+                let news = at + 500 * MS;
+                assert!(news < TOLD_NS, "{callers} callers, seed {seed}, head {head}: {} ms", at / MS);
+            }
+        }
+    }
+}
