Tidy what takes back attempts not begun; one World for tests on HTTP engines' side

Both engine sides wrote the same look twice; two test files had a World each. Change: take_back_unbegun in each backend, Daemon::listens; crossings.rs is part of give_up.rs, with the same cases and assertions. Behaviour unchanged. Result: fmt, clippy and all tests of the workspace pass.

--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -197,6 +197,13 @@
         conn.into_iter().for_each(|conn| self.close(cx, conn));
     }
 
+    /// Ends the attempts of which nothing has gone out and that `which` says must not begin any more.
+    fn take_back_unbegun(&mut self, cx: &mut Context, which: impl Fn(&Targets<Vec<u64>>, &Run) -> bool) {
+        let which = |run: &Run| unbegun(cx, run) && which(&self.targets, run);
+        let over: Vec<Attempt> = self.runs.iter().filter(|(_, run)| which(run)).map(|(at, _)| *at).collect();
+        over.into_iter().for_each(|at| self.take_back(cx, at, Ending::Unsent));
+    }
+
     fn post(&mut self, cx: &mut Context, at: Attempt, fresh: bool) {
         let Some(run) = self.runs.get(&at) else { return };
         let engine = run.engine;
@@ -515,10 +522,7 @@
         self.targets.change(change, |id| {
             runs.values().any(|r| r.engine == id) || lines.values().any(|l| l.engine == id)
         });
-        let targets = &self.targets;
-        let over = |r: &Run| unbegun(cx, r) && !targets.serves(r.engine);
-        let over: Vec<Attempt> = runs.iter().filter(|(_, r)| over(r)).map(|(at, _)| *at).collect();
-        over.into_iter().for_each(|at| self.take_back(cx, at, Ending::Unsent));
+        self.take_back_unbegun(cx, |targets, run| !targets.serves(run.engine));
     }
 
     fn start(&mut self, cx: &mut Context, start: Start) {
@@ -629,9 +633,8 @@
         stale.into_iter().for_each(|conn| self.close(cx, conn));
         late.into_iter().for_each(|(conn, ending)| self.lost(cx, conn, ending));
         // Guards against a repeat that goes out, as its connection comes up late, when engines would run it again.
-        let late = |r: &Run| unbegun(cx, r) && r.begin_by_ns.is_some_and(|by| cx.now > by);
-        let late: Vec<Attempt> = self.runs.iter().filter(|(_, r)| late(r)).map(|(at, _)| *at).collect();
-        late.into_iter().for_each(|at| self.take_back(cx, at, Ending::Unsent));
+        let now = cx.now;
+        self.take_back_unbegun(cx, |_, run| run.begin_by_ns.is_some_and(|by| now > by));
         // Guards against waiting for a query on an engine that is cut off: since it could last have been asked it
         // has ended the query by itself, if it ever took it up.
         let over = |r: &Run| r.whole && r.leaving.is_none() && cx.now > r.asked_ns + FORGOTTEN_NS;
--- a/crates/engine/src/postgres.rs
+++ b/crates/engine/src/postgres.rs
@@ -234,6 +234,13 @@
         }
     }
 
+    /// Ends the attempts of which nothing has gone out and that `which` says must not begin any more.
+    fn take_back_unbegun(&mut self, cx: &mut Context, which: impl Fn(&Targets<Vec<u64>>, &Run) -> bool) {
+        let which = |run: &Run| unbegun(cx, run) && which(&self.targets, run);
+        let over: Vec<Attempt> = self.runs.iter().filter(|(_, run)| which(run)).map(|(at, _)| *at).collect();
+        over.into_iter().for_each(|at| self.take_back(cx, at, Ending::Unsent));
+    }
+
     fn rest(&mut self, cx: &mut Context, conn: u64) {
         let Some(line) = self.lines.get_mut(&conn) else { return };
         (line.role, line.since_ns) = (Role::Idle, cx.now);
@@ -367,10 +374,7 @@
         self.targets.change(change, |id| {
             runs.values().any(|r| r.engine == id) || lines.values().any(|l| l.engine == id)
         });
-        let targets = &self.targets;
-        let over = |r: &Run| unbegun(cx, r) && !targets.serves(r.engine);
-        let over: Vec<Attempt> = runs.iter().filter(|(_, r)| over(r)).map(|(at, _)| *at).collect();
-        over.into_iter().for_each(|at| self.take_back(cx, at, Ending::Unsent));
+        self.take_back_unbegun(cx, |targets, run| !targets.serves(run.engine));
     }
 
     fn start(&mut self, cx: &mut Context, start: Start) {
@@ -473,8 +477,7 @@
         over.sort_unstable();
         over.into_iter().for_each(|(conn, ending)| self.lost(cx, conn, ending));
         // Guards against a repeat that goes out, as its session opens late, when engines would run it again.
-        let late = |r: &Run| unbegun(cx, r) && r.begin_by_ns.is_some_and(|by| cx.now > by);
-        let late: Vec<Attempt> = self.runs.iter().filter(|(_, r)| late(r)).map(|(at, _)| *at).collect();
-        late.into_iter().for_each(|at| self.take_back(cx, at, Ending::Unsent));
+        let now = cx.now;
+        self.take_back_unbegun(cx, |_, run| run.begin_by_ns.is_some_and(|by| now > by));
     }
 }
--- a/crates/engine/tests/give_up.rs
+++ b/crates/engine/tests/give_up.rs
@@ -1,7 +1,7 @@
 //! Queries on HTTP engines: when one that was given up is over, and which connection a query goes on. Times are
 //! passed in, only the bytes are real.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 
@@ -30,25 +30,25 @@
     fn new() -> World {
         let poll = Poll::new().unwrap();
         let registry = poll.registry().try_clone().unwrap();
-        let mut net = Net::new(registry, 10, Room::of(64, 64.0));
+        let net = Net::new(registry, 10, Room::of(64, 64.0));
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let entry = EngineEntry { engine: EngineId(1), state: EngineState::Ready, ..EngineEntry::default() };
-        let target = Target { entry, address: listener.local_addr().unwrap() };
-        let mut engines = HttpEngines::new(30_000 * MS, 250 * MS);
+        let engines = HttpEngines::new(30_000 * MS, 250 * MS);
         let class = ClassSettings { aim_ns: 9_000 * MS, deadline_ns: 9_000 * MS, ..ClassSettings::default() };
         let settings = Settings { classes: vec![class], may_cancel: true, ..Settings::default() };
-        let mut router = Router::new(settings, 1, 64.0);
-        router.membership(MembershipKind::Full, vec![entry]);
-        router.turn(T0, &mut Vec::new());
-        let mut cx = Context { now: T0, net: &mut net, router: &mut router };
-        engines.change(&mut cx, &Change { kind: MembershipKind::Full, targets: vec![target] });
-        World { poll, net, router, engines, listener, now: T0 }
+        let router = Router::new(settings, 1, 64.0);
+        let same = listener.try_clone().unwrap();
+        let mut world = World { poll, net, router, engines, listener, now: T0 };
+        world.lists(same, EngineState::Ready);
+        world.router.turn(T0, &mut Vec::new());
+        world
     }
 
     /// Hands what the sockets bring to the engines' side, until `done`.
     fn until(&mut self, mut done: impl FnMut(&mut World) -> bool) {
         let mut events = Events::with_capacity(16);
+        let since = std::time::Instant::now();
         while !done(self) {
+            assert!(since.elapsed() < std::time::Duration::from_secs(8), "waited in vain");
             self.poll.poll(&mut events, Some(std::time::Duration::from_millis(5))).unwrap();
             let conns: Vec<u64> = events.iter().map(|e| e.token().0 as u64).collect();
             for conn in conns {
@@ -58,6 +58,16 @@
         }
     }
 
+    /// A list says that the engine is in this state, at this address.
+    fn lists(&mut self, listener: TcpListener, state: EngineState) {
+        let entry = EngineEntry { engine: EngineId(1), state, ..EngineEntry::default() };
+        let target = Target { entry, address: listener.local_addr().unwrap() };
+        self.listener = listener;
+        self.router.membership(MembershipKind::Full, vec![entry]);
+        let mut cx = Context { now: self.now, net: &mut self.net, router: &mut self.router };
+        self.engines.change(&mut cx, &Change { kind: MembershipKind::Full, targets: vec![target] });
+    }
+
     /// The engine takes no connections from here on.
     fn refuse(&mut self) {
         let elsewhere = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -104,6 +114,11 @@
 
     /// Sends a query to the engine; it goes on a connection that the caller finds.
     fn start(&mut self) -> Attempt {
+        self.start_by(None)
+    }
+
+    /// The same, which must not begin to go out later.
+    fn start_by(&mut self, begin_by_ns: Option<u64>) -> Attempt {
         let ask = Ask { name: "aaaabbbbccccdddd".into(), time_left_ns: 9_000 * MS, ..Ask::default() };
         let request = self.router.take(self.now, Client { conn: 1, call: 1 }, ask.clone());
         self.router.turn(self.now, &mut Vec::new());
@@ -116,7 +131,7 @@
             ask: Rc::new(ask),
             class: "lookup".into(),
             once: false,
-            begin_by_ns: None,
+            begin_by_ns,
         };
         let mut cx = Context { now: self.now, net: &mut self.net, router: &mut self.router };
         self.engines.start(&mut cx, start);
@@ -246,3 +261,69 @@
     w.listener.set_nonblocking(true).unwrap();
     assert!(w.listener.accept().is_err(), "a new connection was opened where an idle one stood");
 }
+
+#[test]
+fn a_connection_to_a_former_address_is_not_used_for_the_engine_any_more() {
+    let mut w = World::new();
+    let (_attempt, mut first) = w.started();
+    // The engine moves while the call is under way, and the old address may be another's when the call ends.
+    w.lists(TcpListener::bind("127.0.0.1:0").unwrap(), EngineState::Ready);
+    first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nChunks: 1\r\n\r\na\tb\tc\n").unwrap();
+    w.until(|w| {
+        w.router.turn(w.now, &mut Vec::new());
+        w.router.counters.endings(Ending::Served) == 1
+    });
+    // Long enough for a connection to be used again, and not too long.
+    w.tick(100);
+    w.start();
+    let mut second = w.accept();
+    w.read(&mut second, "POST /o ");
+}
+
+/// A repeat that must begin within 100 ms, its calls held to the end of the round, and the engine's end of its connection.
+fn held_repeat() -> (World, TcpStream) {
+    let mut w = World::new();
+    w.net.hold_calls();
+    w.start_by(Some(T0 + 100 * MS));
+    let stream = w.accept();
+    (w, stream)
+}
+
+#[test]
+fn a_repeat_that_engines_would_not_drop_any_more_does_not_begin_to_go_out() {
+    let (mut w, mut stream) = held_repeat();
+    w.tick(101);
+    assert_eq!(w.ending(), Ending::Unsent);
+    w.net.release();
+    w.until(|_| match stream.read(&mut [0; 16]) {
+        Ok(n) if n > 0 => panic!("bytes came of it"),
+        read => !matches!(&read, Err(e) if e.kind() == ErrorKind::WouldBlock),
+    });
+}
+
+#[test]
+fn one_that_may_still_repeat_goes_out_at_the_end_of_the_round() {
+    let (mut w, mut stream) = held_repeat();
+    w.tick(99);
+    let mut got = Vec::new();
+    w.until(|w| {
+        for conn in w.net.release() {
+            let mut cx = Context { now: w.now, net: &mut w.net, router: &mut w.router };
+            w.engines.flushed(&mut cx, conn);
+        }
+        let mut buffer = [0; 4_096];
+        let n = stream.read(&mut buffer).unwrap_or(0);
+        got.extend_from_slice(&buffer[..n]);
+        got.starts_with(b"POST /o ")
+    });
+}
+
+#[test]
+fn an_engine_that_has_begun_to_drain_gets_nothing_new() {
+    let mut w = World::new();
+    let at = TcpListener::bind("127.0.0.1:0").unwrap();
+    at.set_nonblocking(true).unwrap();
+    w.lists(at, EngineState::Draining);
+    w.start();
+    assert!(matches!(w.listener.accept(), Err(e) if e.kind() == ErrorKind::WouldBlock));
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -872,11 +872,15 @@
         self.phase.stopping_since().is_some_and(|since| now >= since + end_ns)
     }
 
+    /// Whether clients can still connect.
+    fn listens(&self) -> bool {
+        self.listeners[..2].iter().any(Option::is_some)
+    }
+
     /// After SIGTERM: takes nothing new past a while, and ends once all is answered and written.
     fn finished(&mut self, now: u64) -> bool {
         let Some(since) = self.phase.stopping_since() else { return false };
-        let listens = |daemon: &Daemon| daemon.listeners[..2].iter().any(Option::is_some);
-        if now >= since + ACCEPT_ON_NS && listens(self) {
+        if now >= since + ACCEPT_ON_NS && self.listens() {
             // Guards against connections that the machine has accepted and a listener that closes would reset, with the
             // requests on them: it is closed once nothing waits in it.
             self.accept(now);
@@ -892,7 +896,7 @@
         // Guards against an answer that is reset away: an exit with unread input resets its connection, so the
         // client gets time to read what was just written.
         let quiet = *self.quiet_since.get_or_insert(now);
-        let listens = listens(self) && !self.is_last(now);
-        now >= since + STAY_NS && answered && !listens && now >= quiet + LINGER_NS
+        let waits = self.listens() && !self.is_last(now);
+        now >= since + STAY_NS && answered && !waits && now >= quiet + LINGER_NS
     }
 }
