Let slow readers make way, and look once more at what is closed or used again

Reading net, the fronts and the engines' side line by line, each question forced on real sockets. Seen, and mended where the cause is: - net `send`: what waits for all clients has one bound, and who came last was turned away: some clients that ask and do not read had others' answers dropped with their connections, and calls to engines too. `crowd_out`: the one with the most waiting makes way. - engine `call`, `send`, `session`: a call that found no room there passed for wholly written, since nothing of it waited: silence of 0.5 s, then "may have run". It ends as never sent, at once. - msgpack `idle`, `close_quiet` of both fronts: a client that still read its answer slowly was closed to make room, or 0.5 s after it fell quiet on a drained router, and the rest of the answer was dropped. What is not written out is not quiet. - `close_quiet` (PostgreSQL) and `tick` of both fronts closed on a request that had come behind the round's events: `is_still`. - engine `line`, `session`: an idle connection that its engine had closed behind the round's events was used, and the engine was asked for a query that never came. It is looked at before it is used. - operators' door `ready`: more bytes from a caller whose call waits for the fleet had it carried out and answered again. Each mend was taken out by itself: a test fails each time (15 tried). Result: 627 tests pass.

--- a/crates/core/src/ending.rs
+++ b/crates/core/src/ending.rs
@@ -116,6 +116,14 @@
         }
     }
 
+    /// What the end of a client's connection is: it has gone, unless more waited for it than is allowed.
+    pub fn of_client(self) -> Ending {
+        match self {
+            Ending::Garbled => Ending::Garbled,
+            _ => Ending::ClientGone,
+        }
+    }
+
     /// Whether an attempt that ended so may have run.
     pub fn may_have_run(self) -> bool {
         match self.meaning() {
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -124,14 +124,24 @@
         }
     }
 
+    /// Takes an idle connection to an engine that was of use just now.
+    fn idle(&mut self, now: u64, engine: EngineId) -> Option<u64> {
+        let age = |conn: &u64| self.lines.get(conn).map(|l| now.saturating_sub(l.since_ns));
+        let fit = |conn: &u64| age(conn).is_some_and(|age| (QUIET_NS..=REUSE_NS).contains(&age));
+        let own = &mut self.targets.get(engine)?.own;
+        own.iter().rposition(fit).map(|at| own.remove(at))
+    }
+
     /// A connection for one call: an idle one that was of use just now, else a new one.
     fn line(&mut self, cx: &mut Context, engine: EngineId, role: Role, fresh: bool) -> Result<u64, Ending> {
-        let known = self.targets.get(engine).ok_or(Ending::NoDescriptor)?;
-        let to = known.address;
-        let age = |conn: &u64| self.lines.get(conn).map(|l| cx.now.saturating_sub(l.since_ns));
-        let fit = |conn: &u64| age(conn).is_some_and(|age| (QUIET_NS..=REUSE_NS).contains(&age));
-        if let Some(at) = known.own.iter().rposition(fit).filter(|_| !fresh) {
-            let conn = known.own.remove(at);
+        let to = self.targets.get(engine).ok_or(Ending::NoDescriptor)?.address;
+        while let Some(conn) = if fresh { None } else { self.idle(cx.now, engine) } {
+            // Guards against a call on a connection that its engine has closed since it was last looked at: nobody could tell
+            // whether it came.
+            if cx.net.service(conn).ended.is_some() || !cx.net.input(conn).is_empty() {
+                self.close(cx, conn);
+                continue;
+            }
             if let Some(line) = self.lines.get_mut(&conn) {
                 (line.role, line.since_ns) = (role, cx.now);
             }
@@ -155,7 +165,10 @@
         }
         bytes.extend_from_slice(b"\r\n");
         bytes.extend_from_slice(body);
-        cx.net.send(conn, &bytes);
+        if !cx.net.send(conn, &bytes) {
+            // Guards against a call that passes for written, as nothing of it waits.
+            self.lost(cx, conn, Ending::Unsent);
+        }
     }
 
     /// A connection is free again.
--- a/crates/engine/src/postgres.rs
+++ b/crates/engine/src/postgres.rs
@@ -163,7 +163,8 @@
         // Guards against a load that is written to a session which is closing: nobody could tell what came of it.
         while let Some(conn) = if once { None } else { self.targets.get(engine).and_then(|k| k.own.pop()) } {
             match self.lines.get_mut(&conn) {
-                Some(line) if line.since_ns + REUSE_NS >= cx.now => {
+                // Guards against a query in a session that its engine has closed since it was last looked at.
+                Some(line) if line.since_ns + REUSE_NS >= cx.now && cx.net.service(conn).ended.is_none() => {
                     line.role = Role::Runs(at);
                     return Ok(conn);
                 }
@@ -178,7 +179,10 @@
             ("application_name", "marljunction"),
         ];
         frontend::startup_message(params, &mut bytes).map_err(|_| Ending::Unsent)?;
-        cx.net.send(conn, &bytes);
+        if !cx.net.send(conn, &bytes) {
+            self.close(cx, conn);
+            return Err(Ending::Unsent);
+        }
         Ok(conn)
     }
 
@@ -204,8 +208,11 @@
         match query(&run.ask) {
             Some(bytes) => {
                 run.sent = true;
-                cx.net.send(conn, &bytes);
-                self.written(cx, conn);
+                match cx.net.send(conn, &bytes) {
+                    true => self.written(cx, conn),
+                    // Guards against a query that passes for written, as nothing of it waits.
+                    false => self.lost(cx, conn, Ending::Unsent),
+                }
             }
             None => {
                 run.failed = Some(Fault { state: "22021".into(), message: "the text is not UTF-8".into() });
--- a/crates/engine/tests/give_up.rs
+++ b/crates/engine/tests/give_up.rs
@@ -1,5 +1,5 @@
-//! Queries on HTTP engines: when one that was given up is over, and which connection a query goes on. Times are
-//! passed in, only the bytes are real.
+//! Queries on engines: when one that was given up is over, which connection a query goes on, and what does not go out. Times
+//! are passed in, only the bytes are real.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -7,9 +7,11 @@
 
 use marljunction_control::interface::*;
 use marljunction_core::ending::{Ending, ENDINGS};
+use marljunction_core::statement::Statement;
 use marljunction_core::{Ask, Attempt, Client, Router};
 use marljunction_discovery::{Change, Target};
 use marljunction_engine::http::HttpEngines;
+use marljunction_engine::postgres::PostgresEngines;
 use marljunction_engine::{Backend, Context, Start};
 use marljunction_net::{Net, Room};
 use mio::{Events, Poll};
@@ -21,23 +23,33 @@
     poll: Poll,
     net: Net,
     router: Router,
-    engines: HttpEngines,
+    engines: Box<dyn Backend>,
     listener: TcpListener,
     now: u64,
+    /// What queries ask.
+    statement: Vec<u8>,
 }
 
 impl World {
     fn new() -> World {
+        World::of(Box::new(HttpEngines::new(30_000 * MS, 250 * MS)), Room::of(64, 64.0))
+    }
+
+    /// With an engine that speaks PostgreSQL.
+    fn of_sessions(room: Room) -> World {
+        World::of(Box::new(PostgresEngines::new("u".into(), "d".into(), 250 * MS)), room)
+    }
+
+    fn of(engines: Box<dyn Backend>, room: Room) -> World {
         let poll = Poll::new().unwrap();
         let registry = poll.registry().try_clone().unwrap();
-        let net = Net::new(registry, 10, Room::of(64, 64.0));
+        let net = Net::new(registry, 10, room);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let engines = HttpEngines::new(30_000 * MS, 250 * MS);
         let class = ClassSettings { aim_ns: 9_000 * MS, deadline_ns: 9_000 * MS, ..ClassSettings::default() };
         let settings = Settings { classes: vec![class], may_cancel: true, ..Settings::default() };
         let router = Router::new(settings, 1, 64.0);
         let same = listener.try_clone().unwrap();
-        let mut world = World { poll, net, router, engines, listener, now: T0 };
+        let mut world = World { poll, net, router, engines, listener, now: T0, statement: Vec::new() };
         world.lists(same, EngineState::Ready);
         world.router.turn(T0, &mut Vec::new());
         world
@@ -119,7 +131,9 @@
 
     /// The same, which must not begin to go out later.
     fn start_by(&mut self, begin_by_ns: Option<u64>) -> Attempt {
-        let ask = Ask { name: "aaaabbbbccccdddd".into(), time_left_ns: 9_000 * MS, ..Ask::default() };
+        let statement = Statement::plain(self.statement.clone());
+        let name = "aaaabbbbccccdddd".into();
+        let ask = Ask { name, time_left_ns: 9_000 * MS, statement, ..Ask::default() };
         let request = self.router.take(self.now, Client { conn: 1, call: 1 }, ask.clone());
         self.router.turn(self.now, &mut Vec::new());
         let attempt = Attempt { request, number: 0 };
@@ -327,3 +341,91 @@
     w.start();
     assert!(matches!(w.listener.accept(), Err(e) if e.kind() == ErrorKind::WouldBlock));
 }
+
+/// Waits until the machine has told of the end of a connection, and hands that to nobody.
+fn unheard_end(w: &mut World) {
+    let mut events = Events::with_capacity(16);
+    while !events.iter().any(|e| e.is_read_closed()) {
+        w.poll.poll(&mut events, Some(std::time::Duration::from_secs(8))).unwrap();
+        assert!(!events.is_empty(), "no event tells of the end");
+    }
+}
+
+#[test]
+fn a_connection_that_its_engine_has_closed_just_now_is_not_used_for_a_query() {
+    let mut w = World::new();
+    let (_attempt, mut first) = w.started();
+    first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nChunks: 1\r\n\r\na\tb\tc\n").unwrap();
+    assert_eq!(w.ending(), Ending::Served);
+    w.tick(100);
+    drop(first);
+    unheard_end(&mut w);
+    w.start();
+    let mut second = w.accept();
+    w.read(&mut second, "POST /o ");
+}
+
+/// Room for so many bytes that wait for all connections together.
+fn cramped(output: usize) -> Room {
+    Room { engines: 32, output }
+}
+
+#[test]
+fn a_call_that_finds_no_room_to_wait_has_never_run() {
+    let mut w = World::of(Box::new(HttpEngines::new(30_000 * MS, 250 * MS)), cramped(100));
+    w.start();
+    assert_eq!(w.ending(), Ending::Unsent);
+}
+
+const READY: &[u8] = b"Z\0\0\0\x05I";
+const WELCOME: &[u8] = b"R\0\0\0\x08\0\0\0\0K\0\0\0\x0c\0\0\0\x07\0\0\0\x09Z\0\0\0\x05I";
+
+#[test]
+fn a_session_that_finds_no_room_to_wait_has_run_nothing() {
+    let mut w = World::of_sessions(cramped(60));
+    w.start();
+    assert_eq!(w.ending(), Ending::Unsent);
+}
+
+#[test]
+fn a_query_that_finds_no_room_to_wait_in_its_session_has_never_run() {
+    let mut w = World::of_sessions(cramped(4 * 64));
+    w.statement = vec![b'x'; 64];
+    w.start();
+    let mut session = w.accept();
+    w.read(&mut session, "marljunction\0");
+    session.write_all(WELCOME).unwrap();
+    assert_eq!(w.ending(), Ending::Unsent);
+}
+
+#[test]
+fn a_session_that_its_engine_has_closed_just_now_is_not_used_for_a_query() {
+    let mut w = World::of_sessions(Room::of(64, 64.0));
+    w.start();
+    let mut first = w.accept();
+    w.read(&mut first, "marljunction\0");
+    first.write_all(WELCOME).unwrap();
+    w.read(&mut first, "S\0\0\0\x04");
+    first.write_all(b"1\0\0\0\x042\0\0\0\x04n\0\0\0\x04C\0\0\0\x0dSELECT 0\0").unwrap();
+    first.write_all(READY).unwrap();
+    assert_eq!(w.ending(), Ending::Served);
+    drop(first);
+    unheard_end(&mut w);
+    w.start();
+    let mut second = w.accept();
+    w.read(&mut second, "marljunction\0");
+}
+
+#[test]
+fn a_repeat_whose_session_opens_too_late_does_not_begin_to_go_out() {
+    let mut w = World::of_sessions(Room::of(64, 64.0));
+    w.start_by(Some(T0 + 100 * MS));
+    let mut session = w.accept();
+    w.read(&mut session, "marljunction\0");
+    w.tick(101);
+    assert_eq!(w.ending(), Ending::Unsent);
+    // The session is kept for others, and carries nothing of that one.
+    session.write_all(WELCOME).unwrap();
+    w.turn_sockets();
+    assert!(matches!(session.read(&mut [0; 16]), Err(e) if e.kind() == ErrorKind::WouldBlock));
+}
--- a/crates/front/src/msgpack.rs
+++ b/crates/front/src/msgpack.rs
@@ -197,10 +197,12 @@
     /// The client with no open request that makes room for another: one that has had its time to call and did
     /// not, if there is one, or was turned away last, else the one that did nothing for longest. Guards against
     /// clients that lose their connections to those that only connect, and against a crowd that comes at once,
-    /// in which each would push out the one before it with its call under way.
-    pub fn idle(&self, now: u64) -> Option<u64> {
+    /// in which each would push out the one before it with its call under way; and against an answer that is cut off, as its
+    /// client reads slowly.
+    pub fn idle(&self, now: u64, net: &Net) -> Option<u64> {
         let settled = |c: &Caller| c.called || now > c.since_ns + FRESH_NS;
-        let idle = self.callers.iter().filter(|(_, c)| c.open.is_empty() && !c.more && settled(c));
+        let free = |conn: &u64, c: &Caller| c.open.is_empty() && !c.more && settled(c) && net.drained(*conn);
+        let idle = self.callers.iter().filter(|(conn, c)| free(conn, c));
         idle.min_by_key(|(conn, c)| (c.called && c.rejected == 0, c.since_ns, **conn)).map(|(conn, _)| *conn)
     }
 
@@ -216,12 +218,28 @@
         let mut over: Vec<u64> = self.callers.iter().filter(|(_, c)| silent(c)).map(|(c, _)| *c).collect();
         over.sort_unstable();
         for conn in over {
-            router.counters.rejected += 1;
-            self.close(net, router, conn, Ending::Silent);
+            if self.is_still(now, net, router, conn, silent) {
+                router.counters.rejected += 1;
+                self.close(net, router, conn, Ending::Silent);
+            }
         }
     }
 
-    /// Ends the connections of clients that have nothing open, nothing half-sent and nothing untaken, where
+    /// Looks at a client once more that is about to be closed for what it does not do. Guards against closing it on a request
+    /// that has come since it was last looked at.
+    fn is_still(
+        &mut self,
+        now: u64,
+        net: &mut Net,
+        router: &mut Router,
+        conn: u64,
+        so: impl Fn(&Caller) -> bool,
+    ) -> bool {
+        self.ready(now, net, router, conn);
+        self.callers.get(&conn).is_some_and(so)
+    }
+
+    /// Ends the connections of clients that have nothing open, half-sent, untaken or unwritten, where
     /// `closes` says so of the time when each was last busy: a drained or stopping router sends its clients
     /// elsewhere so.
     pub fn close_quiet(
@@ -235,9 +253,8 @@
         let mut over: Vec<u64> = self.callers.iter().filter(|(_, c)| quiet(c)).map(|(c, _)| *c).collect();
         over.sort_unstable();
         for conn in over {
-            // Guards against closing one on a request that has come since it was last looked at.
-            self.ready(now, net, router, conn);
-            if self.callers.get(&conn).is_some_and(quiet) && net.input(conn).is_empty() {
+            if self.is_still(now, net, router, conn, quiet) && net.input(conn).is_empty() && net.drained(conn)
+            {
                 self.forget(router, conn, Ending::Idle);
                 net.finish(now, conn);
             }
@@ -275,8 +292,8 @@
     /// Takes what a client has sent.
     pub fn ready(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
         // Guards against running what a client sent that has gone since: nobody waits for it.
-        if net.service(conn).ended.is_some() {
-            return self.close(net, router, conn, Ending::ClientGone);
+        if let Some(ending) = net.service(conn).ended {
+            return self.close(net, router, conn, ending.of_client());
         }
         // Guards against a client that sends without end: others have their turn between its messages.
         for _ in 0..TAKEN_MOST {
--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -211,9 +211,16 @@
     }
 }
 
-/// The callers at the door: since when each has been there.
+struct Caller {
+    /// Since when it has been there, or its call has waited for its answer.
+    since_ns: u64,
+    /// Its call has been taken, and waits for its answer.
+    called: bool,
+}
+
+/// The callers at the door.
 pub struct OperatorFront {
-    callers: BTreeMap<u64, u64>,
+    callers: BTreeMap<u64, Caller>,
     most: usize,
     /// What happened so far.
     pub counters: OperatorCounters,
@@ -238,17 +245,23 @@
             debug!("the operators' door is full: a caller is closed at once");
             return net.close(conn);
         }
-        self.callers.insert(conn, now);
+        self.callers.insert(conn, Caller { since_ns: now, called: false });
     }
 
     /// Reads what a caller sent: its call, where it is whole. What can't be a call is answered here.
     pub fn ready(&mut self, now: u64, net: &mut Net, conn: u64) -> Option<Call> {
         let look = net.service(conn);
-        if !self.callers.contains_key(&conn) {
+        let caller = self.callers.get_mut(&conn)?;
+        if caller.called {
+            net.consume(conn, usize::MAX);
             return None;
         }
         match read_call(net.input(conn)) {
-            Ok(Some(call)) => Some(call),
+            Ok(Some(call)) => {
+                // Guards against a call that is carried out and answered again, as more comes from its caller while it waits.
+                (caller.since_ns, caller.called) = (now, true);
+                Some(call)
+            }
             Ok(None) if look.ended.is_some() => {
                 self.counters.silent += 1;
                 self.end(now, net, conn, None);
@@ -288,7 +301,7 @@
         let late: Vec<u64> = self
             .callers
             .iter()
-            .filter(|(_, since)| now >= **since + CALL_NS)
+            .filter(|(_, caller)| now >= caller.since_ns + CALL_NS)
             .map(|(conn, _)| *conn)
             .collect();
         for conn in late {
--- a/crates/front/src/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -184,12 +184,28 @@
         let mut over: Vec<u64> = self.sessions.iter().filter(|(_, s)| late(s)).map(|(c, _)| *c).collect();
         over.sort_unstable();
         for conn in over {
-            router.counters.rejected += 1;
-            self.close(net, router, conn, Ending::Silent);
+            if self.is_still(now, net, router, conn, late) {
+                router.counters.rejected += 1;
+                self.close(net, router, conn, Ending::Silent);
+            }
         }
     }
 
-    /// Ends the sessions that have nothing running, half-sent, unread or half-fetched, where `closes` says so of
+    /// Looks at a session once more that is about to be closed for what it does not do. Guards against closing it on a statement
+    /// that has come since it was last looked at.
+    fn is_still(
+        &mut self,
+        now: u64,
+        net: &mut Net,
+        router: &mut Router,
+        conn: u64,
+        so: impl Fn(&Session) -> bool,
+    ) -> bool {
+        self.ready(now, net, router, conn);
+        self.sessions.get(&conn).is_some_and(so)
+    }
+
+    /// Ends the sessions that have nothing running, half-sent, unread, unwritten or half-fetched, where `closes` says so of
     /// the time when each was last busy: a drained or stopping router sends its clients elsewhere so. Each is told
     /// `57P01` first, as PostgreSQL tells its sessions when it shuts down.
     pub fn close_quiet(
@@ -200,13 +216,16 @@
         closes: impl Fn(u64) -> bool,
     ) {
         let quiet = |s: &Session| {
-            s.started && s.running.is_none() && s.partial_ns.is_none() && !s.skipping && s.suspended == 0
+            let rests = s.running.is_none() && s.partial_ns.is_none() && !s.skipping && s.suspended == 0;
+            s.started && rests && closes(s.busy_ns)
         };
-        let quiet = |(conn, s): (&u64, &Session)| (quiet(s) && closes(s.busy_ns)).then_some(*conn);
-        let mut over: Vec<u64> =
-            self.sessions.iter().filter_map(quiet).filter(|c| net.input(*c).is_empty()).collect();
+        let mut over: Vec<u64> = self.sessions.iter().filter(|(_, s)| quiet(s)).map(|(c, _)| *c).collect();
         over.sort_unstable();
         for conn in over {
+            let still = self.is_still(now, net, router, conn, quiet);
+            if !still || !net.input(conn).is_empty() || !net.drained(conn) {
+                continue;
+            }
             let mut reply = Reply::default();
             reply.error(&fault("57P01", "terminating connection: the router is drained or stops"), true);
             self.write(now, net, router, conn, reply, Some(Ending::Idle));
@@ -216,8 +235,8 @@
     /// Takes what a client has sent.
     pub fn ready(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
         // Guards against running what a client sent that has gone since: nobody waits for it.
-        if net.service(conn).ended.is_some() {
-            return self.close(net, router, conn, Ending::ClientGone);
+        if let Some(ending) = net.service(conn).ended {
+            return self.close(net, router, conn, ending.of_client());
         }
         self.advance(now, net, router, conn);
     }
--- a/crates/front/tests/operator.rs
+++ b/crates/front/tests/operator.rs
@@ -1,6 +1,10 @@
-//! Reading the operators' calls.
+//! Reading the operators' calls, and answering them.
 
-use marljunction_front::operator::{read_call, Call, BODY_MOST, HEAD_MOST};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+
+use marljunction_front::operator::{read_call, Call, OperatorFront, Reply, BODY_MOST, HEAD_MOST};
+use marljunction_net::{Net, Owner, Room};
 
 fn status(input: &[u8]) -> u16 {
     read_call(input).expect_err("a no").status
@@ -43,3 +47,28 @@
     let body = b"POST /engines/disable HTTP/1.1\r\nContent-Length: 2\r\n\r\n\xff\xfe";
     assert_eq!(status(body), 400);
 }
+
+#[test]
+fn a_call_that_waits_for_its_answer_is_carried_out_once_whatever_its_caller_sends_meanwhile() {
+    let poll = mio::Poll::new().unwrap();
+    let mut net = Net::new(poll.registry().try_clone().unwrap(), 1, Room::of(64, 64.0));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut caller = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let conn = net.adopt(mio::net::TcpStream::from_std(stream), Owner::Operator).unwrap();
+    let mut door = OperatorFront::new(64);
+    door.accept(0, &mut net, conn);
+    caller.write_all(b"POST /fleet/engines/disable HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-1").unwrap();
+    let call = door.ready(0, &mut net, conn).expect("a call");
+    // It waits until the fleet has heard it; meanwhile more comes, which is no call.
+    caller.write_all(b"\r\n\r\nmore\r\n\r\n").unwrap();
+    assert_eq!(door.ready(0, &mut net, conn), None, "the same call is not carried out again");
+    door.answer(0, &mut net, conn, &call, Reply::new(200, "heard"));
+    caller.shutdown(std::net::Shutdown::Write).unwrap();
+    net.discard(conn);
+    let mut got = String::new();
+    caller.set_read_timeout(Some(std::time::Duration::from_secs(8))).unwrap();
+    caller.read_to_string(&mut got).unwrap();
+    assert_eq!((got.matches("HTTP/1.1 ").count(), got.ends_with("heard\n")), (1, true), "{got}");
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -297,15 +297,36 @@
         let pending = conn.output.len() - conn.written + bytes.len();
         // Guards against clients that ask and do not read: what waits for them is memory.
         let most = OUTPUT_MOST.min(self.room.output / OUTPUT_PART);
-        if pending > most || self.waiting + bytes.len() > self.room.output {
+        if pending > most {
             return false;
         }
+        while self.waiting + bytes.len() > self.room.output {
+            if !self.crowd_out(id, pending - bytes.len()) {
+                return false;
+            }
+        }
+        let Some(conn) = self.conns.get_mut(&id) else { return false };
         conn.output.extend_from_slice(bytes);
         self.waiting += bytes.len();
         self.put(id);
         true
     }
 
+    /// Drops what waits for the client that has the most waiting, and ends its connection; false where nobody has as much as the
+    /// `waits` bytes of connection `id`, for which room is needed. Guards against some clients that ask and do not read, for whom
+    /// others' answers and engines' calls would find no room.
+    fn crowd_out(&mut self, id: u64, waits: usize) -> bool {
+        let waits_for = |conn: &Conn| conn.output.len() - conn.written;
+        let clients = self.conns.iter_mut().filter(|(other, conn)| **other != id && conn.owner.is_client());
+        let most = clients.max_by_key(|(other, conn)| (waits_for(conn), **other));
+        let Some((_, conn)) = most.filter(|(_, conn)| waits_for(conn) >= waits.max(1)) else { return false };
+        self.waiting -= waits_for(conn);
+        (conn.output, conn.written, conn.ended) = (Vec::new(), 0, conn.ended.or(Some(Ending::Garbled)));
+        // The machine tells of its end then, and its owner looks at it.
+        let _ = conn.stream.shutdown(std::net::Shutdown::Both);
+        true
+    }
+
     fn flush(&mut self, id: u64) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         while !conn.connecting && conn.ended.is_none() && conn.written < conn.output.len() {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -453,9 +453,9 @@
     /// The client that makes room for another, looked at once more. Guards against one that does so with its request unread.
     fn idle(&mut self, now: u64) -> Option<u64> {
         loop {
-            let idle = self.msgpack.idle(now)?;
+            let idle = self.msgpack.idle(now, &self.net)?;
             self.ready(now, idle);
-            if self.msgpack.idle(now) == Some(idle) {
+            if self.msgpack.idle(now, &self.net) == Some(idle) {
                 return Some(idle);
             }
         }
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -156,6 +156,8 @@
     links: HashMap<(u16, u16), String>,
     /// When the program was told to end.
     termed: Option<Instant>,
+    /// When the program was last made to stand still.
+    frozen: Option<Instant>,
     /// What must never have reached an engine.
     never: Vec<Vec<u8>>,
 }
@@ -244,7 +246,7 @@
         let (peers, filling, termed, never) = (BTreeMap::new(), Vec::new(), None, Vec::new());
         #[rustfmt::skip]
         let stage = Stage {
-            child, log, dir, config, postgres: file, fronts, listeners, peers, kept, filling, links: HashMap::new(), termed, never,
+            child, log, dir, config, postgres: file, fronts, listeners, peers, kept, filling, links: HashMap::new(), termed, never, frozen: None,
         };
         stage
     }
@@ -301,6 +303,7 @@
             ["freeze"] => {
                 self.signal("-STOP");
                 let stat = format!("/proc/{}/stat", self.child.id());
+                self.frozen = Some(Instant::now());
                 self.until("stands still", |_| std::fs::read_to_string(&stat).unwrap().contains(") T "));
             }
             ["thaw"] => {
@@ -312,6 +315,11 @@
                 let long = Duration::from_millis(ms.parse().unwrap());
                 self.until("time passes", |s| s.termed.is_some_and(|since| since.elapsed() >= long));
             }
+            // The program has stood still for so long.
+            ["still", ms] => {
+                let long = Duration::from_millis(ms.parse().unwrap());
+                self.until("time passes", |s| s.frozen.is_some_and(|since| since.elapsed() >= long));
+            }
             // Ends a connection by a reset.
             ["reset", name] => {
                 let peer = self.peers.remove(name).unwrap();
