Wait for a query's start before its end counts; let clients make room for descriptors

The lines: `Role::GiveUp` in engine/src/http.rs `answer` took any 204 for the end, also while the call that starts the query was unanswered; `Role::Post | Role::Ask` took a 500 for "not known" there. Mend: while the start is unanswered its answer is waited for; where its connection ended, the engine is told, or asked, once more 100 ms later; a first answer behind the end has it told anew. Normal engines answer the start first: no call more. Also seen by reading, then forced: where the machine gives fewer descriptors than the configuration says, clients waited behind those with nothing open, and operators for ever, as no event tells of them again (`accept`, `accept_operators`): `makes_room`. One test held that a 204 alone ends a query whose start is unanswered, which is wrong as seen; it now wants both, and is stricter.

--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -65,6 +65,8 @@
 struct Leaving {
     conn: Option<u64>,
     again_ns: u64,
+    /// The engine has said that it was told.
+    told: bool,
 }
 
 /// A query on an engine.
@@ -79,6 +81,8 @@
     whole: bool,
     /// The engine has answered something about it.
     known: bool,
+    /// The engine stood still as it got the call that starts it, and may read that behind a later one.
+    stood_still: bool,
     conn: Option<u64>,
     /// When it was last asked for on a connection that was up.
     asked_ns: u64,
@@ -359,7 +363,17 @@
             }
             Role::GiveUp(at) => {
                 self.rest(cx, conn);
-                self.end(cx, at, Ending::GivenUp);
+                // Guards against a second copy: an engine that stood still may read this call before the one that starts the
+                // query, and take that up afterwards. It is told once more, when it has had time to read that one.
+                let waits = self.heard_on(at);
+                let Some(run) = self.runs.get_mut(&at) else { return };
+                match run.leaving.as_mut().filter(|leaving| !run.known && (waits || !leaving.told)) {
+                    Some(leaving) => {
+                        (leaving.conn, leaving.told) = (None, true);
+                        leaving.again_ns = if waits { u64::MAX } else { cx.now + ASK_AGAIN_NS / 2 };
+                    }
+                    None => self.end(cx, at, Ending::GivenUp),
+                }
             }
             Role::Rank(at) => {
                 self.runs.entry(at).and_modify(|r| r.ranking = false);
@@ -373,13 +387,25 @@
                 if rows && (head.pages.is_none_or(|n| n == 0) || head.page.is_some() || !whole_rows(&body)) {
                     return self.spoilt(cx, conn, role, "no first page");
                 }
-                (run.whole, run.known, run.breaks) = (true, true, 0);
+                // Guards against a second copy: an engine that stood still may take a query up that it did not know just now. It
+                // is asked once more, when it has had time to read the call that starts it.
+                if head.status == 500 && std::mem::take(&mut run.stood_still) && run.leaving.is_none() {
+                    (run.conn, run.again_ns) = (None, cx.now + ASK_AGAIN_NS / 2);
+                    return self.rest(cx, conn);
+                }
+                let first = !std::mem::replace(&mut run.known, true);
+                (run.whole, run.breaks, run.stood_still) = (true, 0, false);
                 run.report = head.report.or(run.report);
                 match (head.status, head.never_ran) {
                     (202, _) => {
                         if let Some(note) = head.note {
                             cx.router.note(at, note);
                         }
+                        // Guards against an end that was read before the start: it is told anew behind that.
+                        let told = run.leaving.as_mut().filter(|_| first).and_then(|l| l.conn.take());
+                        if let Some(line) = told.and_then(|conn| self.lines.get_mut(&conn)) {
+                            line.role = Role::Discard;
+                        }
                         self.ask(cx, at, conn);
                         self.tell_rank(cx, at);
                     }
@@ -478,7 +504,8 @@
             Role::Post(at) => {
                 let Some(run) = self.runs.get_mut(&at) else { return };
                 run.conn = None;
-                if run.leaving.is_some() {
+                if let Some(leaving) = &mut run.leaving {
+                    leaving.again_ns = leaving.again_ns.min(cx.now + ASK_AGAIN_NS / 2);
                     return;
                 }
                 let again = run.starts < STARTS_MOST;
@@ -548,6 +575,7 @@
             begin_by_ns: start.begin_by_ns,
             whole: false,
             known: false,
+            stood_still: false,
             conn: None,
             asked_ns: cx.now,
             again_ns: 0,
@@ -570,7 +598,7 @@
     fn give_up(&mut self, cx: &mut Context, at: Attempt) {
         self.withdraw(cx, at);
         let Some(run) = self.runs.get_mut(&at).filter(|r| r.leaving.is_none()) else { return };
-        run.leaving = Some(Leaving { conn: None, again_ns: cx.now });
+        run.leaving = Some(Leaving { conn: None, again_ns: cx.now, told: false });
         self.tell_leaving(cx, at);
     }
 
@@ -644,7 +672,12 @@
         stale.sort_unstable();
         late.sort_unstable();
         stale.into_iter().for_each(|conn| self.close(cx, conn));
-        late.into_iter().for_each(|(conn, ending)| self.lost(cx, conn, ending));
+        for (conn, ending) in late {
+            if let Some(Line { role: Role::Post(at), up: true, .. }) = self.lines.get(&conn) {
+                self.runs.entry(*at).and_modify(|r| r.stood_still = r.whole);
+            }
+            self.lost(cx, conn, ending);
+        }
         // Guards against a repeat that goes out, as its connection comes up late, when engines would run it again.
         let now = cx.now;
         self.take_back_unbegun(cx, |_, run| run.begin_by_ns.is_some_and(|by| now > by));
--- a/crates/engine/tests/give_up.rs
+++ b/crates/engine/tests/give_up.rs
@@ -224,13 +224,99 @@
 #[test]
 fn an_engine_that_stands_still_has_not_been_told_until_it_answers() {
     let mut w = World::new();
-    let (_first, mut second) = w.given_up();
+    let (mut first, mut second) = w.given_up();
     for ms in [100, 260, 400, 490] {
         w.tick(ms);
         assert!(!w.router.has_news(), "after {ms} ms the query may still run");
     }
+    first.write_all(b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n").unwrap();
+    second.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
+    assert_eq!(w.ending(), Ending::GivenUp);
+}
+
+#[test]
+fn an_engine_that_reads_the_end_of_a_query_before_its_start_has_not_ended_it() {
+    let mut w = World::new();
+    let (mut first, mut second) = w.given_up();
+    w.tick(300);
+    second.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
+    w.turn_sockets();
+    for ms in [320, 400, 490] {
+        w.tick(ms);
+        assert!(!w.router.has_news(), "after {ms} ms the call that starts the query still waits there");
+    }
+    // It takes the query up now, and is told once more.
+    first.write_all(b"HTTP/1.1 202 Running\r\nContent-Length: 0\r\n\r\n").unwrap();
+    w.read(&mut first, "DELETE /o/aaaabbbbccccdddd ");
+    assert!(!w.router.has_news());
+    first.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
+    assert_eq!(w.ending(), Ending::GivenUp);
+}
+
+#[test]
+fn an_engine_that_reads_the_end_of_a_query_before_its_start_is_told_again_where_both_answers_come_at_once() {
+    let mut w = World::new();
+    let (mut first, mut second) = w.given_up();
     second.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
-    w.until(|w| w.router.has_news());
+    first.write_all(b"HTTP/1.1 202 Running\r\nContent-Length: 0\r\n\r\n").unwrap();
+    // The connection that waits for news is looked at first.
+    let mut cx = Context { now: w.now, net: &mut w.net, router: &mut w.router };
+    w.engines.ready(&mut cx, 11);
+    w.turn_sockets();
+    assert!(!w.router.has_news(), "the query may run");
+    w.read(&mut first, "DELETE /o/aaaabbbbccccdddd ");
+    first.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
+    assert_eq!(w.ending(), Ending::GivenUp);
+}
+
+#[test]
+fn an_engine_that_stood_still_is_asked_twice_before_it_counts_as_not_knowing_a_query() {
+    for takes_it_up in [true, false] {
+        let mut w = World::new();
+        let (_attempt, _first) = w.started();
+        w.tick(501);
+        let mut second = w.accept();
+        w.read(&mut second, "GET /o/aaaabbbbccccdddd/0 ");
+        second.write_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n").unwrap();
+        w.turn_sockets();
+        assert!(!w.router.has_news(), "the call that starts it may still stand there");
+        w.tick(610);
+        let mut third = w.accept();
+        w.read(&mut third, "GET /o/aaaabbbbccccdddd/0 ");
+        let answer: &[u8] = match takes_it_up {
+            true => b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nChunks: 1\r\n\r\na\tb\tc\n",
+            false => b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+        };
+        third.write_all(answer).unwrap();
+        assert_eq!(w.ending(), if takes_it_up { Ending::Served } else { Ending::EngineError });
+    }
+}
+
+#[test]
+fn an_engine_that_never_answers_the_start_of_a_query_is_told_again_that_it_is_given_up() {
+    // The start's connection is ended for its silence behind the first answer, or before it.
+    for silent_first in [false, true] {
+        let mut w = World::new();
+        let (attempt, mut first) = w.started();
+        if silent_first {
+            w.now = T0 + 400 * MS;
+        }
+        w.give_up(attempt);
+        let mut second = w.accept();
+        w.read(&mut second, "DELETE /o/aaaabbbbccccdddd ");
+        if silent_first {
+            w.tick(501);
+            w.until(|_| matches!(first.read(&mut [0; 16]), Err(e) if e.kind() == ErrorKind::ConnectionReset));
+        }
+        second.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
+        w.turn_sockets();
+        assert!(!w.router.has_news());
+        w.tick(502);
+        w.tick(620);
+        w.read(&mut second, "DELETE /o/aaaabbbbccccdddd ");
+        second.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
+        assert_eq!(w.ending(), Ending::GivenUp);
+    }
 }
 
 #[test]
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -57,6 +57,8 @@
 const LINGER_NS: u64 = 100_000_000;
 /// Wait after which a listener is tried again when no descriptor was to be had (ns).
 const ACCEPT_AGAIN_NS: u64 = 20_000_000;
+/// The machine's words for no descriptor to be had, of all processes and of this one (`ENFILE`, `EMFILE`).
+const NO_DESCRIPTOR: [i32; 2] = [23, 24];
 /// Connections that are accepted in one round (count): hundreds may come at once, and others wait meanwhile.
 const ACCEPT_MOST: usize = 64;
 /// How often engines and discovery are looked after (ns).
@@ -373,6 +375,7 @@
             }
             if self.accept_at.is_some_and(|at| now >= at) {
                 self.accept(now);
+                self.accept_operators(now);
             }
             if now >= self.ticked_ns + TICK_NS {
                 self.ticked_ns = now;
@@ -439,17 +442,30 @@
                     Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                     Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                     Err(e) => {
-                        // Guards against spinning on a listener that has no descriptor to give.
-                        warn!("accept: {e}");
-                        self.router.counters.short_of_descriptors += 1;
-                        self.accept_at = Some(now + ACCEPT_AGAIN_NS);
-                        return;
+                        if !self.makes_room(now, &e) {
+                            return;
+                        }
                     }
                 }
             }
         }
     }
 
+    /// A connection could not be accepted: whether it can be tried again at once, as somebody made room for it. Guards against
+    /// spinning on a listener that has no descriptor to give, and against those who wait in its queue behind clients with nothing
+    /// open, where the machine gives fewer descriptors than the configuration says.
+    fn makes_room(&mut self, now: u64, fault: &std::io::Error) -> bool {
+        warn!("accept: {fault}");
+        self.router.counters.short_of_descriptors += 1;
+        let short = fault.raw_os_error().is_some_and(|code| NO_DESCRIPTOR.contains(&code));
+        let idle = if short { self.idle(now) } else { None };
+        match idle {
+            Some(idle) => self.msgpack.close(&mut self.net, &mut self.router, idle, Ending::Idle),
+            None => self.accept_at = Some(now + ACCEPT_AGAIN_NS),
+        }
+        idle.is_some()
+    }
+
     /// The client that makes room for another, looked at once more. Guards against one that does so with its request unread.
     fn idle(&mut self, now: u64) -> Option<u64> {
         loop {
@@ -473,12 +489,14 @@
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
-                    warn!("accept at the operators' door: {e}");
-                    self.router.counters.short_of_descriptors += 1;
-                    return;
+                    if !self.makes_room(now, &e) {
+                        return;
+                    }
                 }
             }
         }
+        // No further event tells of those who still wait.
+        self.accept_at = Some(now);
     }
 
     /// Carries out one call of the operators and answers it.
--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -221,7 +221,15 @@
         std::fs::write(dir.join("config.json"), config.to_string()).unwrap();
         std::fs::write(dir.join("postgres.json"), file.to_string()).unwrap();
         std::fs::write(dir.join("door.conf"), DOOR).unwrap();
-        let mut child = marljunction_rig::process::command(Path::new(env!("CARGO_BIN_EXE_marljunction")))
+        // Of util-linux, as what `command` uses.
+        let program = env!("CARGO_BIN_EXE_marljunction");
+        let mut command = match with("short descriptors") {
+            true => marljunction_rig::process::command(Path::new("/usr/bin/prlimit")),
+            false => marljunction_rig::process::command(Path::new(program)),
+        };
+        let limit = ["--nofile=40", program];
+        let mut child = command
+            .args(limit.iter().filter(|_| with("short descriptors")))
             .env("ROUTER_CONFIG", dir.join("config.json"))
             .env("MARLJUNCTION_POSTGRES", dir.join("postgres.json"))
             .envs(with("door").then(|| ("MARLJUNCTION_SETUP", dir.join("door.conf"))))
