Read the key by which requests take turns; count a held call as asking; bound a stop

A probe there showed a field `obj` on its calls; `Directory::read` (front/src/msgpack.rs) dropped it, though the module keeps turns by key. Mend: `Ask::order_key`, shown to the module, past the door, where later ones could pass. An engine holds a call for news for 250 ms, which counts as asking, so 2 s begin behind that: `FORGOTTEN_NS` is 2.35 s. Found on the way: `written` counted from when a call's connection was begun, up to a connect time too early. Ruled out as the cause by itself: the break stayed with that alone. Also: a client that never stops sending, or never reads, held up a planned stop until the kill (`finished`): it ends 0.6 s behind the longest deadline now.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -62,6 +62,8 @@
     pub token: Option<String>,
     /// Its class.
     pub class: ClassId,
+    /// What requests of classes that keep their order take turns for; none for no turns.
+    pub order_key: Option<u64>,
     /// Its tenant, where there are tenants.
     pub tenant: Option<TenantId>,
     /// Its client, by the number of whatever names one.
@@ -518,6 +520,7 @@
         let request = Request {
             id,
             class: ask.class,
+            key: ask.order_key,
             tenant: ask.tenant,
             time_left_ns: open.expires_ns.saturating_sub(now),
             waited_ns: now.saturating_sub(open.taken_ns),
@@ -570,7 +573,9 @@
                     return;
                 }
                 let Some(open) = self.open.get(&id) else { return };
-                if self.door.is_none() {
+                // Guards against a request that passes an earlier one of its key at the door: the module keeps their order.
+                let ordered = open.ask.order_key.is_some() && self.classes[open.ask.class.0].serial_by_key;
+                if self.door.is_none() || ordered {
                     return self.show(now, id, out);
                 }
                 let arrival = self.at_door(id, open);
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -25,9 +25,9 @@
 const SILENT_NS: u64 = 500_000_000;
 /// Wait before a query is asked after again where no connection came up (ns).
 const ASK_AGAIN_NS: u64 = 200_000_000;
-/// An engine ends a query that nobody asks for in this time (ns), with the allowance for sockets and as much again for
-/// the call that asked last, which came later than it was written.
-const FORGOTTEN_NS: u64 = 2_100_000_000;
+/// An engine ends a query that nobody asks for in 2 s. The call that asked last may have come later than it was written, and
+/// counts as asking while the engine holds it for news, 250 ms; with the allowance for sockets, twice (ns).
+const FORGOTTEN_NS: u64 = 2_350_000_000;
 /// Largest result (bytes).
 const RESULT_MOST: usize = 48_000;
 /// Times that a query's start is written to a new connection because the one before came to nothing (count).
@@ -255,8 +255,10 @@
             return;
         }
         match self.lines.get(&conn).map(|l| l.role) {
+            // The engine has it from now on, however long its connection took to come up.
             Some(Role::Post(at)) => {
-                self.runs.entry(at).and_modify(|r| r.whole = true);
+                let unwritten = self.runs.get_mut(&at).filter(|r| !r.whole);
+                unwritten.into_iter().for_each(|r| (r.whole, r.asked_ns) = (true, cx.now));
             }
             Some(Role::Ask(at) | Role::Page(at, _)) => {
                 self.runs.entry(at).and_modify(|r| r.asked_ns = r.asked_ns.max(cx.now));
--- a/crates/front/src/msgpack.rs
+++ b/crates/front/src/msgpack.rs
@@ -442,6 +442,9 @@
         if !token.iter().all(fits) {
             return Err("bad token".into());
         }
+        let hex = |v: &str| (1..=16).contains(&v.len()) && v.bytes().all(|b| b.is_ascii_hexdigit());
+        let key = |v: &str| u64::from_str_radix(v, 16).ok().filter(|_| hex(v)).ok_or("bad obj");
+        let order_key = field("obj").map(key).transpose()?;
         let work = number("est")?.map(|ms| (ms * 1e6) as u64);
         if work == Some(0) {
             return Err("bad est".into());
@@ -454,6 +457,7 @@
             name: name.to_owned(),
             token,
             class,
+            order_key,
             tenant,
             client: self.client(peer, |who| if let Who::Field(name) = who { field(name) } else { None }),
             time_left_ns: budget_ns.saturating_sub(ANSWER_MARGIN_NS),
--- a/crates/front/src/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -575,6 +575,7 @@
             token: self.directory.drops_repeats(class).then(|| name.clone()),
             name,
             class,
+            order_key: None,
             tenant: settings.tenant,
             client,
             time_left_ns: timeout_ns.saturating_sub(ANSWER_MARGIN_NS),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -53,6 +53,8 @@
 /// gets its final answer (ns): the program may be killed 0.3 s later.
 const END_NS: u64 = 400_000_000;
 const END_DEADLINE_NS: u64 = 3_000_000_000;
+/// The same, at which the program ends whatever its clients do (ns).
+const OVER_NS: u64 = 600_000_000;
 /// Time between the last answer and the end (ns).
 const LINGER_NS: u64 = 100_000_000;
 /// Wait after which a listener is tried again when no descriptor was to be had (ns).
@@ -885,8 +887,13 @@
 
     /// Whether the process has been told to stop for so long that it may be killed soon.
     fn is_last(&self, now: u64) -> bool {
+        self.is_past(now, END_NS)
+    }
+
+    /// Whether so long has passed behind the longest deadline, or the most of it that counts, since the process was told to stop.
+    fn is_past(&self, now: u64, long_ns: u64) -> bool {
         let longest = self.settings.classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0);
-        let end_ns = longest.min(END_DEADLINE_NS) + END_NS;
+        let end_ns = longest.min(END_DEADLINE_NS) + long_ns;
         self.phase.stopping_since().is_some_and(|since| now >= since + end_ns)
     }
 
@@ -915,6 +922,8 @@
         // client gets time to read what was just written.
         let quiet = *self.quiet_since.get_or_insert(now);
         let waits = self.listens() && !self.is_last(now);
-        now >= since + STAY_NS && answered && !waits && now >= quiet + LINGER_NS
+        let quiet = now >= since + STAY_NS && answered && !waits && now >= quiet + LINGER_NS;
+        // Guards against a stop that is held up for ever by a client that never stops sending, or never reads.
+        quiet || self.is_past(now, OVER_NS)
     }
 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -3,6 +3,7 @@
 #[path = "common/stand_in.rs"]
 mod stand_in;
 
+use std::io::Write;
 use std::path::PathBuf;
 
 use rstest::rstest;
@@ -168,3 +169,25 @@
     // One that asked for its end is answered; of the others it is told that they waited.
     assert_eq!(counters["left_unsent"], u64::from(key == "left"), "{counters:?}");
 }
+
+/// Told to end, the program answers what it took and ends, though a client goes on sending as fast as it can.
+#[test]
+fn a_client_that_never_stops_sending_does_not_hold_up_a_planned_stop() {
+    let mut stage = play("endless", "open c msgpack\n", usize::MAX);
+    stage.step(r"c > \x94\x00\x07\xa6isWell\x91\x80");
+    stage.step(r"c < \x94\x01\x07\xc0\x92\xc3\x80");
+    let mut client = stage.stream("c");
+    let notices = b"\x93\x02\xa6forget\x91\x01".repeat(5_000);
+    let since = std::time::Instant::now();
+    let sender = std::thread::spawn(move || {
+        while since.elapsed() < stand_in::PATIENCE {
+            if client.write_all(&notices).is_err() {
+                return true;
+            }
+        }
+        false
+    });
+    let (counters, _) = stage.stop();
+    balanced(&counters);
+    assert!(sender.join().unwrap(), "the program ended only when its client stopped sending");
+}
