Tidy tests of given-up queries and of connections' ends: one set-up each

Need: the change was read over once more; the same steps stood four times in one test file and twice in another. Change: told_on in engine/tests/give_up.rs, client in net/tests/close.rs. No assertion is lost; told_on also holds, where two tests did not, that nothing is reported before the engine has answered. The program is untouched.

--- a/crates/engine/tests/give_up.rs
+++ b/crates/engine/tests/give_up.rs
@@ -181,6 +181,14 @@
         counted.expect("an ending is counted").0
     }
 
+    /// The query ends once the engine has been told on this connection that it is given up, and has said so.
+    fn told_on(&mut self, mut stream: TcpStream) {
+        self.read(&mut stream, "DELETE /o/aaaabbbbccccdddd ");
+        assert!(!self.router.has_news());
+        stream.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
+        assert_eq!(self.ending(), Ending::GivenUp);
+    }
+
     /// A query that the engine has whole, and that was given up: the end of the connection that tells it so.
     fn given_up(&mut self) -> (TcpStream, TcpStream) {
         let (attempt, first) = self.started();
@@ -211,10 +219,7 @@
         assert!(!w.router.has_news(), "after {ms} ms the query may still run: its connection stands");
     }
     first.write_all(b"HTTP/1.1 202 Running\r\nContent-Length: 0\r\n\r\n").unwrap();
-    w.read(&mut first, "DELETE /o/aaaabbbbccccdddd ");
-    assert!(!w.router.has_news());
-    first.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
-    assert_eq!(w.ending(), Ending::GivenUp);
+    w.told_on(first);
 }
 
 #[test]
@@ -255,10 +260,7 @@
     }
     // It takes the query up now, and is told once more.
     first.write_all(b"HTTP/1.1 202 Running\r\nContent-Length: 0\r\n\r\n").unwrap();
-    w.read(&mut first, "DELETE /o/aaaabbbbccccdddd ");
-    assert!(!w.router.has_news());
-    first.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
-    assert_eq!(w.ending(), Ending::GivenUp);
+    w.told_on(first);
 }
 
 #[test]
@@ -272,9 +274,7 @@
     w.engines.ready(&mut cx, 11);
     w.turn_sockets();
     assert!(!w.router.has_news(), "the query may run");
-    w.read(&mut first, "DELETE /o/aaaabbbbccccdddd ");
-    first.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
-    assert_eq!(w.ending(), Ending::GivenUp);
+    w.told_on(first);
 }
 
 #[test]
@@ -376,9 +376,7 @@
     w.engines.ready(&mut cx, 11);
     w.turn_sockets();
     assert!(!w.router.has_news(), "the engine is there, and may still run the query");
-    w.read(&mut first, "DELETE /o/aaaabbbbccccdddd ");
-    first.write_all(b"HTTP/1.1 204 Done\r\n\r\n").unwrap();
-    assert_eq!(w.ending(), Ending::GivenUp);
+    w.told_on(first);
 }
 
 #[test]
--- a/crates/net/tests/close.rs
+++ b/crates/net/tests/close.rs
@@ -5,6 +5,15 @@
 use marljunction_core::ending::Ending;
 use marljunction_net::{Net, Owner, Room};
 
+/// A client, and its connection's number.
+fn client(net: &mut Net, owner: Owner) -> (std::net::TcpStream, u64) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_nonblocking(true).unwrap();
+    (client, net.adopt(mio::net::TcpStream::from_std(stream), owner).unwrap())
+}
+
 #[test]
 fn a_closed_connection_to_an_engine_is_reset_so_that_nothing_it_held_is_sent_later() {
     let poll = mio::Poll::new().unwrap();
@@ -26,12 +35,8 @@
 fn what_was_written_to_a_client_outlives_the_program_s_end_though_it_sent_more() {
     let poll = mio::Poll::new().unwrap();
     let mut net = Net::new(poll.registry().try_clone().unwrap(), 1, Room::of(64, 64.0));
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (mut client, id) = client(&mut net, Owner::Msgpack);
     client.set_read_timeout(Some(std::time::Duration::from_secs(8))).unwrap();
-    let (stream, _) = listener.accept().unwrap();
-    stream.set_nonblocking(true).unwrap();
-    let id = net.adopt(mio::net::TcpStream::from_std(stream), Owner::Msgpack).unwrap();
     assert!(net.send(id, b"the answer"));
     std::io::Write::write_all(&mut client, b"more than was asked for").unwrap();
     net.finish_all(0);
@@ -45,11 +50,7 @@
 fn a_client_that_has_closed_is_gone_though_no_more_is_read_from_it() {
     let mut poll = mio::Poll::new().unwrap();
     let mut net = Net::new(poll.registry().try_clone().unwrap(), 1, Room::of(64, 64.0));
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let (stream, _) = listener.accept().unwrap();
-    stream.set_nonblocking(true).unwrap();
-    let id = net.adopt(mio::net::TcpStream::from_std(stream), Owner::Postgres).unwrap();
+    let (mut client, id) = client(&mut net, Owner::Postgres);
     // More than is read before its owner takes some of it.
     std::io::Write::write_all(&mut client, &[b'x'; 100 << 10]).unwrap();
     assert_eq!(net.service(id).ended, None);
@@ -63,15 +64,6 @@
     assert!(net.service(id).ended.is_some());
 }
 
-/// A client that reads nothing, and its connection's number.
-fn client(net: &mut Net, owner: Owner) -> (std::net::TcpStream, u64) {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let (stream, _) = listener.accept().unwrap();
-    stream.set_nonblocking(true).unwrap();
-    (client, net.adopt(mio::net::TcpStream::from_std(stream), owner).unwrap())
-}
-
 /// Sends to a client that reads nothing until so many bytes wait for it.
 fn let_wait(net: &mut Net, id: u64, bytes: usize) {
     while net.drained(id) {
