Move the fleet's runtime into a crate of its own, marljunction-fleet

The runtime is now crates/fleet, split into config, runtime, payloads, outbox, overrides_file, reload and view; it takes what it needs as FleetConfig and RouterIdentity, so that many routers can run in one process. Its errors are enums. Payloads of kinds without a machine there wait in a bounded queue (take_payloads). Replacing a file as a whole went to marljunction-settings.

--- /dev/null
+++ b/crates/fleet/src/payloads.rs
@@ -0,0 +1,94 @@
+//! What peers say, handed to the machine that it is for.
+//!
+//! Limits and engine health have their machines here. A payload of any other kind waits in a bounded queue for whoever owns that
+//! kind: [`FleetRuntime::take_payloads`] hands it out, [`FleetRuntime::send`] and [`FleetRuntime::send_to`] answer.
+
+use std::net::SocketAddr;
+
+use marljunction_core::Router;
+use marljunction_limits::escrow::Peer;
+use marljunction_limits::Message as LimitMessage;
+use marljunction_peers::seal::Kind;
+use marljunction_peers::Who;
+use marljunction_verdicts::Message as HealthMessage;
+use serde::Serialize;
+
+use crate::outbox::{send_to_address, send_to_numbers};
+use crate::runtime::FleetRuntime;
+
+/// Payloads without a machine here that wait to be taken (count); further ones are dropped and counted.
+pub const MAX_PENDING_PAYLOADS: usize = 1_024;
+
+/// What a peer said to a machine that this crate does not hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerPayload {
+    /// Who said it.
+    pub from: Who,
+    /// Which machine it is for.
+    pub kind: Kind,
+    /// The MessagePack bytes.
+    pub bytes: Vec<u8>,
+}
+
+impl FleetRuntime {
+    /// Payloads of kinds that have no machine here, in the order in which they came since this was last called.
+    pub fn take_payloads(&mut self) -> Vec<PeerPayload> {
+        std::mem::take(&mut self.pending_payloads)
+    }
+
+    /// Payloads that were dropped as nobody took the ones before them (count).
+    pub fn dropped_payloads(&self) -> u64 {
+        self.dropped_payloads
+    }
+
+    /// Sends messages to peers by their numbers, with the datagrams of the next iteration; a number that nobody has is sent nothing.
+    pub fn send<M: Serialize>(&mut self, kind: Kind, messages: Vec<(u32, M)>) {
+        send_to_numbers(&mut self.members, kind, messages);
+    }
+
+    /// Sends messages to one address, with the datagrams of the next iteration.
+    pub fn send_to<M: Serialize>(&mut self, to: SocketAddr, kind: Kind, messages: Vec<M>) {
+        send_to_address(&mut self.members, to, kind, messages);
+    }
+
+    /// Hands what a peer said to its machine; a new kind of datagram gets its arm here.
+    pub(crate) fn handle_payload(&mut self, now: u64, payload: PeerPayload, router: &mut Router) {
+        match payload.kind {
+            Kind::Verdicts => self.handle_health(now, &payload, router),
+            Kind::Limits => self.handle_limits(now, &payload, router),
+            _ => self.queue_payload(payload),
+        }
+    }
+
+    fn queue_payload(&mut self, payload: PeerPayload) {
+        if self.pending_payloads.len() < MAX_PENDING_PAYLOADS {
+            self.pending_payloads.push(payload);
+        } else {
+            self.dropped_payloads += 1;
+        }
+    }
+
+    fn handle_limits(&mut self, now: u64, payload: &PeerPayload, router: &mut Router) {
+        let Ok(messages) = rmp_serde::from_slice::<Vec<LimitMessage>>(&payload.bytes) else { return };
+        let Some(limits) = router.limits() else { return };
+        let peer = Peer { number: payload.from.number, life: payload.from.life };
+        let mut answers = Vec::new();
+        for message in messages {
+            answers.extend(limits.node().hear(now, peer, message));
+        }
+        self.send_to(payload.from.address, Kind::Limits, answers);
+    }
+
+    fn handle_health(&mut self, now: u64, payload: &PeerPayload, router: &mut Router) {
+        if now < self.ignore_health_until_ns {
+            return;
+        }
+        let Some(health) = router.verdicts() else { return };
+        let Ok(messages) = rmp_serde::from_slice::<Vec<HealthMessage>>(&payload.bytes) else { return };
+        let mut answers = Vec::new();
+        for message in messages {
+            answers.extend(health.node().hear(now, payload.from.number, message));
+        }
+        self.send(Kind::Verdicts, answers);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/runtime.rs
@@ -0,0 +1,348 @@
+//! Runs the fleet's machines over one socket: start, datagrams in and out, time, membership changes.
+//!
+//! Invariants: all that the machines say leaves in the iteration in which they said it; a router that stood still passes over what
+//! peers said of engines meanwhile, as nobody knows how old it is.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use log::{info, warn};
+use marljunction_control::interface::Settings;
+use marljunction_core::cold::ColdBudgets;
+use marljunction_core::limits::FleetLimits;
+use marljunction_core::verdicts::FleetVerdicts;
+use marljunction_core::Router;
+use marljunction_limits::escrow::Peer;
+use marljunction_limits::terms::stable_hash;
+use marljunction_limits::{Limit, Node as LimitNode};
+use marljunction_net::datagrams::Datagrams;
+use marljunction_peers::seal::Kind;
+use marljunction_peers::{Event, Members, Settings as MembershipSettings, Who};
+use marljunction_settings::Names;
+use marljunction_verdicts::words::Words;
+use marljunction_verdicts::{Node as HealthNode, Terms as HealthTerms};
+use mio::{Registry, Token};
+
+use crate::config::{describe_budget, longest_request_ns, parse_address, read_keys, FleetConfig};
+use crate::error::FleetError;
+use crate::overrides_file::OverridesFile;
+use crate::payloads::PeerPayload;
+use crate::view;
+
+/// Keys of all limits that one router tracks (count).
+const MAX_LIMIT_KEYS: usize = 16_384;
+/// A router that did nothing for so long stood still (ns).
+const STALL_NS: u64 = 1_000_000_000;
+/// For how long after a stall peers' messages on engine health are passed over (ns): they repeat what still counts.
+const STALE_HEALTH_NS: u64 = 300_000_000;
+/// Membership changes that are logged one by one (count); of the further ones, one in [`LOG_EVERY`].
+const MAX_LOGGED_CHANGES: u64 = 1_000;
+const LOG_EVERY: u64 = 100;
+
+/// Who this router is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouterIdentity {
+    /// Its name; the same over its restarts.
+    pub name: String,
+    /// Its number among the routers that shares are fixed for.
+    pub number: u32,
+    /// The name of its zone, where it has one.
+    pub zone: Option<String>,
+    /// The seed of its own draws; another one in each router.
+    pub seed: u64,
+}
+
+/// What a start gives: the runtime, and the machines that the router is set up with.
+pub struct FleetStart {
+    /// The runtime.
+    pub runtime: FleetRuntime,
+    /// The limits, which go to the [`Router`].
+    pub limits: FleetLimits,
+    /// Engines' health where it is shared, which goes to the [`Router`].
+    pub health: Option<FleetVerdicts>,
+}
+
+/// The socket, the membership, and what is kept for the next start.
+pub struct FleetRuntime {
+    pub(crate) datagrams: Datagrams,
+    pub(crate) members: Members,
+    pub(crate) config: FleetConfig,
+    /// Membership changes so far (count).
+    logged_changes: u64,
+    /// When it last did anything (ns).
+    active_ns: u64,
+    /// Until when messages on engine health are passed over (ns).
+    pub(crate) ignore_health_until_ns: u64,
+    overrides_file: Option<OverridesFile>,
+    /// Whether this router's own network was the suspect when that was last logged.
+    suspect: bool,
+    pub(crate) pending_payloads: Vec<PeerPayload>,
+    pub(crate) dropped_payloads: u64,
+}
+
+impl FleetRuntime {
+    /// Opens the socket and sets the machines up. `kept_directory` is where overrides outlast the process; none for nowhere.
+    ///
+    /// # Errors
+    /// Where an address can't be read, the socket can't be opened, the keys can't be read, or a limit names a tenant or class that
+    /// is not in the settings.
+    #[allow(clippy::too_many_arguments)]
+    pub fn start(
+        now: u64,
+        registry: &Registry,
+        token: Token,
+        config: FleetConfig,
+        identity: RouterIdentity,
+        settings: &Settings,
+        names: &Names,
+        kept_directory: Option<&Path>,
+    ) -> Result<FleetStart, FleetError> {
+        let (datagrams, local) = open_socket(registry, token, &config.listen)?;
+        let members = join(now, &config, &identity, local)?;
+        let limits = build_limits(now, &config, identity.number, settings, names)?;
+        info!(
+            "{} talks to the fleet on {local} as router {} of {}",
+            identity.name, identity.number, config.routers
+        );
+        for line in config.bounds(longest_request_ns(settings)) {
+            info!("{line}");
+        }
+        let overrides_file = kept_directory.map(OverridesFile::in_directory);
+        let health =
+            config.health_terms().map(|terms| build_health(now, terms, &identity, overrides_file.as_ref()));
+        let runtime = FleetRuntime {
+            datagrams,
+            members,
+            config,
+            logged_changes: 0,
+            active_ns: now,
+            ignore_health_until_ns: 0,
+            overrides_file,
+            suspect: false,
+            pending_payloads: Vec::new(),
+            dropped_payloads: 0,
+        };
+        Ok(FleetStart { runtime, limits, health })
+    }
+
+    /// Whether datagrams were left to be read: no further event tells of them.
+    pub fn has_more(&self) -> bool {
+        self.datagrams.more
+    }
+
+    /// Datagrams sent so far (count).
+    pub fn sent_datagrams(&self) -> u64 {
+        self.members.sent().0
+    }
+
+    /// Bytes sent so far, in all datagrams.
+    pub fn sent_bytes(&self) -> u64 {
+        self.members.sent().1
+    }
+
+    /// Peers that can be reached.
+    pub fn peers(&self) -> impl Iterator<Item = &Who> {
+        self.members.up()
+    }
+
+    /// Where peers send datagrams to.
+    pub fn address(&self) -> SocketAddr {
+        self.members.me().address
+    }
+
+    /// Takes what has come in.
+    pub fn ready(&mut self, now: u64, router: &mut Router) {
+        self.note_activity(now);
+        let members = &mut self.members;
+        self.datagrams.receive(|datagram| members.hear(now, datagram));
+        self.exchange(now, router);
+    }
+
+    /// Passes time.
+    pub fn tick(&mut self, now: u64, router: &mut Router) {
+        self.note_activity(now);
+        self.members.tick(now);
+        if let Some(limits) = router.limits() {
+            let messages = limits.node().tick(now);
+            self.send(Kind::Limits, messages);
+        }
+        if let Some(health) = router.verdicts() {
+            let messages = health.node().tick(now);
+            self.send(Kind::Verdicts, messages);
+            self.log_suspicion(health.node().is_suspect());
+            if let Some(file) = &mut self.overrides_file {
+                file.store(health.node());
+            }
+        }
+        self.exchange(now, router);
+    }
+
+    /// Tells the peers that this router leaves.
+    pub fn leave(&mut self, now: u64) {
+        self.members.leave(now);
+        let (outgoing, _) = self.members.take();
+        self.send_datagrams(outgoing);
+    }
+
+    /// What is known of peers and limits, as text for operators.
+    pub fn view(&self, now: u64, limits: &mut FleetLimits) -> String {
+        view::describe_fleet(now, &self.members, &self.config, limits)
+    }
+
+    /// What the fleet agrees on engines' health, as text for operators.
+    pub fn view_health(&self, now: u64, health: &mut FleetVerdicts) -> String {
+        view::describe_health(now, health.node())
+    }
+
+    /// Counters, as one line.
+    pub fn line(&self, limits: &FleetLimits) -> String {
+        view::counters_line(&self.members, limits)
+    }
+
+    /// Notices that this router stood still: what waits for it is old, and nobody said how old.
+    fn note_activity(&mut self, now: u64) {
+        if now.saturating_sub(self.active_ns) >= STALL_NS {
+            self.ignore_health_until_ns = now + STALE_HEALTH_NS;
+        }
+        self.active_ns = now;
+    }
+
+    /// Sends what is to be sent and handles what became known, until handling it calls for no further datagrams.
+    fn exchange(&mut self, now: u64, router: &mut Router) {
+        loop {
+            let (outgoing, events) = self.members.take();
+            self.send_datagrams(outgoing);
+            if events.is_empty() {
+                return;
+            }
+            for event in events {
+                self.handle_event(now, event, router);
+            }
+        }
+    }
+
+    fn send_datagrams(&mut self, outgoing: Vec<(SocketAddr, Vec<u8>)>) {
+        for (to, datagram) in outgoing {
+            self.datagrams.send(to, &datagram);
+        }
+    }
+
+    fn handle_event(&mut self, now: u64, event: Event, router: &mut Router) {
+        if let Event::Said(from, kind, bytes) = event {
+            // Nobody came or went by what was said.
+            return self.handle_payload(now, PeerPayload { from, kind, bytes }, router);
+        }
+        self.log_change(event);
+        let reachable: BTreeSet<u32> = self.members.up().map(|peer| peer.number).collect();
+        if let Some(health) = router.verdicts() {
+            health.node().set_peers(reachable.iter().copied().collect());
+        }
+        if let Some(limits) = router.limits() {
+            limits.node().set_reachable(now, reachable);
+        }
+    }
+
+    fn log_change(&mut self, event: Event) {
+        match event {
+            Event::Said(..) => {}
+            Event::Up(peer) => self.log(&format!("{} is there, at {}", peer.name, peer.address)),
+            Event::Down(peer) => self.log(&format!("{} is gone, or can't be reached", peer.name)),
+            Event::Again(before, peer) if before.address != peer.address => self.log(&format!(
+                "{} has started again, at {}; if the one at {} is there still, two have its name",
+                peer.name, peer.address, before.address
+            )),
+            Event::Again(_, peer) => self.log(&format!("{} has started again", peer.name)),
+            Event::SameNumber(peer) => warn!(
+                "the fleet: {} at {} has this one's number {}: its shares are used twice",
+                peer.name, peer.address, peer.number
+            ),
+            Event::SameName => warn!(
+                "the fleet: peers take this router for gone again and again: another has this one's name, and shares are used twice"
+            ),
+        }
+    }
+
+    /// A line for a change of state, up to a bound: a fleet that flaps must not fill the log.
+    fn log(&mut self, line: &str) {
+        self.logged_changes += 1;
+        if self.logged_changes <= MAX_LOGGED_CHANGES || self.logged_changes % LOG_EVERY == 0 {
+            info!("the fleet: {line}");
+        }
+    }
+
+    fn log_suspicion(&mut self, suspect: bool) {
+        if suspect == self.suspect {
+            return;
+        }
+        self.suspect = suspect;
+        match suspect {
+            true => {
+                warn!("this router finds engines bad that serve the others: its own network may be at fault")
+            }
+            false => info!("this router is no suspect any more"),
+        }
+    }
+}
+
+fn open_socket(
+    registry: &Registry,
+    token: Token,
+    listen: &str,
+) -> Result<(Datagrams, SocketAddr), FleetError> {
+    let datagrams = Datagrams::open(registry, token, parse_address(listen)?)
+        .map_err(|source| FleetError::Bind { address: listen.to_owned(), source })?;
+    let local = datagrams.address().map_err(FleetError::LocalAddress)?;
+    Ok((datagrams, local))
+}
+
+fn join(
+    now: u64,
+    config: &FleetConfig,
+    identity: &RouterIdentity,
+    local: SocketAddr,
+) -> Result<Members, FleetError> {
+    let advertised = config.advertise.as_deref().map_or(Ok(local), parse_address)?;
+    let me = Who {
+        name: identity.name.clone(),
+        number: identity.number,
+        address: advertised,
+        life: now,
+        renewal: 0,
+    };
+    let seeds = config.seed_addresses()?;
+    let settings = MembershipSettings { routers: config.routers, seeds, ..MembershipSettings::default() };
+    Ok(Members::new(me, read_keys(&config.key)?, &settings, identity.seed))
+}
+
+fn build_limits(
+    now: u64,
+    config: &FleetConfig,
+    number: u32,
+    settings: &Settings,
+    names: &Names,
+) -> Result<FleetLimits, FleetError> {
+    let terms = config.terms(longest_request_ns(settings));
+    let mut limits: Vec<Limit> = config.limits.iter().map(|entry| entry.limit.clone()).collect();
+    let cold = config.cold.then(|| ColdBudgets::new(settings, limits.len())).flatten();
+    let (cold, budgets) = cold.unzip();
+    for budget in budgets.into_iter().flatten() {
+        info!("{}: {}", budget.name, describe_budget(&budget, &terms));
+        limits.push(budget);
+    }
+    let node = LimitNode::new(now, Peer { number, life: now }, terms, limits, MAX_LIMIT_KEYS);
+    let rules = config.limits.iter().map(|entry| entry.rule(names)).collect::<Result<_, _>>()?;
+    Ok(FleetLimits::new(node, rules, &names.tenants, &names.classes).with_cold(cold))
+}
+
+fn build_health(
+    now: u64,
+    terms: HealthTerms,
+    identity: &RouterIdentity,
+    overrides_file: Option<&OverridesFile>,
+) -> FleetVerdicts {
+    let kept = overrides_file.map_or((Words::default(), now), |file| file.load(now));
+    let zone = identity.zone.as_deref().unwrap_or("");
+    let zone = stable_hash([zone.as_bytes()]);
+    FleetVerdicts::new(HealthNode::new(now, (identity.number, now, zone), terms, kept))
+}
--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,88 @@
+//! Text that operators read: peers, limits, engine health, counters.
+
+use marljunction_core::limits::FleetLimits;
+use marljunction_peers::Members;
+use marljunction_verdicts::Node as HealthNode;
+
+use crate::config::FleetConfig;
+
+/// Pieces of evidence that are shown (count).
+const MAX_SHOWN_EVIDENCE: usize = 200;
+const NS_PER_MS: u64 = 1_000_000;
+
+/// Seconds from a time (ns) until now.
+fn age_s(now: u64, since_ns: u64) -> f64 {
+    now.saturating_sub(since_ns) as f64 / 1e9
+}
+
+/// Peers and limits, as `marljunction fleet` prints them.
+pub(crate) fn describe_fleet(
+    now: u64,
+    members: &Members,
+    config: &FleetConfig,
+    limits: &mut FleetLimits,
+) -> String {
+    let recovers = if limits.node().recovers() { ", asks what it lent before" } else { "" };
+    let mut lines = vec![format!("router {} of {}{recovers}", members.me().number, config.routers)];
+    for peer in members.up() {
+        let age = age_s(now, peer.life);
+        lines.push(format!("peer {} number {} at {} up {age:.0} s", peer.name, peer.number, peer.address));
+    }
+    lines.extend(describe_limits(now, config, limits));
+    let (datagrams, bytes) = members.sent();
+    let rejected: Vec<String> = members.spoilt().map(|(reason, count)| format!("{reason} {count}")).collect();
+    lines.push(format!("sent {datagrams} datagrams, {bytes} bytes; passed over: {}", rejected.join(", ")));
+    lines.join("\n")
+}
+
+fn describe_limits(now: u64, config: &FleetConfig, limits: &mut FleetLimits) -> Vec<String> {
+    let mut lines = Vec::new();
+    let places: Vec<u16> = limits.places().collect();
+    for (place, entry) in places.into_iter().zip(&config.limits) {
+        let (kind, refused) = (entry.limit.kind, limits.refused(place));
+        lines.push(format!("limit {} {kind:?} refused {refused}", entry.limit.name));
+        for (key, state) in limits.node().busiest(now, place) {
+            lines.push(format!(
+                "  key {key:016x} owned {} lent {} borrowed {} usable {} out {}",
+                state.owned, state.lent, state.borrowed, state.usable, state.out
+            ));
+        }
+    }
+    lines
+}
+
+/// What the fleet agrees on engines' health.
+pub(crate) fn describe_health(now: u64, node: &mut HealthNode) -> String {
+    let agreed = node.judged().clone();
+    let mut lines = vec![format!("{} peers can be reached", node.peers())];
+    for (name, entry) in node.words().iter() {
+        let (state, router) = (if entry.out { "out" } else { "back" }, entry.stamp.router);
+        let age = age_s(now, entry.stamp.ms.saturating_mul(NS_PER_MS));
+        lines.push(format!("engine {name} {state} by an operator at router {router} {age:.0} s ago"));
+    }
+    for (engine, status) in &agreed.engines {
+        lines.push(format!("engine {engine:016x} {status:?} by evidence"));
+    }
+    for (engine, observer, held) in node.evidence().iter().take(MAX_SHOWN_EVIDENCE) {
+        let (since, said) = (age_s(now, held.since_ns), age_s(now, held.at_ns));
+        lines.push(format!(
+            "  engine {engine:016x} router {observer} {:?} since {since:.1} s, said {said:.1} s ago",
+            held.finding
+        ));
+    }
+    for router in &agreed.suspects {
+        lines.push(format!("router {router} finds engines bad that serve others: it does not count"));
+    }
+    lines.join("\n")
+}
+
+/// Counters, as one line.
+pub(crate) fn counters_line(members: &Members, limits: &FleetLimits) -> String {
+    let rejected: u64 = members.spoilt().map(|(_, count)| count).sum();
+    let (datagrams, bytes) = members.sent();
+    format!(
+        "fleet_peers={} fleet_datagrams={datagrams} fleet_bytes={bytes} fleet_spoilt={rejected} fleet_limited={}",
+        members.up().count(),
+        limits.refused_in_all(),
+    )
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,8 @@
 
 #![forbid(unsafe_code)]
 
+pub mod atomic_file;
+
 use marljunction_control::interface::*;
 use serde::Deserialize;
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,13 +1,13 @@
 //! The configuration: where to listen, the limits, the settings of the module and the engines known so far.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use log::LevelFilter;
 use marljunction_language::value::Value;
 
-use crate::fleet::FleetFile;
 use crate::setup::Setup;
+use marljunction_fleet::{FleetConfig, RouterIdentity};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -226,7 +226,7 @@
     /// How the router starts and comes back.
     pub start: StartFile,
     /// The fleet, where routers talk to each other.
-    pub fleet: Option<FleetFile>,
+    pub fleet: Option<FleetConfig>,
     /// All that the operator's file says, and the level of the log that it names.
     pub operator: Option<Value>,
     /// The level of the log.
@@ -344,6 +344,17 @@
         hasher.finish()
     }
 
+    /// Who this router is to its fleet.
+    pub fn identity(&self) -> RouterIdentity {
+        let zone = self.settings.zone.and_then(|zone| self.names.zones.get(zone.0)).cloned();
+        RouterIdentity {
+            name: self.name.clone(),
+            number: self.settings.gateway_index,
+            zone,
+            seed: self.own_seed(),
+        }
+    }
+
     /// Reads the JSON text.
     pub fn read(text: &str) -> Result<Config, String> {
         let raw: RawConfig = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
@@ -368,10 +379,3 @@
         })
     }
 }
-
-/// Writes a file aside and renames it, so that nobody reads half of it.
-pub fn write_aside(path: &Path, text: &str) -> std::io::Result<()> {
-    let mut aside = path.as_os_str().to_owned();
-    aside.push(".new");
-    std::fs::write(&aside, text).and_then(|()| std::fs::rename(&aside, path))
-}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,8 +12,7 @@
 use signal_hook_mio::v1_0::Signals;
 
 use crate::behaviour::effects;
-use crate::config::{write_aside, EngineFile, Files, Limits, Read};
-use crate::fleet::{FleetFile, FleetSide};
+use crate::config::{EngineFile, Files, Limits, Read};
 use crate::logger;
 use marljunction_control::interface::{Effect, Settings, TenantId};
 use marljunction_core::ending::Ending;
@@ -27,6 +26,7 @@
 use marljunction_engine::http::HttpEngines;
 use marljunction_engine::postgres::PostgresEngines;
 use marljunction_engine::{Backend, Context, Start};
+use marljunction_fleet::{FleetConfig, FleetRuntime, FleetStart};
 use marljunction_front::msgpack::MsgpackFront;
 use marljunction_front::operator::{Call, OperatorFront, Reply};
 use marljunction_front::postgres::{PostgresFront, PostgresSetup};
@@ -36,6 +36,7 @@
 use marljunction_net::listener::Listen;
 use marljunction_net::phase::Phase;
 use marljunction_net::{Net, Owner, Room};
+use marljunction_settings::atomic_file::write_atomically;
 use marljunction_verdicts::stamp::Stamp;
 
 const MSGPACK: Token = Token(0);
@@ -125,7 +126,7 @@
     /// The list of engines as it was told, and the file that it is kept in for a start without the list service; none
     /// where it is not.
     /// What talks to the fleet's other routers; none where nothing does.
-    fleet: Option<FleetSide>,
+    fleet: Option<FleetRuntime>,
     /// Callers that wait until the fleet has heard what they said.
     confirming: Vec<Confirming>,
     /// Engines that operators took out of the whole fleet, as they were last told to the bans.
@@ -176,7 +177,10 @@
         let clock = Clock::start();
         let who = door.as_ref().map(|d| d.client.clone()).unwrap_or_default();
         // A limit by client holds for the fleet only where all routers know a client by one number.
-        let clients_seed = fleet.as_ref().map_or(Ok(config.seed), FleetFile::clients_seed)?;
+        let clients_seed = match &fleet {
+            Some(fleet) => FleetConfig::clients_seed(fleet).map_err(|e| e.to_string())?,
+            None => config.seed,
+        };
         let directory =
             Directory::new(config.names.clone(), &config.settings).with_clients(who, clients_seed);
         let door = door.map(|settings| {
@@ -234,10 +238,21 @@
         // Clients hold at most a third of the descriptors; the rest, less a few, is for engines.
         let sockets = config.limits.sockets.max(64);
         let kept_dir = files.kept.as_deref();
-        let fleet =
-            fleet.map(|file| FleetSide::start(now, &registry, FLEET, file, &config, kept_dir)).transpose()?;
         let (fleet, limits, verdicts) = match fleet {
-            Some((side, limits, verdicts)) => (Some(side), Some(limits), verdicts),
+            Some(file) => {
+                let FleetStart { runtime, limits, health } = FleetRuntime::start(
+                    now,
+                    &registry,
+                    FLEET,
+                    file,
+                    config.identity(),
+                    &config.settings,
+                    &config.names,
+                    kept_dir,
+                )
+                .map_err(|e| e.to_string())?;
+                (Some(runtime), Some(limits), health)
+            }
             None => (None, None, None),
         };
         let bans_file = files.kept.as_ref().map(|dir| (dir.join(BANS_FILE), String::new()));
@@ -344,7 +359,7 @@
         let heard = self.discovery.as_ref().map_or(0, |d| now.saturating_sub(d.age_ns(now)));
         let Some(path) = self.kept_file.as_ref().filter(|_| self.kept.due(now)) else { return };
         let text = self.kept.encode(self.directory.names(), heard);
-        if let Err(e) = write_aside(path, &text) {
+        if let Err(e) = write_atomically(path, &text) {
             warn!("the list of engines could not be kept in {}: {e}", path.display());
         }
     }
@@ -521,7 +536,7 @@
                 Err(reply) => reply,
             },
             Call::Verdicts => match (&self.fleet, self.router.verdicts()) {
-                (Some(fleet), Some(verdicts)) => Reply::new(200, fleet.view_verdicts(now, verdicts)),
+                (Some(fleet), Some(verdicts)) => Reply::new(200, fleet.view_health(now, verdicts)),
                 _ => Reply::new(404, "this router shares no verdicts"),
             },
             Call::Ready => Reply::new(503, format!("not ready: {}", self.phase.name())),
@@ -637,7 +652,7 @@
     fn write_bans(&mut self) {
         let Some((path, seen)) = &mut self.bans_file else { return };
         let text = self.bans.to_text();
-        match write_aside(path, &text) {
+        match write_atomically(path, &text) {
             Ok(()) => *seen = text,
             Err(e) => warn!("the bans could not be kept in {}: {e}", path.display()),
         }
@@ -734,7 +749,7 @@
             discovery.set_pace(pace, start.stale_ns);
         }
         if let (Some(side), Some(limits)) = (&mut self.fleet, self.router.limits()) {
-            side.reload(now, fleet.as_ref(), &config, limits);
+            side.reload(now, fleet.as_ref(), &config.settings, &config.names, limits);
         }
         self.engines.set_openings(start.openings(pace).map(|openings| (openings, config.own_seed())));
         let changes = match (&mut self.discovery, address) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,5 @@
 pub mod cli;
 pub mod config;
 pub mod daemon;
-pub mod fleet;
 pub mod logger;
 pub mod setup;
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -10,8 +10,9 @@
 use marljunction_language::value::{Quantity, RecordValue, Value, What};
 use marljunction_language::{read, Outcome};
 
-use crate::fleet::{kind, mode, FleetFile, LimitFile, VerdictsFile};
 use marljunction_core::limits::By;
+use marljunction_fleet::config::{failure_mode, limit_kind};
+use marljunction_fleet::{FleetConfig, HealthConfig, LimitConfig};
 use marljunction_limits::Limit;
 
 use crate::config::{ConsulFile, Count, EngineFile, PostgresFile, StartFile};
@@ -29,7 +30,7 @@
     /// How the router starts and comes back.
     pub start: StartFile,
     /// The fleet, where routers talk to each other.
-    pub fleet: Option<FleetFile>,
+    pub fleet: Option<FleetConfig>,
     /// What is logged.
     pub level: Option<LevelFilter>,
     /// All that the file says, with defaults; none where there is no file.
@@ -194,10 +195,10 @@
     all.iter().map(one).collect()
 }
 
-fn fleet(value: &Value) -> Option<FleetFile> {
+fn fleet(value: &Value) -> Option<FleetConfig> {
     let fleet = record(value)?;
     let limits = record(field(fleet, "limits")?)?;
-    Some(FleetFile {
+    Some(FleetConfig {
         listen: text(fleet, "listen")?,
         advertise: text(fleet, "advertise"),
         key: PathBuf::from(text(fleet, "key")?),
@@ -206,35 +207,35 @@
         lease_ns: number(fleet, "lease")? as u64,
         drift: number(fleet, "drift")?,
         cold: text(fleet, "cold")? == "shared",
-        verdicts: flat(fleet.fields.get("verdicts").map(|f| verdicts(&f.value)))?,
+        health: flat(fleet.fields.get("verdicts").map(|f| health(&f.value)))?,
         limits: limits.fields.iter().map(|(name, f)| limit(name, &f.value)).collect::<Option<_>>()?,
     })
 }
 
-fn verdicts(value: &Value) -> Option<VerdictsFile> {
-    let verdicts = record(value)?;
-    Some(VerdictsFile {
-        witnesses: number(verdicts, "witnesses")? as u32,
-        out_most: number(verdicts, "out_most")?,
-        fade_ns: number(verdicts, "fade")? as u64,
-        remember_ns: number(verdicts, "remember")? as u64,
+fn health(value: &Value) -> Option<HealthConfig> {
+    let health = record(value)?;
+    Some(HealthConfig {
+        min_observers: number(health, "witnesses")? as u32,
+        max_excluded: number(health, "out_most")?,
+        evidence_lifetime_ns: number(health, "fade")? as u64,
+        override_memory_ns: number(health, "remember")? as u64,
     })
 }
 
-fn limit(name: &str, value: &Value) -> Option<LimitFile> {
+fn limit(name: &str, value: &Value) -> Option<LimitConfig> {
     let limit = record(value)?;
     let over = field(limit, "fail").and_then(record);
     let of = |key: &str| over.and_then(|over| number(over, key));
-    Some(LimitFile {
+    Some(LimitConfig {
         limit: Limit {
             name: name.to_owned(),
             whom: [text(limit, "by"), text(limit, "tenant"), text(limit, "class")]
                 .map(Option::unwrap_or_default)
                 .join("/"),
-            kind: kind(number(limit, "rate"), number(limit, "burst"), number(limit, "at_once"))?,
-            mode: mode(of("over"), of("for")),
+            kind: limit_kind(number(limit, "rate"), number(limit, "burst"), number(limit, "at_once"))?,
+            mode: failure_mode(of("over"), of("for")),
         },
-        by: match text(limit, "by")?.as_str() {
+        scope: match text(limit, "by")?.as_str() {
             "all" => By::All,
             "class" => By::Class,
             "tenant and class" => By::TenantAndClass,
--- a/tests/fleet_limits.rs
+++ b/tests/fleet_limits.rs
@@ -5,8 +5,8 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-use marljunction::fleet::FleetFile;
 use marljunction::setup::Setup as Operator;
+use marljunction_fleet::FleetConfig;
 use marljunction_limits::bound::{bound, change, Fault};
 use marljunction_limits::{Kind, Limit};
 use marljunction_rig::fleet::{classes, Fleet, Setup};
@@ -39,8 +39,8 @@
 }
 
 /// What the operator's file of the plays says. Read once: plays run side by side, and one would read what another half wrote.
-fn file() -> FleetFile {
-    static FILE: OnceLock<FleetFile> = OnceLock::new();
+fn file() -> FleetConfig {
+    static FILE: OnceLock<FleetConfig> = OnceLock::new();
     let read = || {
         let path = std::env::temp_dir().join(format!("marljunction-limits-{}.conf", std::process::id()));
         let text = format!(
