Split the daemon by job, group its fields, and give its errors types

src/daemon.rs (929 lines, one struct of over thirty fields) held the loop, the wiring, the admin API, reload, stop and counters. Names follow the field: run_iteration, execute, flush_pending, AppliedConfig, PendingConfirmation, apply_overrides, publish_override. src/config.rs, src/setup.rs, src/cli.rs and the daemon give ConfigError, DaemonError and CliError in place of strings; the texts are the same.

Behaviour is unchanged.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,19 +1,43 @@
 //! The command line. With no arguments the program serves, as the platform starts it.
 
 use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{CommandFactory, Parser, Subcommand};
 
 use crate::behaviour::effects;
 use crate::config::Files;
 use crate::daemon::Daemon;
+use crate::error::{ConfigError, DaemonError};
 use crate::setup::Setup;
 use crate::{logger, setup};
 
 /// The longest that a request is out, where no settings say: bounds are told by it (ns).
 const LONGEST_NS: u64 = 27_500_000_000;
+/// How long the admin API may take to connect, and to answer.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(3);
+/// The status where a file of a comparison is wrong.
+const WRONG_FILE_STATUS: u8 = 2;
+
+/// Why a task of the command line can't be done.
+#[derive(Debug, thiserror::Error)]
+enum CliError {
+    /// A file can't be used.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The router can't be reached.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    /// The router's answer is not of its form.
+    #[error("no answer that can be read")]
+    Unreadable,
+    /// The router refuses, or the file is wrong, as the text says.
+    #[error("{0}")]
+    Refused(String),
+}
 
 /// A query router daemon: decides which engine runs each query and when, and gives each client one final answer.
 #[derive(Parser)]
@@ -56,9 +80,9 @@
     },
     /// Print what a running router knows of its fleet: peers, and its part in each limit.
     Fleet {
-        /// Address of its operators' door.
+        /// Address of its admin API.
         #[arg(long, value_name = "ADDRESS")]
-        at: std::net::SocketAddr,
+        at: SocketAddr,
     },
     /// Print a shell's completions.
     Completions {
@@ -67,9 +91,14 @@
     },
 }
 
+fn run(own: Option<PathBuf>) -> Result<(), DaemonError> {
+    let files = Files::from_env(own)?;
+    Daemon::start(files)?.run()
+}
+
 fn serve(own: Option<PathBuf>) -> ExitCode {
     logger::start();
-    match Files::from_env(own).and_then(|files| Daemon::start(files)?.run()) {
+    match run(own) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             log::error!("{fault}");
@@ -91,40 +120,41 @@
             }
             true
         }
-        Ok(Some(told)) | Err(told) => {
-            eprintln!("{told}");
+        Ok(Some(messages)) => {
+            eprintln!("{messages}");
+            false
+        }
+        Err(fault) => {
+            eprintln!("{fault}");
             false
         }
     }
 }
 
-/// What the operators' door at this address says of the fleet.
-fn ask_fleet(at: std::net::SocketAddr) -> Result<String, String> {
-    let limit = std::time::Duration::from_secs(3);
-    let fault = |e: std::io::Error| e.to_string();
-    let mut stream = std::net::TcpStream::connect_timeout(&at, limit).map_err(fault)?;
-    stream.set_read_timeout(Some(limit)).map_err(fault)?;
-    stream.write_all(b"GET /fleet HTTP/1.1\r\nHost: router\r\n\r\n").map_err(fault)?;
+/// What the admin API at this address says of the fleet.
+fn ask_fleet(at: SocketAddr) -> Result<String, CliError> {
+    let mut stream = TcpStream::connect_timeout(&at, ADMIN_TIMEOUT)?;
+    stream.set_read_timeout(Some(ADMIN_TIMEOUT))?;
+    stream.write_all(b"GET /fleet HTTP/1.1\r\nHost: router\r\n\r\n")?;
     let mut answer = String::new();
-    stream.read_to_string(&mut answer).map_err(fault)?;
-    let (head, body) = answer.split_once("\r\n\r\n").ok_or("no answer that can be read")?;
-    if head.starts_with("HTTP/1.1 200 ") {
-        Ok(body.to_owned())
-    } else {
-        Err(body.trim_end().to_owned())
+    stream.read_to_string(&mut answer)?;
+    let (head, body) = answer.split_once("\r\n\r\n").ok_or(CliError::Unreadable)?;
+    match head.starts_with("HTTP/1.1 200 ") {
+        true => Ok(body.to_owned()),
+        false => Err(CliError::Refused(body.trim_end().to_owned())),
     }
 }
 
-fn format(path: &Path, only_check: bool) -> Result<bool, String> {
-    let fault = |e: std::io::Error| format!("{}: {e}", path.display());
-    let text = std::fs::read_to_string(path).map_err(fault)?;
+/// Lays a file out, or only tells whether it is; whether it needs no further change.
+fn format(path: &Path, only_check: bool) -> Result<bool, CliError> {
+    let text = std::fs::read_to_string(path).map_err(ConfigError::unreadable(path))?;
     let Some(laid_out) = marljunction_language::format::format(&text) else {
-        let why = setup::read_file(path).map(|outcome| setup::faults(&outcome).unwrap_or_default());
-        return Err(why.unwrap_or_else(|fault| fault));
+        let outcome = setup::read_file(path)?;
+        return Err(CliError::Refused(setup::faults(&outcome).unwrap_or_default()));
     };
     let right = laid_out == text;
     if !right && !only_check {
-        std::fs::write(path, laid_out).map_err(fault)?;
+        std::fs::write(path, laid_out).map_err(ConfigError::unreadable(path))?;
         println!("{}: laid out", path.display());
     } else if !right {
         println!("{}: not laid out", path.display());
@@ -132,45 +162,65 @@
     Ok(right || !only_check)
 }
 
+fn print_completions(shell: clap_complete::Shell) {
+    clap_complete::generate(shell, &mut Arguments::command(), "marljunction", &mut std::io::stdout());
+}
+
+/// Prints what the second file changes; the status says whether it does, or that one is wrong.
+fn print_diff(from: &Path, to: &Path) -> ExitCode {
+    match (Setup::of_file(from), Setup::of_file(to)) {
+        (Ok(Setup { value: Some(from), .. }), Ok(Setup { value: Some(to), .. })) => {
+            let all = effects(&from, &to);
+            all.iter().for_each(|effect| println!("{effect}"));
+            ExitCode::from(u8::from(!all.is_empty()))
+        }
+        (one, other) => {
+            [one, other].into_iter().filter_map(Result::err).for_each(|fault| eprintln!("{fault}"));
+            ExitCode::from(WRONG_FILE_STATUS)
+        }
+    }
+}
+
+fn print_fleet(at: SocketAddr) -> ExitCode {
+    match ask_fleet(at) {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(fault) => {
+            eprintln!("{at}: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn format_or_complain(path: &Path, only_check: bool) -> bool {
+    format(path, only_check).unwrap_or_else(|fault| {
+        eprintln!("{fault}");
+        false
+    })
+}
+
+fn all_right(right: Vec<bool>) -> ExitCode {
+    match right.iter().all(|right| *right) {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
+
 /// Does what the arguments say.
 pub fn main() -> ExitCode {
-    let all = |right: Vec<bool>| if right.iter().all(|r| *r) { ExitCode::SUCCESS } else { ExitCode::FAILURE };
     match Arguments::parse().task {
         None => serve(None),
         Some(Task::Run { setup }) => serve(setup),
-        Some(Task::Check { files }) => all(files.iter().map(|path| check(path)).collect()),
+        Some(Task::Check { files }) => all_right(files.iter().map(|path| check(path)).collect()),
         Some(Task::Fmt { check, files }) => {
-            let one = |path: &PathBuf| {
-                format(path, check).unwrap_or_else(|why| {
-                    eprintln!("{why}");
-                    false
-                })
-            };
-            all(files.iter().map(one).collect())
+            all_right(files.iter().map(|path| format_or_complain(path, check)).collect())
         }
-        Some(Task::Diff { from, to }) => match (Setup::of_file(&from), Setup::of_file(&to)) {
-            (Ok(Setup { value: Some(from), .. }), Ok(Setup { value: Some(to), .. })) => {
-                let all = effects(&from, &to);
-                all.iter().for_each(|effect| println!("{effect}"));
-                ExitCode::from(u8::from(!all.is_empty()))
-            }
-            (one, other) => {
-                [one, other].into_iter().filter_map(Result::err).for_each(|fault| eprintln!("{fault}"));
-                ExitCode::from(2)
-            }
-        },
-        Some(Task::Fleet { at }) => match ask_fleet(at) {
-            Ok(told) => {
-                print!("{told}");
-                ExitCode::SUCCESS
-            }
-            Err(fault) => {
-                eprintln!("{at}: {fault}");
-                ExitCode::FAILURE
-            }
-        },
+        Some(Task::Diff { from, to }) => print_diff(&from, &to),
+        Some(Task::Fleet { at }) => print_fleet(at),
         Some(Task::Completions { shell }) => {
-            clap_complete::generate(shell, &mut Arguments::command(), "marljunction", &mut std::io::stdout());
+            print_completions(shell);
             ExitCode::SUCCESS
         }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 use log::LevelFilter;
 use marljunction_language::value::Value;
 
+use crate::error::ConfigError;
 use crate::setup::Setup;
 use marljunction_fleet::{FleetConfig, RouterIdentity};
 use serde::Deserialize;
@@ -197,8 +198,8 @@
 
 impl PostgresFile {
     /// Reads the JSON text.
-    pub fn read(text: &str) -> Result<PostgresFile, String> {
-        serde_json::from_str(text).map_err(|e| format!("PostgreSQL file: {e}"))
+    pub fn read(text: &str) -> Result<PostgresFile, ConfigError> {
+        serde_json::from_str(text).map_err(ConfigError::PostgresFile)
     }
 }
 
@@ -252,8 +253,8 @@
 
 impl Files {
     /// As the environment names them; `setup` in place of the operator's file that it names.
-    pub fn from_env(setup: Option<PathBuf>) -> Result<Files, String> {
-        let config = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file".to_owned())?;
+    pub fn from_env(setup: Option<PathBuf>) -> Result<Files, ConfigError> {
+        let config = std::env::var("ROUTER_CONFIG").map_err(|_| ConfigError::NoConfiguration)?;
         let named = || std::env::var_os("MARLJUNCTION_SETUP").map(PathBuf::from);
         let postgres = std::env::var("MARLJUNCTION_POSTGRES").ok();
         let set = |name: &str| std::env::var(name).ok().filter(|value| !value.trim().is_empty());
@@ -263,35 +264,31 @@
     }
 
     /// What the operator's file says; nothing where there is none.
-    fn setup(&self) -> Result<Setup, String> {
+    fn setup(&self) -> Result<Setup, ConfigError> {
         self.setup.as_deref().map_or(Ok(Setup::default()), Setup::of_file)
     }
 
     /// Reads all of them.
-    pub fn read(&self) -> Result<Read, String> {
-        let text = |path: &str| std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"));
+    ///
+    /// # Errors
+    /// Where one can't be read, is not of its form, or contradicts another.
+    pub fn read(&self) -> Result<Read, ConfigError> {
+        let text = |path: &str| std::fs::read_to_string(path).map_err(ConfigError::unreadable(path));
         let postgres = self.postgres.as_ref().map(|path| PostgresFile::read(&text(path)?)).transpose()?;
-        let setup = self.setup()?;
-        if postgres.is_some() && setup.postgres.is_some() {
-            return Err(
-                "MARLJUNCTION_POSTGRES and the operator's file both set PostgreSQL up: keep one".into()
-            );
+        let Setup { door, postgres: operators_postgres, start, fleet, level, value } = self.setup()?;
+        if postgres.is_some() && operators_postgres.is_some() {
+            return Err(ConfigError::TwoPostgres);
         }
-        let (postgres, door) = (postgres.or(setup.postgres), setup.door);
+        let postgres = postgres.or(operators_postgres);
         if let Some(fault) = door.as_ref().and_then(DoorSettings::fault) {
-            return Err(fault);
+            return Err(ConfigError::FairQueue(fault));
         }
         let config = Config::read(&text(&self.config)?)?;
-        let unknown = door.iter().flat_map(|d| d.weights.keys()).find(|n| !config.names.tenants.contains(n));
-        match unknown {
-            Some(name) => {
-                Err(format!("door: the weight of {name} is of no tenant: name one of the settings'"))
-            }
-            None => {
-                let (start, fleet, operator, level) = (setup.start, setup.fleet, setup.value, setup.level);
-                Ok(Read { config, postgres, door, start, fleet, operator, level })
-            }
+        let mut weighted = door.iter().flat_map(|d| d.weights.keys());
+        if let Some(name) = weighted.find(|name| !config.names.tenants.contains(name)) {
+            return Err(ConfigError::UnknownWeight(name.clone()));
         }
+        Ok(Read { config, postgres, door, start, fleet, operator: value, level })
     }
 }
 
@@ -356,21 +353,23 @@
     }
 
     /// Reads the JSON text.
-    pub fn read(text: &str) -> Result<Config, String> {
-        let raw: RawConfig = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
-        let (settings, names) = read_settings(raw.settings.get())?;
-        let timing: Timing =
-            serde_json::from_str(raw.settings.get()).map_err(|e| format!("settings: {e}"))?;
+    ///
+    /// # Errors
+    /// Where it is not of its form.
+    pub fn read(text: &str) -> Result<Config, ConfigError> {
+        let raw: RawConfig = serde_json::from_str(text).map_err(ConfigError::Configuration)?;
+        let (settings, names) = read_settings(raw.settings.get()).map_err(ConfigError::Content)?;
+        let timing: Timing = serde_json::from_str(raw.settings.get()).map_err(ConfigError::Settings)?;
         let known = raw.known.updates.iter().map(|u| Update::read(u.get(), &names));
         Ok(Config {
             name: raw.name,
             listen: raw.listen,
-            seed: u64::from_str_radix(&raw.seed, 16).map_err(|e| format!("seed: {e}"))?,
+            seed: u64::from_str_radix(&raw.seed, 16).map_err(ConfigError::Seed)?,
             limits: raw.limits,
             coordinator: raw.coordinator.filter(|c| !c.is_empty()),
             operator: raw.operator.filter(|o| !o.is_empty()),
             known_index: raw.known.index,
-            known: known.collect::<Result<_, _>>()?,
+            known: known.collect::<Result<_, _>>().map_err(ConfigError::Content)?,
             settings,
             settings_text: raw.settings.get().to_owned(),
             engine_idle_ns: timing.limits.conn_idle_ns.unwrap_or(30_000_000_000),
--- /dev/null
+++ b/src/daemon/counters.rs
@@ -0,0 +1,41 @@
+//! Counters: one line for all, and the fair queues' by tenant and client.
+
+use log::info;
+use marljunction_control::interface::TenantId;
+
+use super::Daemon;
+
+impl Daemon {
+    /// All counters in one line.
+    pub(super) fn counters_line(&mut self) -> String {
+        let now = self.clock.now_ns();
+        let mut parts = vec![
+            self.router.counters.line(),
+            self.admin.server.counters.line(),
+            format!("list_engines={}", self.engine_list.snapshot.list.engines()),
+        ];
+        parts.extend(self.engine_list.source.as_ref().map(|source| source.line(now)));
+        if let (Some(fleet), Some(limits)) = (&self.fleet, self.router.limits()) {
+            parts.push(fleet.line(limits));
+        }
+        parts.extend(self.router.verdicts().map(|health| health.line()));
+        parts.join(" ")
+    }
+
+    /// Logs all counters, and the fair queues' by tenant where there are any.
+    pub(super) fn log_counters(&mut self) {
+        let line = self.counters_line();
+        info!("{line}");
+        let Some(door) = self.router.door() else { return };
+        let room = door.room();
+        info!("door queued={} used={:.1} served={:.1}", door.queued(), room.used(), room.served());
+        for (tenant, counters) in door.counters().enumerate() {
+            let fields: Vec<String> = counters.fields().iter().map(|(key, n)| format!("{key}={n}")).collect();
+            let name = self.config.directory.tenant_name(TenantId(tenant));
+            info!("door tenant={} {}", if name.is_empty() { "-" } else { name }, fields.join(" "));
+        }
+        for (flow, share) in door.heaviest() {
+            info!("door client={flow:016x} asked_for={share:.3}");
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/engine_list.rs
@@ -0,0 +1,68 @@
+//! News of the engines: from its source, through operators' exclusions, to the backend and the decision module.
+
+use marljunction_discovery::bans::Bans;
+use marljunction_discovery::stream::Update;
+use marljunction_discovery::{Change, Source};
+use marljunction_engine::Context;
+
+use super::exclusions::Exclusions;
+use super::snapshot::Snapshot;
+use super::Daemon;
+
+/// Where news of the engines comes from, and what is kept of it.
+pub(super) struct EngineList {
+    /// The list service; none where there is none.
+    pub(super) source: Option<Source>,
+    /// The list as it was told last, kept for a start without the list service.
+    pub(super) snapshot: Snapshot,
+    /// Engines that operators took out.
+    pub(super) exclusions: Exclusions,
+}
+
+impl EngineList {
+    /// The engines that operators took out, by this router or the whole fleet.
+    pub(super) fn bans(&mut self) -> &mut Bans {
+        &mut self.exclusions.bans
+    }
+}
+
+impl Daemon {
+    /// Takes the engines that are known at the start: exclusions first, then the configuration's list, else the kept one.
+    pub(super) fn load_engines(&mut self, known: Vec<Update>, max_snapshot_age_ns: u64) {
+        self.read_exclusions(self.clock.now_ns());
+        let any_known = known.iter().any(|update| !update.change.targets.is_empty());
+        for update in known {
+            self.engines_changed(update.change);
+        }
+        if !any_known {
+            self.read_snapshot(max_snapshot_age_ns);
+        }
+    }
+
+    /// Takes what has come in on a connection to the list service.
+    pub(super) fn discovery_ready(&mut self, now: u64, conn: u64) {
+        let Some(source) = &mut self.engine_list.source else { return };
+        for change in source.ready(now, &mut self.net, conn) {
+            self.engines_changed(change);
+        }
+    }
+
+    /// News of the source: kept, and told through the exclusions.
+    pub(super) fn engines_changed(&mut self, change: Change) {
+        self.engine_list.snapshot.list.change(&change);
+        if let Some(health) = self.router.verdicts() {
+            health.change(change.kind, change.targets.iter().map(|target| target.entry));
+        }
+        let change = self.engine_list.bans().pass(change);
+        self.notify(change);
+    }
+
+    /// Tells the backend and the decision module of a change.
+    pub(super) fn notify(&mut self, change: Change) {
+        let now = self.clock.now_ns();
+        let mut context = Context { now, net: &mut self.net, router: &mut self.router };
+        self.engines.change(&mut context, &change);
+        let entries = change.targets.iter().map(|target| target.entry).collect();
+        self.router.membership(change.kind, entries);
+    }
+}
--- /dev/null
+++ b/src/daemon/exclusions.rs
@@ -0,0 +1,78 @@
+//! Engines that operators took out of this router, shared with the other process of an upgrade through a file.
+//!
+//! It is written aside and renamed, so that a successor never reads half of it.
+
+use std::path::{Path, PathBuf};
+
+use log::{info, warn};
+use marljunction_discovery::bans::{self, Bans};
+use marljunction_settings::atomic_file::write_atomically;
+
+use super::Daemon;
+
+/// Name of the file, in `$TMPDIR`.
+const FILE_NAME: &str = "marljunction-bans";
+/// How often the file is read that the other process of an upgrade may have written (ns).
+const READ_PERIOD_NS: u64 = 200_000_000;
+
+/// The excluded engines, and where they are kept.
+pub(super) struct Exclusions {
+    pub(super) bans: Bans,
+    /// The file, and its text as last read or written; none where nothing is kept.
+    file: Option<(PathBuf, String)>,
+    read_ns: u64,
+    /// Engines that operators took out of the whole fleet, as they were last applied.
+    pub(super) fleet_excluded: Vec<String>,
+    /// The revision of the fleet's overrides that was applied last.
+    pub(super) applied_revision: u64,
+}
+
+impl Exclusions {
+    /// None yet, kept in this directory.
+    pub(super) fn in_directory(directory: Option<&Path>) -> Exclusions {
+        Exclusions {
+            bans: Bans::new(),
+            file: directory.map(|directory| (directory.join(FILE_NAME), String::new())),
+            read_ns: 0,
+            fleet_excluded: Vec::new(),
+            applied_revision: 0,
+        }
+    }
+
+    /// Writes the exclusions for a successor.
+    pub(super) fn write(&mut self) {
+        let Some((path, written)) = &mut self.file else { return };
+        let text = self.bans.to_text();
+        match write_atomically(path, &text) {
+            Ok(()) => *written = text,
+            Err(fault) => warn!("the bans could not be kept in {}: {fault}", path.display()),
+        }
+    }
+}
+
+impl Daemon {
+    /// Reads the file again, where that is due.
+    pub(super) fn poll_exclusions(&mut self, now: u64) {
+        if now >= self.engine_list.exclusions.read_ns + READ_PERIOD_NS {
+            self.read_exclusions(now);
+        }
+    }
+
+    /// Takes what the other process of an upgrade may have written, where it changed.
+    pub(super) fn read_exclusions(&mut self, now: u64) {
+        let exclusions = &mut self.engine_list.exclusions;
+        exclusions.read_ns = now;
+        let Some((path, seen)) = &mut exclusions.file else { return };
+        let Ok(text) = std::fs::read_to_string(&*path) else { return };
+        if text == *seen {
+            return;
+        }
+        let changes = exclusions.bans.adopt(bans::read_text(&text), now);
+        let names: Vec<&str> = exclusions.bans.names().collect();
+        info!("bans read from {}: {}", path.display(), names.join(" "));
+        *seen = text;
+        for change in changes {
+            self.notify(change);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/iteration.rs
@@ -0,0 +1,243 @@
+//! The event loop: waits for what is ready, dispatches it, passes time, runs the decision module, executes its commands.
+
+use std::io::ErrorKind;
+use std::time::Duration;
+
+use log::info;
+use marljunction_control::interface::Effect;
+use marljunction_core::{Answer, Client, Command};
+use marljunction_engine::{Context, Start};
+use marljunction_net::Owner;
+use mio::{Events, Interest, Poll, Registry, Token};
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
+use signal_hook_mio::v1_0::Signals;
+
+use super::listeners::{ADMIN, FLEET, MSGPACK, POSTGRES, SIGNALS};
+use super::Daemon;
+use crate::error::DaemonError;
+
+/// How often engines, discovery and the fleet are passed time (ns).
+const TICK_NS: u64 = 20_000_000;
+/// Events that one poll takes (count); further ones come with the next.
+const MAX_EVENTS: usize = 1_024;
+
+/// What the loop waits on, and what it carries from one iteration to the next.
+pub(super) struct EventLoop {
+    poll: Poll,
+    pub(super) signals: Signals,
+    /// Connections with input that no event tells of.
+    pub(super) unread: Vec<u64>,
+    ticked_ns: u64,
+    commands: Vec<Command>,
+}
+
+impl EventLoop {
+    /// Opens the poll and takes the signals over.
+    pub(super) fn open() -> Result<(EventLoop, Registry), DaemonError> {
+        let poll = Poll::new().map_err(DaemonError::io("poll"))?;
+        let registry = poll.registry().try_clone().map_err(DaemonError::io("poll"))?;
+        // Before anything says that this process is there: guards against a signal that ends it as it starts.
+        let mut signals = Signals::new([SIGTERM, SIGUSR1, SIGHUP]).map_err(DaemonError::io("signals"))?;
+        registry.register(&mut signals, SIGNALS, Interest::READABLE).map_err(DaemonError::io("signals"))?;
+        let event_loop = EventLoop { poll, signals, unread: Vec::new(), ticked_ns: 0, commands: Vec::new() };
+        Ok((event_loop, registry))
+    }
+}
+
+impl Daemon {
+    /// Serves until told to stop.
+    ///
+    /// # Errors
+    /// Where the machine no longer tells what is ready.
+    pub fn run(&mut self) -> Result<(), DaemonError> {
+        let mut events = Events::with_capacity(MAX_EVENTS);
+        loop {
+            let timeout = self.poll_timeout();
+            match self.event_loop.poll.poll(&mut events, Some(timeout)) {
+                Ok(()) => {}
+                // Guards against a process that stood still and finds its timers past and its news unread: what is due is looked at
+                // with what came, never before it.
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => continue,
+                Err(fault) => return Err(DaemonError::io("poll")(fault)),
+            }
+            let now = self.clock.now_ns();
+            self.run_iteration(now, &events);
+            if self.finished(now) {
+                self.net.finish_all(now);
+                self.log_counters();
+                let line = self.counters_line();
+                info!("ends; {line}");
+                return Ok(());
+            }
+        }
+    }
+
+    fn run_iteration(&mut self, now: u64, events: &Events) {
+        self.dispatch(now, events);
+        self.retry_accept(now);
+        if now >= self.event_loop.ticked_ns + TICK_NS {
+            self.event_loop.ticked_ns = now;
+            self.tick(now);
+        }
+        self.run_module();
+        self.end_all(now);
+        self.flush_pending();
+    }
+
+    /// How long the loop may wait for events.
+    fn poll_timeout(&self) -> Duration {
+        if !self.event_loop.unread.is_empty() || self.router.has_news() {
+            return Duration::ZERO;
+        }
+        let now = self.clock.now_ns();
+        let next_tick_ns = self.event_loop.ticked_ns + TICK_NS;
+        let due_ns = self.router.next_due_ns().unwrap_or(u64::MAX).min(next_tick_ns);
+        let due_ns = due_ns.min(self.listeners.retry_ns.unwrap_or(u64::MAX));
+        Duration::from_nanos(due_ns.saturating_sub(now))
+    }
+
+    fn dispatch(&mut self, now: u64, events: &Events) {
+        for event in events.iter().filter(|event| event.is_read_closed()) {
+            self.net.peer_closed(event.token().0 as u64);
+        }
+        let mut tokens: Vec<usize> = events.iter().map(|event| event.token().0).collect();
+        let unread = std::mem::take(&mut self.event_loop.unread);
+        tokens.extend(unread.into_iter().map(|conn| conn as usize));
+        for token in tokens {
+            match Token(token) {
+                MSGPACK | POSTGRES => self.accept_clients(now),
+                ADMIN => self.accept_admin(now),
+                SIGNALS => self.handle_signals(now),
+                FLEET => self.fleet_ready(now),
+                Token(conn) => self.connection_ready(now, conn as u64),
+            }
+        }
+    }
+
+    /// Hands a connection that is ready to its owner.
+    pub(super) fn connection_ready(&mut self, now: u64, conn: u64) {
+        match self.net.owner(conn) {
+            None => {}
+            Some(Owner::Leaver) => self.net.discard(conn),
+            Some(Owner::Msgpack) => {
+                self.fronts.msgpack.ready(now, &mut self.net, &mut self.router, conn);
+            }
+            Some(Owner::Postgres) => {
+                if let Some(front) = &mut self.fronts.postgres {
+                    front.ready(now, &mut self.net, &mut self.router, conn);
+                }
+            }
+            Some(Owner::Engine) => {
+                let mut context = Context { now, net: &mut self.net, router: &mut self.router };
+                self.engines.ready(&mut context, conn);
+            }
+            Some(Owner::Operator) => {
+                if let Some(call) = self.admin.server.ready(now, &mut self.net, conn) {
+                    self.handle_call(now, conn, call);
+                }
+            }
+            Some(Owner::Discovery) => self.discovery_ready(now, conn),
+        }
+        if self.net.has_more(conn) || self.fronts.msgpack.has_more(conn) {
+            self.event_loop.unread.push(conn);
+        }
+    }
+
+    /// Takes datagrams of the fleet's other routers.
+    fn fleet_ready(&mut self, now: u64) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.ready(now, &mut self.router);
+            if fleet.has_more() {
+                self.event_loop.unread.push(FLEET.0 as u64);
+            }
+        }
+        // An override counts from when it was heard.
+        self.apply_overrides(now);
+    }
+
+    /// Passes time to all that is driven.
+    fn tick(&mut self, now: u64) {
+        let mut context = Context { now, net: &mut self.net, router: &mut self.router };
+        self.engines.tick(&mut context);
+        self.net.tick(now);
+        self.admin.server.tick(now, &mut self.net);
+        self.tick_fronts(now);
+        if let Some(source) = &mut self.engine_list.source {
+            source.tick(now, &mut self.net);
+        }
+        self.write_snapshot(now);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.tick(now, &mut self.router);
+            self.apply_overrides(now);
+            self.confirm_overrides(now);
+        }
+    }
+
+    fn tick_fronts(&mut self, now: u64) {
+        let phase = self.stop.phase;
+        let closes = |busy_ns| phase.closes(now, busy_ns);
+        let msgpack = &mut self.fronts.msgpack;
+        msgpack.tick(now, &mut self.net, &mut self.router);
+        msgpack.close_quiet(now, &mut self.net, &mut self.router, closes);
+        self.poll_exclusions(now);
+        if let Some(front) = &mut self.fronts.postgres {
+            front.tick(now, &mut self.net, &mut self.router);
+            front.close_quiet(now, &mut self.net, &mut self.router, closes);
+        }
+    }
+
+    /// Hands what was gathered to the decision module and executes what comes back; what fails at once is handed over in its turn.
+    fn run_module(&mut self) {
+        loop {
+            let now = self.clock.now_ns();
+            let mut commands = std::mem::take(&mut self.event_loop.commands);
+            self.router.turn(now, &mut commands);
+            for command in commands.drain(..) {
+                self.execute(now, command);
+            }
+            self.event_loop.commands = commands;
+            if !self.router.has_news() {
+                return;
+            }
+        }
+    }
+
+    /// Executes one command of the decision module.
+    pub(super) fn execute(&mut self, now: u64, command: Command) {
+        let mut context = Context { now, net: &mut self.net, router: &mut self.router };
+        match command {
+            Command::Start { attempt, engine, timeout_ns, priority, ask, begin_by_ns } => {
+                let class = self.config.directory.class_name(ask.class).to_owned();
+                let once = self.config.settings.classes[ask.class.0].effect == Effect::AtMostOnce;
+                let start = Start { attempt, engine, timeout_ns, priority, ask, class, once, begin_by_ns };
+                self.engines.start(&mut context, start);
+            }
+            Command::GiveUp(attempt) => self.engines.give_up(&mut context, attempt),
+            Command::Withdraw(attempt) => self.engines.withdraw(&mut context, attempt),
+            Command::Rank(attempt, priority) => self.engines.rank(&mut context, attempt, priority),
+            Command::Answer(client, answer) => self.answer(now, client, answer),
+        }
+    }
+
+    fn answer(&mut self, now: u64, client: Client, answer: Answer) {
+        match (self.net.owner(client.conn), &mut self.fronts.postgres) {
+            (Some(Owner::Msgpack), _) => {
+                let msgpack = &mut self.fronts.msgpack;
+                msgpack.answer(now, &mut self.net, &mut self.router, client, answer);
+            }
+            (Some(Owner::Postgres), Some(front)) => {
+                front.answer(now, &mut self.net, &mut self.router, client, answer);
+            }
+            _ => {}
+        }
+    }
+
+    /// Writes the calls to engines that wait for the end of the iteration.
+    fn flush_pending(&mut self) {
+        let now = self.clock.now_ns();
+        for conn in self.net.release() {
+            let mut context = Context { now, net: &mut self.net, router: &mut self.router };
+            self.engines.flushed(&mut context, conn);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/overrides.rs
@@ -0,0 +1,87 @@
+//! Operators' overrides of engine health that hold for the whole fleet: published, applied, and confirmed to whoever asked.
+
+use log::info;
+use marljunction_front::operator::{Call, Reply};
+use marljunction_verdicts::stamp::Stamp;
+
+use super::Daemon;
+
+/// How long a client of the admin API waits for the peers to have heard its override (ns): shorter than it may stay connected.
+const CONFIRM_TIMEOUT_NS: u64 = 1_500_000_000;
+
+/// A client of the admin API whose override is on its way to the fleet.
+pub(super) struct PendingConfirmation {
+    conn: u64,
+    call: Call,
+    version: Stamp,
+    /// When it is answered at the latest (ns).
+    deadline_ns: u64,
+}
+
+impl Daemon {
+    /// Whether this router knows which engines the fleet was told to leave out.
+    pub(super) fn knows_overrides(&mut self, now: u64) -> bool {
+        self.router.verdicts().is_none_or(|health| health.node().knows(now))
+    }
+
+    /// Publishes an override to the fleet, and gives its version.
+    pub(super) fn publish_override(&mut self, now: u64, id: &str, excluded: bool) -> Result<Stamp, Reply> {
+        let listed = self.engine_list.bans().knows(id);
+        let Some(health) = self.router.verdicts() else {
+            return Err(Reply::new(404, "this router shares no verdicts"));
+        };
+        if !listed && health.node().words().get(id).is_none() {
+            return Err(Reply::new(404, format!("no engine {id}")));
+        }
+        let version = health.node().say(now, id, excluded);
+        self.apply_overrides(now);
+        version.ok_or_else(|| Reply::new(409, "as many engines are out as may be"))
+    }
+
+    /// Excludes the engines that the fleet's overrides exclude, and no others.
+    pub(super) fn apply_overrides(&mut self, now: u64) {
+        let Some(health) = self.router.verdicts() else { return };
+        let exclusions = &mut self.engine_list.exclusions;
+        let revision = health.node().revision();
+        if revision == exclusions.applied_revision {
+            return;
+        }
+        exclusions.applied_revision = revision;
+        let excluded: Vec<String> = health.node().words().out().map(str::to_owned).collect();
+        if excluded == exclusions.fleet_excluded {
+            return;
+        }
+        info!("the whole fleet leaves out: {}", excluded.join(" "));
+        let changes = exclusions.bans.set_fleet(excluded.iter().map(String::as_str), now);
+        exclusions.fleet_excluded = excluded;
+        for change in changes {
+            self.notify(change);
+        }
+    }
+
+    /// Answers a client once the peers have heard its override.
+    pub(super) fn await_confirmation(&mut self, now: u64, conn: u64, call: Call, version: Stamp) {
+        let deadline_ns = now + CONFIRM_TIMEOUT_NS;
+        self.admin.pending.push(PendingConfirmation { conn, call, version, deadline_ns });
+    }
+
+    /// Answers clients whose override all peers have heard, and those that have waited long enough.
+    pub(super) fn confirm_overrides(&mut self, now: u64) {
+        for pending in std::mem::take(&mut self.admin.pending) {
+            let Some(health) = self.router.verdicts() else { continue };
+            let (heard, peers) = (health.node().heard_by(pending.version), health.node().peers());
+            if heard < peers && now < pending.deadline_ns {
+                self.admin.pending.push(pending);
+                continue;
+            }
+            let PendingConfirmation { conn, call, .. } = pending;
+            let (id, state) = match &call {
+                Call::DisableForAll(id) => (id, "out"),
+                Call::EnableForAll(id) => (id, "back"),
+                _ => continue,
+            };
+            let text = format!("{id} is {state}; heard by {heard} of {peers} other routers");
+            self.admin.server.answer(now, &mut self.net, conn, &call, Reply::new(200, text));
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/reload.rs
@@ -0,0 +1,103 @@
+//! Reads the configuration again while requests are open.
+//!
+//! What can change is applied: where news of the engines comes from, the news that the file holds, pacing, limits, weights. A file
+//! that can't be read leaves all as it is.
+
+use std::net::SocketAddr;
+
+use log::{info, warn};
+use marljunction_discovery::Source;
+use marljunction_door::settings::DoorSettings;
+use marljunction_language::value::{Value, What};
+
+use super::wiring::parse_address;
+use super::{AppliedConfig, Daemon};
+use crate::behaviour::effects;
+use crate::config::{Config, Read, StartFile};
+use crate::error::DaemonError;
+use crate::logger;
+
+impl Daemon {
+    /// Reads the files again and applies what can change. Guards against a file that is replaced badly.
+    pub(super) fn reload(&mut self, now: u64) {
+        match self.read_files() {
+            Ok((read, address)) => {
+                self.router.counters.reloads += 1;
+                self.apply_files(now, read, address);
+            }
+            Err(fault) => {
+                self.router.counters.reloads_failed += 1;
+                warn!("the configuration stays as it was: {fault}");
+            }
+        }
+    }
+
+    /// What the files say, and the address of the list service where it is of the kind that runs.
+    fn read_files(&self) -> Result<(Read, Option<SocketAddr>), DaemonError> {
+        let read = self.config.files.read()?;
+        let consul = read.postgres.as_ref().and_then(|postgres| postgres.consul.as_ref());
+        let address = match (&self.engine_list.source, consul, &read.config.coordinator) {
+            (Some(Source::Consul(_)), Some(consul), _) => Some(consul.address.as_str()),
+            (Some(Source::Stream(_)), _, Some(coordinator)) => Some(coordinator.as_str()),
+            _ => None,
+        };
+        let address = address.map(parse_address).transpose()?;
+        Ok((read, address))
+    }
+
+    fn apply_files(&mut self, now: u64, read: Read, address: Option<SocketAddr>) {
+        let Read { mut config, door, start, fleet, operator, level, .. } = read;
+        self.log_effects(operator.as_ref());
+        logger::set_level(level);
+        self.config.operator_file = operator;
+        self.apply_pacing(&config, &start);
+        if let (Some(runtime), Some(limits)) = (&mut self.fleet, self.router.limits()) {
+            runtime.reload(now, fleet.as_ref(), &config.settings, &config.names, limits);
+        }
+        let known = std::mem::take(&mut config.known);
+        let changes = match (&mut self.engine_list.source, address) {
+            (Some(source), Some(address)) => source.reload(now, &mut self.net, address, known),
+            _ => Vec::new(),
+        };
+        info!("the configuration was read again; {} membership events were new", changes.len());
+        for change in changes {
+            self.engines_changed(change);
+        }
+        if let Some(door) = door {
+            self.apply_fair_queue(door, &config);
+        }
+        if self.engine_list.source.is_some() && address.is_none() {
+            warn!("another source of membership news needs a restart");
+        }
+        if AppliedConfig::of(&config) != self.config.applied {
+            warn!("changes of listen, limits or settings need a restart");
+        }
+    }
+
+    fn log_effects(&self, operator_file: Option<&Value>) {
+        let nothing = Value::new(What::Record(Default::default()), Default::default());
+        let before = self.config.operator_file.as_ref().unwrap_or(&nothing);
+        for effect in effects(before, operator_file.unwrap_or(&nothing)) {
+            info!("the operator's file: {effect}");
+        }
+    }
+
+    fn apply_pacing(&mut self, config: &Config, start: &StartFile) {
+        let pace = start.pace(config.settings.gateways, config.settings.gateway_index);
+        if let Some(source) = &mut self.engine_list.source {
+            source.set_pace(pace, start.stale_ns);
+        }
+        let openings = start.openings(pace);
+        self.engines.set_openings(openings.map(|openings| (openings, config.own_seed())));
+    }
+
+    fn apply_fair_queue(&mut self, settings: DoorSettings, config: &Config) {
+        let Some(door) = self.router.door() else { return };
+        let weights = config.weights(&settings);
+        let restart = door.reload(settings, &weights);
+        info!("the door has weights {weights:?}");
+        if !restart.is_empty() {
+            warn!("changes of the door's {} need a restart", restart.join(", "));
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/snapshot.rs
@@ -0,0 +1,90 @@
+//! The last list of engines on disk, for a start without the list service.
+//!
+//! It is written aside and renamed, so that no start finds half of it. What the list service tells replaces it whole.
+
+use std::path::{Path, PathBuf};
+
+use log::{info, warn};
+use marljunction_discovery::kept::{self, Kept, FILE_MOST};
+use marljunction_discovery::Change;
+use marljunction_settings::atomic_file::write_atomically;
+
+use super::Daemon;
+
+/// The list as it was told, and the file that it is kept in.
+#[derive(Default)]
+pub(super) struct Snapshot {
+    pub(super) list: Kept,
+    /// None where it is not kept.
+    path: Option<PathBuf>,
+}
+
+impl Snapshot {
+    /// An empty one, kept in this file.
+    pub(super) fn in_file(path: Option<PathBuf>) -> Snapshot {
+        Snapshot { path, ..Snapshot::default() }
+    }
+}
+
+impl Daemon {
+    /// Takes the kept list for the list of engines, where there is one that can be believed: nothing is asked of the list service
+    /// behind a number that it gave to another process.
+    pub(super) fn read_snapshot(&mut self, max_age_ns: u64) {
+        let Some(path) = self.engine_list.snapshot.path.clone() else { return };
+        let size = match std::fs::metadata(&path) {
+            Ok(metadata) => metadata.len(),
+            Err(fault) => return info!("no list of engines is kept in {}: {fault}", path.display()),
+        };
+        match self.decode_snapshot(&path, size, max_age_ns) {
+            Ok((change, age_ns)) => {
+                let heard_ns = self.clock.now_ns().saturating_sub(age_ns);
+                if let Some(source) = &mut self.engine_list.source {
+                    source.set_heard(heard_ns);
+                }
+                let (count, age_s) = (change.targets.len(), age_ns as f64 / 1e9);
+                info!("starts with the {count} engines kept in {}, a list {age_s:.1} s old", path.display());
+                self.engines_changed(change);
+            }
+            Err(fault) => warn!("the list kept in {} is not used: {fault}", path.display()),
+        }
+    }
+
+    /// The list in a file, and its age (ns).
+    fn decode_snapshot(
+        &self,
+        path: &Path,
+        size: u64,
+        max_age_ns: u64,
+    ) -> Result<(Change, u64), SnapshotError> {
+        // Guards against a file that is read into memory before it is found too large.
+        if size > FILE_MOST {
+            return Err(SnapshotError::Rejected(kept::Refusal::Huge(size)));
+        }
+        let bytes = std::fs::read(path)?;
+        let names = self.config.directory.names();
+        kept::decode(&bytes, names, self.clock.now_ns(), max_age_ns).map_err(SnapshotError::Rejected)
+    }
+
+    /// Writes the list, where that is due.
+    pub(super) fn write_snapshot(&mut self, now: u64) {
+        let source = self.engine_list.source.as_ref();
+        let heard_ns = source.map_or(0, |source| now.saturating_sub(source.age_ns(now)));
+        let Snapshot { list, path } = &mut self.engine_list.snapshot;
+        let Some(path) = path.as_ref().filter(|_| list.due(now)) else { return };
+        let text = list.encode(self.config.directory.names(), heard_ns);
+        if let Err(fault) = write_atomically(path, &text) {
+            warn!("the list of engines could not be kept in {}: {fault}", path.display());
+        }
+    }
+}
+
+/// Why a kept list is not used.
+#[derive(Debug, thiserror::Error)]
+enum SnapshotError {
+    /// The file can't be read.
+    #[error(transparent)]
+    Unreadable(#[from] std::io::Error),
+    /// What it holds can't be believed.
+    #[error("{0}")]
+    Rejected(kept::Refusal),
+}
--- /dev/null
+++ b/src/daemon/wiring.rs
@@ -0,0 +1,239 @@
+//! Builds the running router from its files.
+//!
+//! Invariants: signals are taken over before anything tells that the process is there; no engine is told to the decision module
+//! before operators' exclusions are known.
+
+use std::net::SocketAddr;
+
+use log::info;
+use marljunction_core::limits::FleetLimits;
+use marljunction_core::verdicts::FleetVerdicts;
+use marljunction_core::Router;
+use marljunction_discovery::consul::Consul;
+use marljunction_discovery::stream::Stream;
+use marljunction_discovery::{Pacing, Source};
+use marljunction_door::settings::DoorSettings;
+use marljunction_door::{Door, Site};
+use marljunction_engine::http::HttpEngines;
+use marljunction_engine::postgres::PostgresEngines;
+use marljunction_engine::Backend;
+use marljunction_fleet::{FleetConfig, FleetRuntime, FleetStart};
+use marljunction_front::msgpack::MsgpackFront;
+use marljunction_front::postgres::{PostgresFront, PostgresSetup};
+use marljunction_front::Directory;
+use marljunction_net::clock::Clock;
+use marljunction_net::{Net, Room};
+use mio::Registry;
+
+use super::admin::Admin;
+use super::engine_list::EngineList;
+use super::exclusions::Exclusions;
+use super::iteration::EventLoop;
+use super::listeners::{Listeners, FIRST_CONNECTION, FLEET, MIN_DESCRIPTORS};
+use super::snapshot::Snapshot;
+use super::stop::StopState;
+use super::{ConfigState, Daemon, Fronts};
+use crate::config::{Config, EngineFile, Files, PostgresFile, Read, StartFile};
+use crate::error::DaemonError;
+use crate::logger;
+
+impl Daemon {
+    /// Reads the files and starts listening.
+    ///
+    /// # Errors
+    /// Where a file can't be used, or the machine does not give what the program needs.
+    pub fn start(files: Files) -> Result<Daemon, DaemonError> {
+        let read = files.read()?;
+        logger::set_level(read.level);
+        let (event_loop, registry) = EventLoop::open()?;
+        let listeners = Listeners::open(&registry, &files, &read.config, read.postgres.as_ref())?;
+        Daemon::build(files, read, event_loop, registry, listeners)
+    }
+
+    fn build(
+        files: Files,
+        read: Read,
+        event_loop: EventLoop,
+        registry: Registry,
+        listeners: Listeners,
+    ) -> Result<Daemon, DaemonError> {
+        let Read { mut config, postgres, door, start, fleet, operator, .. } = read;
+        let clock = Clock::start();
+        let now = clock.now_ns();
+        let directory = build_directory(&config, door.as_ref(), fleet.as_ref())?;
+        let door = door.map(|settings| build_fair_queue(now, settings, &config));
+        let pacing = build_pacing(&config, &start);
+        let source = build_source(now, &config, &start, postgres.as_ref(), pacing)?;
+        // Cold engines' budgets are divided by the same count as the list service's.
+        config.settings.gateways = pacing.pace.sharers();
+        let engines = build_engines(&config, &start, postgres.as_ref(), pacing);
+        let fronts = build_fronts(&config, postgres, &directory)?;
+        let (fleet, machines) = start_fleet(now, &registry, fleet, &config, &files)?;
+        let router = build_router(&config, pacing.seed, door, machines);
+        let net = build_net(registry, &config);
+        let snapshot = Snapshot::in_file(start.keep.clone());
+        let exclusions = Exclusions::in_directory(files.kept.as_deref());
+        let admin = Admin::new(config.limits.sockets);
+        let known = std::mem::take(&mut config.known);
+        let mut daemon = Daemon {
+            clock,
+            event_loop,
+            net,
+            router,
+            config: ConfigState::new(files, config, operator, directory),
+            listeners,
+            stop: StopState::serving(),
+            fronts,
+            engines,
+            engine_list: EngineList { source, snapshot, exclusions },
+            admin,
+            fleet,
+        };
+        daemon.load_engines(known, start.keep_for_ns);
+        Ok(daemon)
+    }
+}
+
+/// Parses an address of the configuration.
+pub(super) fn parse_address(text: &str) -> Result<SocketAddr, DaemonError> {
+    text.parse().map_err(|source| DaemonError::Address { address: text.to_owned(), source })
+}
+
+/// What the fronts know of classes, tenants and clients.
+fn build_directory(
+    config: &Config,
+    door: Option<&DoorSettings>,
+    fleet: Option<&FleetConfig>,
+) -> Result<Directory, DaemonError> {
+    let client = door.map(|door| door.client.clone()).unwrap_or_default();
+    // A limit by client holds for the fleet only where all routers know a client by one number.
+    let clients_seed = match fleet {
+        Some(fleet) => fleet.clients_seed()?,
+        None => config.seed,
+    };
+    let directory = Directory::new(config.names.clone(), &config.settings);
+    Ok(directory.with_clients(client, clients_seed))
+}
+
+fn build_fair_queue(now: u64, settings: DoorSettings, config: &Config) -> Door {
+    let site = Site {
+        weights: config.weights(&settings),
+        classes: config.settings.classes.len(),
+        longest_ns: config.settings.max_retry_after_ns,
+        bytes_most: Router::door_bytes(config.limits.memory_mb),
+        seed: config.seed,
+    };
+    info!("a door stands before the module");
+    Door::new(now, settings, site)
+}
+
+fn build_pacing(config: &Config, start: &StartFile) -> Pacing {
+    Pacing {
+        pace: start.pace(config.settings.gateways, config.settings.gateway_index),
+        seed: config.own_seed(),
+        stale_ns: start.stale_ns,
+    }
+}
+
+/// The list service: Consul where the PostgreSQL side names one, else the coordinator, else none.
+fn build_source(
+    now: u64,
+    config: &Config,
+    start: &StartFile,
+    postgres: Option<&PostgresFile>,
+    pacing: Pacing,
+) -> Result<Option<Source>, DaemonError> {
+    let names = config.names.clone();
+    let consul = postgres.and_then(|postgres| postgres.consul.as_ref());
+    let source = match (consul, &config.coordinator) {
+        (Some(consul), _) => {
+            let address = parse_address(&consul.address)?;
+            let consul = Consul::new(now, address, consul.service.clone(), names, pacing);
+            Source::Consul(Box::new(consul))
+        }
+        (None, Some(coordinator)) => {
+            let address = parse_address(coordinator)?;
+            let stream = Stream::new(now, address, names, config.known_index, pacing);
+            Source::Stream(Box::new(stream))
+        }
+        (None, None) => return Ok(None),
+    };
+    info!("{}", start.bounds(Some(config.settings.gateways)));
+    Ok(Some(source))
+}
+
+fn build_engines(
+    config: &Config,
+    start: &StartFile,
+    postgres: Option<&PostgresFile>,
+    pacing: Pacing,
+) -> Box<dyn Backend> {
+    let connect_timeout_ns = config.connect_timeout_ns;
+    let mut engines: Box<dyn Backend> = match postgres.map(|postgres| postgres.engines.clone()) {
+        Some(EngineFile::Postgres { user, database }) => {
+            Box::new(PostgresEngines::new(user, database, connect_timeout_ns))
+        }
+        _ => Box::new(HttpEngines::new(config.engine_idle_ns, connect_timeout_ns)),
+    };
+    let openings = start.openings(pacing.pace);
+    engines.set_openings(openings.map(|openings| (openings, pacing.seed)));
+    engines
+}
+
+fn build_fronts(
+    config: &Config,
+    postgres: Option<PostgresFile>,
+    directory: &Directory,
+) -> Result<Fronts, DaemonError> {
+    let msgpack = MsgpackFront::new(directory.clone());
+    let Some(file) = postgres else { return Ok(Fronts { msgpack, postgres: None }) };
+    let class = directory.class(&file.class).ok_or(DaemonError::UnknownClass(file.class))?;
+    let setup = PostgresSetup {
+        class,
+        columns: file.columns,
+        // Engines that speak HTTP take no parameters but in the text.
+        inlines: !matches!(file.engines, EngineFile::Postgres { .. }),
+        sessions_most: file.sessions,
+    };
+    let setup = setup.within(config.limits.memory_mb);
+    let postgres = PostgresFront::new(directory.clone(), setup, !config.seed);
+    Ok(Fronts { msgpack, postgres: Some(postgres) })
+}
+
+/// The machines that the router shares with its fleet; none where there is no fleet.
+type FleetMachines = (Option<FleetLimits>, Option<FleetVerdicts>);
+
+fn start_fleet(
+    now: u64,
+    registry: &Registry,
+    fleet: Option<FleetConfig>,
+    config: &Config,
+    files: &Files,
+) -> Result<(Option<FleetRuntime>, FleetMachines), DaemonError> {
+    let Some(fleet) = fleet else { return Ok((None, (None, None))) };
+    let FleetStart { runtime, limits, health } = FleetRuntime::start(
+        now,
+        registry,
+        FLEET,
+        fleet,
+        config.identity(),
+        &config.settings,
+        &config.names,
+        files.kept.as_deref(),
+    )?;
+    Ok((Some(runtime), (Some(limits), health)))
+}
+
+fn build_router(config: &Config, seed: u64, door: Option<Door>, (limits, health): FleetMachines) -> Router {
+    Router::new(config.settings.clone(), seed, config.limits.memory_mb)
+        .with_door(door)
+        .with_limits(limits)
+        .with_verdicts(health)
+}
+
+fn build_net(registry: Registry, config: &Config) -> Net {
+    let descriptors = config.limits.sockets.max(MIN_DESCRIPTORS);
+    let mut net = Net::new(registry, FIRST_CONNECTION, Room::of(descriptors, config.limits.memory_mb));
+    net.hold_calls();
+    net
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod cli;
 pub mod config;
 pub mod daemon;
+pub mod error;
 pub mod logger;
 pub mod setup;
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -16,6 +16,7 @@
 use marljunction_limits::Limit;
 
 use crate::config::{ConsulFile, Count, EngineFile, PostgresFile, StartFile};
+use crate::error::ConfigError;
 
 /// What an operator's file may say.
 pub const DEFINITIONS: &str = include_str!("definitions.conf");
@@ -56,10 +57,12 @@
 }
 
 /// Reads a file with what it includes, against the definitions.
-pub fn read_file(path: &Path) -> Result<Outcome, String> {
-    let fault = |e: std::io::Error| format!("{}: {e}", path.display());
-    let found = path.canonicalize().map_err(fault)?;
-    let text = std::fs::read_to_string(&found).map_err(fault)?;
+///
+/// # Errors
+/// Where the file can't be read; what is wrong with its text is in the outcome.
+pub fn read_file(path: &Path) -> Result<Outcome, ConfigError> {
+    let found = path.canonicalize().map_err(ConfigError::unreadable(path))?;
+    let text = std::fs::read_to_string(&found).map_err(ConfigError::unreadable(path))?;
     let root = found.parent().map_or_else(PathBuf::new, Path::to_owned);
     let name = found.display().to_string();
     Ok(read(&name, &text, &mut Folder { root }, DEFINITIONS, "#Main"))
@@ -73,17 +76,15 @@
 
 impl Setup {
     /// Reads the operator's file.
-    pub fn of_file(path: &Path) -> Result<Setup, String> {
+    ///
+    /// # Errors
+    /// Where it can't be read, or is wrong.
+    pub fn of_file(path: &Path) -> Result<Setup, ConfigError> {
         let outcome = read_file(path)?;
-        match faults(&outcome) {
-            Some(told) => Err(format!("{} can't be used\n{told}", path.display())),
-            None => Setup::of(&outcome.value).ok_or_else(|| {
-                format!(
-                    "{} holds no record, or a limit of its fleet has neither a rate nor at_once, or both",
-                    path.display()
-                )
-            }),
+        if let Some(messages) = faults(&outcome) {
+            return Err(ConfigError::OperatorFile { path: path.to_owned(), messages });
         }
+        Setup::of(&outcome.value).ok_or_else(|| ConfigError::OperatorFileShape { path: path.to_owned() })
     }
 
     /// What a value that its definitions hold for says; none where it is not of their shape.
--- a/tests/setup.rs
+++ b/tests/setup.rs
@@ -56,7 +56,7 @@
     let door = Setup::of_file(&dir.join("main.conf")).unwrap().door.unwrap();
     assert_eq!((door.weights["gulf-coast-comfort"], door.weights["other"]), (73.0, 1.5));
     assert_eq!((door.client, door.stale_ms), (Who::Field("who".into()), 200));
-    let fault = Setup::of_file(&dir.join("out.conf")).unwrap_err();
+    let fault = Setup::of_file(&dir.join("out.conf")).unwrap_err().to_string();
     assert!(fault.contains("can't be included"), "{fault}");
     std::fs::remove_dir_all(dir).unwrap();
 }
@@ -147,7 +147,7 @@
         operator: None,
         kept: None,
     };
-    let fault = files.read().unwrap_err();
+    let fault = files.read().unwrap_err().to_string();
     assert!(fault.contains("keep one"), "{fault}");
     std::fs::remove_dir_all(config).unwrap();
 }
