Add cells and relays: a router learns its cell's part of the list, as pure machines

Need: each of 3,200 routers reads the whole list, 4.5 MB at 30,000 engines, and decides over all of them.

Change: crates/cells holds the division of a zone's engines into cells by a stable hash, the messages (each one datagram), the router's side (asks one relay after another, takes only whole parts whose digest is equal, never a lower version unless two relays say for the settle time that the service counts anew), the relay's side (one computation for each version and cell, changes pushed, a budget of datagrams), and the bounds for ten faults, computed from the settings. Nothing uses it yet.

--- /dev/null
+++ b/crates/cells/src/part.rs
@@ -0,0 +1,68 @@
+//! The part of the list that one cell has: its engines by id, and their digest.
+
+use std::collections::BTreeMap;
+
+use crate::digest::Digest;
+use crate::engine::{Engine, EngineState};
+
+/// A part of the list. Engines that are gone are not in it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    engines: BTreeMap<u64, Engine>,
+    digest: Digest,
+}
+
+impl Part {
+    /// A part of these engines.
+    pub fn new(engines: impl IntoIterator<Item = Engine>) -> Part {
+        let here = engines.into_iter().filter(|engine| engine.state != EngineState::Gone);
+        Part::of(here.map(|engine| (engine.id, engine)).collect())
+    }
+
+    fn of(engines: BTreeMap<u64, Engine>) -> Part {
+        let digest = Digest::of(engines.values());
+        Part { engines, digest }
+    }
+
+    /// Its digest.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// Its engines, by id.
+    pub fn engines(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.values()
+    }
+
+    /// The engine with this id.
+    pub fn get(&self, id: u64) -> Option<&Engine> {
+        self.engines.get(&id)
+    }
+
+    /// Engines in it (count).
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Whether it holds none.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// The part with these engines changed or added, and those taken out.
+    pub fn with(&self, changed: &[Engine], gone: &[u64]) -> Part {
+        let mut engines = self.engines.clone();
+        for id in gone {
+            engines.remove(id);
+        }
+        engines.extend(changed.iter().map(|engine| (engine.id, engine.clone())));
+        Part::of(engines)
+    }
+
+    /// What makes this part of an earlier one: engines that came or changed, and ids of those that went.
+    pub fn since<'a>(&'a self, earlier: &Part) -> (Vec<&'a Engine>, Vec<u64>) {
+        let changed = self.engines.values().filter(|engine| earlier.get(engine.id) != Some(*engine));
+        let gone = earlier.engines.keys().filter(|id| !self.engines.contains_key(id));
+        (changed.collect(), gone.copied().collect())
+    }
+}
--- /dev/null
+++ b/crates/cells/tests/common/mod.rs
@@ -0,0 +1,448 @@
+//! A fleet in stepped time: a list service, relays and routers, and a network that loses, doubles, delays and reorders.
+
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use marljunction_cells::bound::Terms;
+use marljunction_cells::{
+    CellConfig, CellId, CellPlan, Digest, DivideBy, Engine, EngineState, Message, PartNews, Relay,
+    RelaySettings, Subscriber, SubscriberSettings,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+pub const MS: u64 = 1_000_000;
+pub const S: u64 = 1_000 * MS;
+/// Time of one step (ns), as the processes look after what is due.
+pub const STEP: u64 = 20 * MS;
+pub const ZONES: [&str; 2] = ["z0", "z1"];
+pub const CELLS: u32 = 2;
+
+pub fn address(host: u8, number: usize) -> SocketAddr {
+    SocketAddr::from(([10, host, (number >> 8) as u8, number as u8], 7000))
+}
+
+pub fn engine(id: u64) -> Engine {
+    Engine {
+        id,
+        address: SocketAddr::from(([10, 9, (id >> 8) as u8, id as u8], 9000)),
+        zone: Some(ZONES[id as usize % ZONES.len()].into()),
+        kind: Some("large".into()),
+        group: Some(id / 4),
+        state: EngineState::Ready,
+        weight: 1.0,
+        started_ms: 1_000 + id,
+    }
+}
+
+pub fn terms() -> Terms {
+    Terms { routers: 8, relays: 3, pieces: 2, settle_ns: 5 * S, reconnect_ns: S, ..Terms::default() }
+}
+
+pub fn relay_settings(terms: &Terms) -> RelaySettings {
+    RelaySettings { routers: terms.routers, ask_ns: terms.ask_ns, silence_ns: terms.silence_ns }
+}
+
+/// A change of the list, numbered.
+#[derive(Clone)]
+pub struct Event {
+    pub version: u64,
+    pub whole: bool,
+    pub engines: Vec<Engine>,
+}
+
+/// The list service: its list, and what was true of each cell until when.
+pub struct Service {
+    pub engines: Vec<Engine>,
+    pub version: u64,
+    next_id: u64,
+    pub history: Vec<(CellId, Vec<(u64, Digest)>)>,
+    pub away: bool,
+}
+
+impl Service {
+    pub fn new(count: u64, cells: &[CellId]) -> Service {
+        let engines = (0..count).map(engine).collect();
+        let history = cells.iter().map(|cell| (cell.clone(), Vec::new())).collect();
+        let mut service = Service { engines, version: 100, next_id: 1_000, history, away: false };
+        service.note(0);
+        service
+    }
+
+    pub fn digest(&self, cell: &CellId) -> Digest {
+        Digest::of(self.engines.iter().filter(|engine| cell.holds(engine)))
+    }
+
+    fn note(&mut self, now: u64) {
+        for at in 0..self.history.len() {
+            let digest = self.digest(&self.history[at].0);
+            let states = &mut self.history[at].1;
+            if states.last().is_none_or(|(_, last)| *last != digest) {
+                states.push((now, digest));
+            }
+        }
+    }
+
+    pub fn whole(&self) -> Event {
+        Event { version: self.version, whole: true, engines: self.engines.clone() }
+    }
+
+    /// Some engines drain, go, come or get another address.
+    pub fn change(&mut self, now: u64, rng: &mut StdRng) -> Event {
+        self.version += 1;
+        let mut changed = Vec::new();
+        for _ in 0..rng.gen_range(1..4) {
+            let at = rng.gen_range(0..self.engines.len());
+            let mut engine = self.engines[at].clone();
+            match rng.gen_range(0..4) {
+                0 if self.engines.len() > 8 => {
+                    engine.state = EngineState::Gone;
+                    self.engines.remove(at);
+                }
+                1 => {
+                    self.next_id += 1;
+                    engine = self::engine(self.next_id);
+                    self.engines.push(engine.clone());
+                    self.engines.sort_by_key(|engine| engine.id);
+                }
+                2 => {
+                    engine.address.set_port(rng.gen_range(1_000..60_000));
+                    self.engines[at] = engine.clone();
+                }
+                _ => {
+                    engine.state = EngineState::Draining;
+                    engine.weight = rng.gen_range(0.5..2.0);
+                    self.engines[at] = engine.clone();
+                }
+            }
+            changed.push(engine);
+        }
+        self.note(now);
+        Event { version: self.version, whole: false, engines: changed }
+    }
+
+    /// Since when a cell's state is another than this (ns); 0 where it never was.
+    pub fn superseded_ns(&self, cell: &CellId, digest: Digest) -> Option<u64> {
+        let states = &self.history.iter().find(|(id, _)| id == cell)?.1;
+        let last = states.iter().rposition(|(_, state)| *state == digest);
+        match last {
+            None => Some(0),
+            Some(at) => states.get(at + 1).map(|(since, _)| *since),
+        }
+    }
+
+    /// Whether a cell's list ever was this.
+    pub fn ever(&self, cell: &CellId, digest: Digest) -> bool {
+        self.history.iter().any(|(id, states)| id == cell && states.iter().any(|(_, state)| *state == digest))
+    }
+}
+
+pub struct RelayHost {
+    pub address: SocketAddr,
+    pub machine: Option<Relay>,
+    pub frozen: bool,
+    pub hears: bool,
+    /// Events on their way to it, and datagrams that wait while it stands still.
+    pub events: VecDeque<Option<Event>>,
+    pub waiting: Vec<(SocketAddr, Vec<u8>)>,
+    /// What it adds to the version that it says.
+    pub lies: i64,
+}
+
+pub struct RouterHost {
+    pub address: SocketAddr,
+    pub machine: Subscriber,
+    pub cell: CellId,
+    pub news: Vec<PartNews>,
+    /// What a router's module would hold by the news alone.
+    pub held: std::collections::BTreeMap<u64, Engine>,
+}
+
+#[derive(Clone, Copy, Default)]
+pub struct Shape {
+    pub loss: f64,
+    pub doubled: f64,
+    pub cut: bool,
+    /// All datagrams take as long, so that none overtakes another.
+    pub in_order: bool,
+}
+
+pub struct World {
+    pub now: u64,
+    pub terms: Terms,
+    pub service: Service,
+    pub relays: Vec<RelayHost>,
+    pub routers: Vec<RouterHost>,
+    pub shape: Shape,
+    pub rng: StdRng,
+    net: Vec<(u64, SocketAddr, SocketAddr, Vec<u8>)>,
+    lives: u64,
+    beat_ns: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, terms: Terms) -> World {
+        let plan = CellPlan { cells: CELLS, ..CellPlan::default() };
+        let per_zone = terms.routers.div_ceil(ZONES.len() as u32);
+        let cell = |router: u32| {
+            let zone = ZONES[(router / per_zone) as usize];
+            CellConfig::new(&plan, Some(zone), ZONES.len() as u32, router, terms.routers).id
+        };
+        let cells: Vec<CellId> = (0..terms.routers).map(cell).collect();
+        let relay = |at: usize| RelayHost {
+            address: address(1, at),
+            machine: None,
+            frozen: false,
+            hears: true,
+            events: VecDeque::new(),
+            waiting: Vec::new(),
+            lies: 0,
+        };
+        let mut world = World {
+            now: 10 * S,
+            service: Service::new(60, &cells),
+            relays: (0..terms.relays as usize).map(relay).collect(),
+            routers: Vec::new(),
+            shape: Shape::default(),
+            rng: StdRng::seed_from_u64(seed),
+            net: Vec::new(),
+            lives: 1,
+            beat_ns: 0,
+            terms,
+        };
+        for (at, cell) in cells.into_iter().enumerate() {
+            let machine = world.subscriber(at, &cell);
+            let address = address(2, at);
+            world.routers.push(RouterHost {
+                address,
+                machine,
+                cell,
+                news: Vec::new(),
+                held: Default::default(),
+            });
+        }
+        (0..world.relays.len()).for_each(|at| world.start_relay(at));
+        world
+    }
+
+    fn subscriber(&mut self, at: usize, cell: &CellId) -> Subscriber {
+        self.lives += 1;
+        let settings = SubscriberSettings {
+            cell: cell.clone(),
+            router: at as u64,
+            life: self.lives,
+            relays: self.relays.iter().map(|relay| relay.address).collect(),
+            ask_ns: self.terms.ask_ns,
+            silence_ns: self.terms.silence_ns,
+            settle_ns: self.terms.settle_ns,
+            spread_ns: self.terms.spread_ns(),
+            stale_ns: 7 * S,
+            seed: self.rng.gen(),
+        };
+        Subscriber::new(self.now, settings)
+    }
+
+    /// A router's process starts anew under its address.
+    pub fn restart_router(&mut self, at: usize) {
+        let cell = self.routers[at].cell.clone();
+        self.routers[at].machine = self.subscriber(at, &cell);
+        self.routers[at].held.clear();
+    }
+
+    pub fn start_relay(&mut self, at: usize) {
+        let relay = &mut self.relays[at];
+        relay.machine = Some(Relay::new(self.now, relay_settings(&self.terms)));
+        (relay.frozen, relay.hears) = (false, !self.service.away);
+        (relay.events, relay.waiting) = (VecDeque::new(), Vec::new());
+        if relay.hears {
+            relay.events.push_back(Some(self.service.whole()));
+        }
+    }
+
+    pub fn kill_relay(&mut self, at: usize) {
+        self.relays[at].machine = None;
+        self.relays[at].waiting.clear();
+    }
+
+    /// The service goes away, or comes back and tells the whole list to all who reconnect.
+    pub fn set_away(&mut self, away: bool) {
+        self.service.away = away;
+        for relay in &mut self.relays {
+            relay.hears = !away;
+            if !away {
+                relay.events.push_back(Some(self.service.whole()));
+            }
+        }
+    }
+
+    pub fn change(&mut self) {
+        let event = self.service.change(self.now, &mut self.rng);
+        for relay in self.relays.iter_mut().filter(|relay| relay.hears && relay.machine.is_some()) {
+            relay.events.push_back(Some(event.clone()));
+        }
+    }
+
+    /// The service starts anew: its numbers are low again.
+    pub fn count_anew(&mut self) {
+        self.service.version = 1;
+        for relay in self.relays.iter_mut().filter(|relay| relay.hears) {
+            relay.events.clear();
+            relay.events.push_back(Some(self.service.whole()));
+        }
+    }
+
+    pub fn send(&mut self, from: SocketAddr, to: SocketAddr, message: &Message) {
+        let bytes = message.encode();
+        let copies = 1 + usize::from(self.rng.gen_bool(self.shape.doubled));
+        for _ in 0..copies {
+            if self.shape.cut || self.rng.gen_bool(self.shape.loss) {
+                continue;
+            }
+            let most = self.terms.delay_ns;
+            let delay = if self.shape.in_order { most } else { self.rng.gen_range(0..=most) };
+            self.net.push((self.now + delay, from, to, bytes.clone()));
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.beat();
+        self.deliver();
+        for at in 0..self.relays.len() {
+            self.tick_relay(at);
+        }
+        for at in 0..self.routers.len() {
+            for (to, message) in self.routers[at].machine.tick(self.now) {
+                let from = self.routers[at].address;
+                self.send(from, to, &message);
+            }
+        }
+        self.check();
+    }
+
+    pub fn run(&mut self, ns: u64) {
+        let end = self.now + ns;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn beat(&mut self) {
+        if self.now < self.beat_ns + S {
+            return;
+        }
+        self.beat_ns = self.now;
+        for relay in self.relays.iter_mut().filter(|relay| relay.hears && relay.machine.is_some()) {
+            relay.events.push_back(None);
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, rest) = std::mem::take(&mut self.net).into_iter().partition(|(at, ..)| *at <= now);
+        self.net = rest;
+        let mut due: Vec<(u64, SocketAddr, SocketAddr, Vec<u8>)> = due;
+        due.sort_by_key(|(at, ..)| *at);
+        for (_, from, to, bytes) in due {
+            if let Some(relay) = self.relays.iter_mut().find(|relay| relay.address == to) {
+                relay.waiting.push((from, bytes));
+            } else if let Some(router) = self.routers.iter_mut().find(|router| router.address == to) {
+                match Message::decode(&bytes) {
+                    Ok(message) => router.hear(now, from, message),
+                    Err(_) => router.machine.unreadable(from),
+                }
+            }
+        }
+    }
+
+    /// A relay that goes on reads one event at a time: what it is asked meanwhile is answered by what it knows by then.
+    fn tick_relay(&mut self, at: usize) {
+        let (now, relay) = (self.now, &mut self.relays[at]);
+        let Some(machine) = relay.machine.as_mut().filter(|_| !relay.frozen) else { return };
+        if let Some(event) = relay.events.pop_front() {
+            if let Some(event) = event {
+                machine.learn(event.version, event.whole, event.engines);
+            }
+            machine.heard(now, 0);
+        }
+        for (from, bytes) in std::mem::take(&mut relay.waiting) {
+            match Message::decode(&bytes) {
+                Ok(message) => machine.hear(now, from, message),
+                Err(_) => machine.unreadable(from),
+            }
+        }
+        let (lies, address) = (relay.lies, relay.address);
+        for (to, mut message) in machine.tick(now) {
+            lie(&mut message, lies);
+            self.send(address, to, &message);
+        }
+    }
+
+    /// What must hold at every moment.
+    fn check(&mut self) {
+        for (at, router) in self.routers.iter().enumerate() {
+            let Some(part) = router.machine.part() else { continue };
+            let ever = self.service.ever(&router.cell, part.digest());
+            assert!(ever, "router {at} holds what its cell's list never was, at {} ms", self.now / MS);
+            let held: Vec<&Engine> = router.held.values().collect();
+            assert!(
+                held.iter().copied().eq(part.engines()),
+                "router {at}: the news do not add up to the part"
+            );
+        }
+    }
+
+    /// How long ago what a router holds was last true (ns); 0 where it is true, the time since the start where it holds nothing.
+    pub fn lag_ns(&self, at: usize) -> u64 {
+        let router = &self.routers[at];
+        let Some(part) = router.machine.part() else { return self.now - 10 * S };
+        let since = self.service.superseded_ns(&router.cell, part.digest());
+        since.map_or(0, |since| self.now - since)
+    }
+
+    pub fn all_current(&self) -> bool {
+        (0..self.routers.len()).all(|at| self.routers[at].machine.part().is_some() && self.lag_ns(at) == 0)
+    }
+
+    /// Runs until all routers hold what is true; the time that it took (ns).
+    pub fn settle(&mut self, limit: u64) -> u64 {
+        let start = self.now;
+        while !self.all_current() {
+            assert!(self.now < start + limit, "not all routers are current after {} ms", limit / MS);
+            self.step();
+        }
+        self.now - start
+    }
+}
+
+impl RouterHost {
+    pub fn hear(&mut self, now: u64, from: SocketAddr, message: Message) {
+        let Some(news) = self.machine.hear(now, from, message) else { return };
+        match &news {
+            PartNews::Whole(engines) => {
+                self.held = engines.iter().map(|engine| (engine.id, engine.clone())).collect();
+            }
+            PartNews::Changed(engines, gone) => {
+                gone.iter().for_each(|id| drop(self.held.remove(id)));
+                self.held.extend(engines.iter().map(|engine| (engine.id, engine.clone())));
+            }
+        }
+        self.news.push(news);
+    }
+}
+
+fn lie(message: &mut Message, by: i64) {
+    let version = match message {
+        Message::Ask(_) => return,
+        Message::Same(answer) | Message::NotReady(answer) | Message::Behind(answer) => &mut answer.version,
+        Message::Piece(piece) => &mut piece.answer.version,
+        Message::Delta(delta) => &mut delta.version,
+    };
+    *version = version.saturating_add_signed(by);
+}
+
+pub fn by_engine(cell: u32, cells: u32) -> CellId {
+    CellId { zone: Some("z0".into()), cells, cell, by: DivideBy::Engine }
+}
--- /dev/null
+++ b/crates/cells/tests/messages.rs
@@ -0,0 +1,140 @@
+//! Messages fit a datagram, and what can't be read costs nothing but itself.
+
+mod common;
+
+use common::{engine, relay_settings, terms, MS, S};
+use marljunction_cells::message::{Answer, Ask, Delta, Piece, Table, MAX_MESSAGE, MAX_MISSING, MAX_PIECES};
+use marljunction_cells::{CellId, Digest, DivideBy, Engine, EngineState, Message, Relay};
+use marljunction_peers::seal::CONTENT_MOST;
+use marljunction_peers::Who;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+fn answer() -> Answer {
+    let most = u64::MAX;
+    Answer { life: most, sequence: most, cell: most, version: most, heard_age_ms: most }
+}
+
+/// An engine whose every field takes as many bytes as it can.
+fn largest(id: u64) -> Engine {
+    Engine {
+        id: u64::MAX - id,
+        address: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().expect("an address"),
+        zone: Some("z".repeat(200).into()),
+        kind: Some(format!("{id:0>200}").into()),
+        group: Some(u64::MAX),
+        state: EngineState::Draining,
+        weight: f64::MAX,
+        started_ms: u64::MAX,
+    }
+}
+
+fn all_tables(engines: &[Engine]) -> Vec<Table> {
+    Table::pack(engines)
+}
+
+#[test]
+fn each_message_fits_a_datagram_with_its_sender() {
+    let who = Who {
+        name: "router-".repeat(8),
+        number: u32::MAX,
+        address: "[ffff::1]:65535".parse().expect("an address"),
+        life: u64::MAX,
+        renewal: u32::MAX,
+    };
+    let sender = rmp_serde::to_vec(&who).expect("a sender").len();
+    assert!(sender + MAX_MESSAGE <= CONTENT_MOST, "{sender} bytes of sender");
+    let digest = Digest(u64::MAX, u64::MAX);
+    let engines: Vec<Engine> =
+        (0..200).map(|id| if id % 3 == 0 { largest(id) } else { engine(id) }).collect();
+    for table in all_tables(&engines) {
+        let piece = Piece { answer: answer(), digest, at: u16::MAX, of: u16::MAX, table };
+        assert!(Message::Piece(piece).encode().len() <= MAX_MESSAGE);
+    }
+    let cell = CellId { zone: Some("z".repeat(200)), cells: u32::MAX, cell: u32::MAX, by: DivideBy::Group };
+    let missing = Some((digest, vec![u16::MAX; MAX_MISSING]));
+    let ask =
+        Ask { life: u64::MAX, sequence: u64::MAX, cell, have: Some(digest), least: Some(u64::MAX), missing };
+    assert!(Message::Ask(ask).encode().len() <= MAX_MESSAGE);
+    for gone in [0, 20, 60, 100, 200] {
+        let table = all_tables(&engines[1..3]).swap_remove(0);
+        let fits = table.fits_with(gone);
+        let gone = vec![u64::MAX; gone];
+        let delta = Delta {
+            life: u64::MAX,
+            cell: u64::MAX,
+            version: u64::MAX,
+            from: digest,
+            to: digest,
+            table,
+            gone,
+        };
+        assert!(!fits || Message::Delta(delta).encode().len() <= MAX_MESSAGE);
+    }
+}
+
+#[test]
+fn engines_come_out_of_tables_as_they_went_in() {
+    let engines: Vec<Engine> =
+        (0..300).map(|id| if id % 7 == 0 { largest(id) } else { engine(id) }).collect();
+    let plain = Engine { zone: None, kind: None, group: None, started_ms: 0, ..engine(5) };
+    for engines in [engines, vec![plain], Vec::new()] {
+        let tables = all_tables(&engines);
+        let read: Vec<Engine> = tables.iter().flat_map(|table| table.engines().expect("engines")).collect();
+        assert_eq!(read, engines);
+    }
+}
+
+#[test]
+fn messages_that_are_cut_changed_or_endless_are_not_read_and_end_nothing() {
+    let mut rng = StdRng::seed_from_u64(4);
+    let engines: Vec<Engine> = (0..20).map(engine).collect();
+    let table = all_tables(&engines).swap_remove(0);
+    let piece = Piece { answer: answer(), digest: Digest(1, 2), at: 0, of: 1, table };
+    let whole = Message::Piece(piece).encode();
+    assert!((0..whole.len()).all(|cut| Message::decode(&whole[..cut]).is_err()), "a cut message was read");
+    assert!(Message::decode(&vec![0x91; MAX_MESSAGE + 1]).is_err());
+    assert!(Message::decode(&vec![0x91; MAX_MESSAGE]).is_err());
+    for _ in 0..20_000 {
+        let mut bytes = whole.clone();
+        for _ in 0..rng.gen_range(1..4) {
+            let at = rng.gen_range(0..bytes.len());
+            bytes[at] = rng.gen();
+        }
+        if let Ok(Message::Piece(piece)) = Message::decode(&bytes) {
+            drop(piece.table.engines());
+        }
+    }
+}
+
+/// What a relay sends a router that knows nothing, of a list at full size: the figure of the operate page.
+#[test]
+fn a_start_costs_a_router_its_cells_part_alone() {
+    let cell =
+        |zone: u64| CellId { zone: Some(format!("zone-{zone}")), cells: 10, cell: 3, by: DivideBy::Engine };
+    let listed = |id: u64| Engine {
+        id: id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 1,
+        zone: Some(format!("zone-{}", id % 25).into()),
+        ..engine(id)
+    };
+    let mut relay = Relay::new(S, relay_settings(&terms()));
+    relay.learn(7, true, (0..30_000).map(listed).collect());
+    relay.heard(S, 0);
+    let (mut largest, mut engines) = (0, 0);
+    for zone in 0..8 {
+        let ask = Ask { life: 1, sequence: 1, cell: cell(zone), have: None, least: None, missing: None };
+        relay.hear(S, common::address(2, zone as usize), Message::Ask(ask));
+        let sent = relay.tick(S + zone * 200 * MS);
+        let bytes = sent.iter().map(|(_, message)| message.encode().len()).sum::<usize>();
+        let pieces = sent.iter().filter_map(|(_, message)| match message {
+            Message::Piece(piece) => piece.table.engines().ok(),
+            _ => None,
+        });
+        engines = pieces.map(|engines| engines.len()).sum::<usize>().max(engines);
+        println!("zone {zone}: {} datagrams, {bytes} bytes", sent.len());
+        largest = largest.max(bytes);
+        assert!(sent.len() <= usize::from(MAX_PIECES));
+    }
+    assert!((90..=150).contains(&engines), "{engines} engines");
+    assert!(largest < 8_000, "{largest} bytes");
+}
