Measure hollow routers by the hundred on a stand-in list service: marljunction-lab scale

Need: a list for 30,000 engines and a fleet of thousands can't be tried with one process a router. Change: hollow routers (the program's stream reader, pacing, connections and decision module over real loopback sockets, many in a process), a list service that holds an event's text once, and the lab's scale experiment with four faults. The connections count the bytes that they read, so that both sides of a stream count.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod limits;
 mod memory;
+mod scale;
 mod start;
 mod verdicts;
 mod ways;
@@ -16,6 +17,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use marljunction_rig::hollow;
 use peak_alloc::PeakAlloc;
 
 /// Counts what the experiments' own structures take from the heap.
@@ -100,6 +102,14 @@
     Cold(Usual),
     /// What a fleet believes of its engines: each router alone beside routers that share what they see.
     Verdicts(Usual),
+    /// Thousands of hollow routers before tens of thousands of engines, with faults among them.
+    Scale(Usual),
+    /// A list service for hollow routers, told what to do on standard input.
+    #[command(hide = true)]
+    HollowService,
+    /// Hollow routers, told what to do on standard input.
+    #[command(hide = true)]
+    HollowHost,
     /// Ways to pace a fleet's calls compared in stepped time, without any socket.
     Pacing {
         /// Where to write the figures.
@@ -159,6 +169,11 @@
         Experiment::Verdicts(usual) => {
             usual.run(|program, quick, seed| verdicts::run(&verdicts::Run { program, quick, seed }))
         }
+        Experiment::Scale(usual) => {
+            usual.run(|program, quick, seed| scale::run(program, quick, seed).map_err(|e| e.to_string()))
+        }
+        Experiment::HollowService => hollow::service::run().map_err(|e| e.to_string()),
+        Experiment::HollowHost => hollow::host::run().map_err(|e| e.to_string()),
         Experiment::Pacing { json } => write(json, &ways::run()),
         Experiment::Disciplines { json, seed } => write(json, &disciplines::run(seed)),
     }
--- /dev/null
+++ b/crates/lab/src/scale/figures.rs
@@ -0,0 +1,111 @@
+//! The figures of a run as one flat JSON object, with the points of each size beside them.
+
+use marljunction_capacity::{prediction_error, Point};
+use serde_json::{json, Map, Value};
+
+use super::decide::Decisions;
+use super::faults::FaultCost;
+use super::size::Measured;
+
+/// Budgets of a router for control: share of a core, memory (MB), bytes a second.
+const CORE_SHARE: f64 = 0.012;
+const MEMORY_MB: f64 = 32.0;
+const BYTES_PER_S: f64 = 3_000.0;
+/// Time in which a router is to be ready, and the bytes that the budget allows in it.
+const READY_S: f64 = 10.0;
+const READY_BYTES: f64 = BYTES_PER_S * READY_S;
+/// Statements a second of a router.
+const STATEMENTS_PER_S: f64 = 1_094.0;
+/// Longest time for a change of an engine to be in force (s).
+const CHANGE_S: f64 = 16.0;
+
+/// One figure of what was measured at a size.
+type Figure = fn(&Measured) -> f64;
+
+/// All figures.
+pub fn tell(smaller: &[Measured], most: &Measured, faults: &[FaultCost], decisions: &Decisions) -> Value {
+    let errors = prediction_errors(smaller, most);
+    let worst_error = errors.values().filter_map(Value::as_f64).fold(0.0, f64::max);
+    let worst = |of: fn(&FaultCost) -> f64| faults.iter().map(of).fold(0.0, f64::max);
+    let worst_core = worst(|fault| fault.minute_core_share)
+        .max(most.control_core_share + most.start_processor_ms / 1e3 / 60.0);
+    let worst_bytes = worst(|fault| fault.minute_bytes_per_s).max(most.list_bytes / 60.0);
+    let control_mb = most.real.map(|real| real.peak_mb).filter(|mb| *mb > 0.0);
+    let rows = rows(most, decisions, (worst_core, worst_bytes), control_mb);
+    let over = rows.iter().max_by(|a, b| a.1.total_cmp(&b.1));
+    let mut all = json!({
+        "routers": most.routers,
+        "engines": most.engines,
+        "prediction_error": worst_error,
+        "prediction_errors": errors,
+        "control_core_share": most.control_core_share,
+        "control_mb": control_mb,
+        "control_bytes_per_s": most.control_bytes_per_s,
+        "worst_control_core_share": worst_core,
+        "worst_control_bytes_per_s": worst_bytes,
+        "list_learned_s": most.list_learned_worst_s,
+        "list_learned_p50_s": most.list_learned_p50_s,
+        "list_bytes": most.list_bytes,
+        "change_everywhere_p50_s": most.change_everywhere_p50_s,
+        "change_everywhere_worst_s": most.change_everywhere_worst_s,
+        "config_everywhere_s": null,
+        "config_everywhere_reason": "nothing carries a change of configuration to another machine",
+        "decision_us_8": decisions.with_8_us,
+        "decision_us_30000": decisions.with_30000_us,
+        "largest_over_budget": over.map(|(name, ratio)| json!({"row": name, "ratio": ratio})),
+        "mechanism_before": most.list_bytes / READY_BYTES,
+        "mechanism_after": null,
+        "mechanism_after_reason": "routers learn only the whole list",
+        "processes": most.processes,
+        "memory_gib": most.memory_gib,
+        "bytes_disagreement": most.bytes_disagreement,
+    });
+    if let Value::Object(all) = &mut all {
+        all.extend(
+            faults.iter().map(|fault| (format!("{}_all_know_s", fault.fault), json!(fault.all_know_s))),
+        );
+        all.insert("over_budget".into(), rows.iter().map(|(n, r)| ((*n).to_owned(), json!(r))).collect());
+        all.insert("faults".into(), json!(faults));
+        let sizes: Vec<&Measured> = smaller.iter().chain([most]).collect();
+        all.insert("sizes".into(), json!(sizes));
+    }
+    all
+}
+
+/// Rows that have a budget, with their ratios to it.
+fn rows(
+    most: &Measured,
+    decisions: &Decisions,
+    (worst_core, worst_bytes): (f64, f64),
+    control_mb: Option<f64>,
+) -> Vec<(&'static str, f64)> {
+    let decide_core = decisions.with_30000_us / 1e6 * STATEMENTS_PER_S;
+    let mut rows = vec![
+        ("list at a start, bytes", most.list_bytes / READY_BYTES),
+        ("list at a start, time", most.list_learned_worst_s / READY_S),
+        ("deciding with 30,000 engines, processor", decide_core / CORE_SHARE),
+        ("ordinary day, processor", most.control_core_share / CORE_SHARE),
+        ("ordinary day, bytes", most.control_bytes_per_s / BYTES_PER_S),
+        ("worst minute, processor", worst_core / CORE_SHARE),
+        ("worst minute, bytes", worst_bytes / BYTES_PER_S),
+        ("change of an engine, time", most.change_everywhere_worst_s / CHANGE_S),
+    ];
+    rows.extend(control_mb.map(|mb| ("memory", mb / MEMORY_MB)));
+    rows
+}
+
+/// By how much the smaller sizes miss the largest, by figure (share).
+fn prediction_errors(smaller: &[Measured], most: &Measured) -> Map<String, Value> {
+    let figures: [(&str, Figure); 5] = [
+        ("list_bytes", |m| m.list_bytes),
+        ("start_processor_ms", |m| m.start_processor_ms),
+        ("hollow_mb", |m| m.hollow_mb),
+        ("quiet_core_share", |m| m.quiet_core_share),
+        ("control_bytes_per_s", |m| m.control_bytes_per_s),
+    ];
+    let error = |of: Figure| {
+        let point = |m: &Measured| Point { count: f64::from(m.routers), value: of(m) };
+        prediction_error(&smaller.iter().map(point).collect::<Vec<_>>(), point(most))
+    };
+    figures.into_iter().map(|(name, of)| (name.to_owned(), json!(error(of)))).collect()
+}
--- /dev/null
+++ b/crates/lab/src/scale/real.rs
@@ -0,0 +1,162 @@
+//! Real routers beside the hollow ones: whole programs on the same list service, to hold the hollow ones' figures against.
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use marljunction_rig::hollow::fleet::HollowFleet;
+use marljunction_rig::hollow::usage;
+use marljunction_rig::process::{counter, Process};
+use nix::sys::signal::Signal;
+use serde::Serialize;
+use serde_json::json;
+
+use super::size::module_settings;
+use super::{Run, ScaleError};
+
+/// Longest time for all of them to know the list (s).
+const LIST_LIMIT_S: u64 = 60;
+/// Limits that the real routers are told.
+const MEMORY_MB: u32 = 512;
+const SOCKETS: u32 = 256;
+/// How often their counters are asked for while the list is waited for.
+const ASK_EVERY: Duration = Duration::from_millis(500);
+
+/// What a real router used.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct RealUsage {
+    /// Real routers (count), and those that knew the whole list.
+    pub routers: u32,
+    /// See `routers`.
+    pub know_the_list: u32,
+    /// Processor time from its start until the list was known (ms): mean, its own start included.
+    pub start_processor_ms: f64,
+    /// Share of a core in quiet time: mean.
+    pub quiet_core_share: f64,
+    /// Memory with the list, and at most (MB): mean.
+    pub resident_mb: f64,
+    /// See `resident_mb`.
+    pub peak_mb: f64,
+}
+
+/// The real routers.
+pub struct RealRouters {
+    program: PathBuf,
+    dir: PathBuf,
+    first: u32,
+    count: u32,
+    processes: Vec<Process>,
+    usage: RealUsage,
+}
+
+impl RealRouters {
+    /// Room for `count` routers, numbered behind `first` hollow ones.
+    ///
+    /// # Errors
+    /// Where there is no folder for their files.
+    pub fn new(run: &Run, first: u32, count: u32) -> Result<RealRouters, ScaleError> {
+        let name = format!("marljunction-scale-{}-{first}", std::process::id());
+        let dir = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&dir).map_err(|e| ScaleError::Real(format!("{}: {e}", dir.display())))?;
+        let usage = RealUsage { routers: count, ..RealUsage::default() };
+        Ok(RealRouters { program: run.router.clone(), dir, first, count, processes: Vec::new(), usage })
+    }
+
+    /// Routers (count).
+    pub fn count(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// Starts them all, knowing nothing.
+    ///
+    /// # Errors
+    /// Where one can't be started.
+    pub fn start(&mut self, fleet: &HollowFleet) -> Result<(), ScaleError> {
+        for number in self.first..self.first + self.count {
+            let process = self.start_one(number, fleet).map_err(ScaleError::Real)?;
+            self.processes.push(process);
+        }
+        Ok(())
+    }
+
+    fn start_one(&self, number: u32, fleet: &HollowFleet) -> Result<Process, String> {
+        let list = fleet.list_address(number).ok_or("no listener of the list service")?;
+        let settings: serde_json::Value =
+            serde_json::from_str(&module_settings(self.first)).map_err(|e| e.to_string())?;
+        let config = json!({
+            "name": format!("real-{number}"), "listen": "127.0.0.1:0", "seed": format!("{:016x}", number),
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+            "coordinator": list.to_string(), "known": {"index": 0, "updates": []}, "settings": settings,
+        });
+        let pace = fleet.pace();
+        let operator = format!(
+            "start: {{ budget: {}, routers: {}, spread: {}ms, longest: {}ms }}\n",
+            pace.budget_per_s,
+            pace.routers,
+            pace.spread_ns / 1_000_000,
+            pace.longest_ns / 1_000_000,
+        );
+        let write = |name: &str, text: &str| {
+            let path = self.dir.join(format!("{name}-{number}"));
+            std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display())).map(|()| path)
+        };
+        let environment = [
+            ("ROUTER_CONFIG", write("config", &config.to_string())?),
+            ("MARLJUNCTION_SETUP", write("operator", &operator)?),
+        ];
+        Process::start(&self.program, &environment, &self.dir.join(format!("log-{number}")))
+    }
+
+    /// Waits until all of them know so many engines; notes how many do.
+    ///
+    /// # Errors
+    /// None yet: routers that do not know it are counted.
+    pub fn await_list(&mut self, engines: u64, _fleet: &HollowFleet) -> Result<(), ScaleError> {
+        let end = Instant::now() + Duration::from_secs(LIST_LIMIT_S);
+        loop {
+            self.processes.iter_mut().for_each(|process| process.signal(Signal::SIGUSR1));
+            std::thread::sleep(ASK_EVERY);
+            let knows = |process: &&Process| counter(&process.counters(), "list_engines") == engines;
+            self.usage.know_the_list = self.processes.iter().filter(knows).count() as u32;
+            if self.usage.know_the_list == self.count || Instant::now() >= end {
+                break;
+            }
+        }
+        let processor_ns = self.sum(|used| used.processor_ns);
+        self.usage.start_processor_ms = processor_ns / 1e6;
+        Ok(())
+    }
+
+    /// Lets time pass; notes what they use in it.
+    pub fn measure_quiet(&mut self, time: Duration) {
+        let before = self.sum(|used| used.processor_ns);
+        let began = Instant::now();
+        std::thread::sleep(time);
+        let spent = self.sum(|used| used.processor_ns) - before;
+        self.usage.quiet_core_share = spent / 1e9 / began.elapsed().as_secs_f64();
+    }
+
+    /// What one of them used.
+    pub fn usage(&mut self) -> RealUsage {
+        self.usage.resident_mb = self.sum(|used| used.resident_kb) / 1024.0;
+        self.usage.peak_mb = self.sum(|used| used.peak_kb) / 1024.0;
+        self.usage
+    }
+
+    /// Memory of all at most (KB).
+    pub fn peak_kb(&self) -> u64 {
+        self.processes.iter().map(|process| usage::of_process(process.id()).peak_kb).sum()
+    }
+
+    /// The mean over them.
+    fn sum(&self, of: impl Fn(usage::Usage) -> u64) -> f64 {
+        let all = self.processes.iter().map(|process| of(usage::of_process(process.id()))).sum::<u64>();
+        all as f64 / self.processes.len().max(1) as f64
+    }
+}
+
+impl Drop for RealRouters {
+    fn drop(&mut self) {
+        self.processes.clear();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -96,6 +96,8 @@
     room: Room,
     leavers: Vec<u64>,
     scratch: Vec<u8>,
+    /// Bytes read from all connections so far.
+    received: u64,
     /// Calls to engines wait for [`Net::release`].
     holds: bool,
     held: Vec<u64>,
@@ -125,6 +127,7 @@
             room,
             leavers: Vec::new(),
             scratch: vec![0; 64 << 10],
+            received: 0,
             holds: false,
             held: Vec::new(),
         }
@@ -212,6 +215,11 @@
         self.conns.get(&id).map(|c| c.owner)
     }
 
+    /// Bytes read from all connections so far.
+    pub fn received_bytes(&self) -> u64 {
+        self.received
+    }
+
     /// Connections of clients.
     pub fn clients(&self) -> usize {
         self.client_conns
@@ -392,7 +400,10 @@
             }
             match conn.stream.read(&mut self.scratch) {
                 Ok(0) => conn.ended = Some(Ending::Cut),
-                Ok(n) => conn.input.extend_from_slice(&self.scratch[..n]),
+                Ok(n) => {
+                    self.received += n as u64;
+                    conn.input.extend_from_slice(&self.scratch[..n]);
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(_) => conn.ended = Some(Ending::Cut),
--- /dev/null
+++ b/crates/rig/src/hollow/engine_table.rs
@@ -0,0 +1,126 @@
+//! The engines of a stand-in list service, and its events as text.
+
+use std::fmt::Write as _;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use marljunction_discovery::engine_id;
+
+use super::known_list::fingerprint;
+use super::protocol::{ListDigest, ListedState};
+
+/// Zones that engines and routers are in (count).
+pub const ZONES: u32 = 25;
+/// First address that engines are given, and their port: nobody listens there.
+const FIRST_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 128, 0, 0);
+const PORT: u16 = 5_432;
+/// When the first engines started (Unix ms).
+const BOOT_MS: u64 = 1_790_000_000_000;
+
+/// One engine.
+#[derive(Clone, Copy, Debug)]
+struct Row {
+    state: ListedState,
+    /// How often it was replaced: each time under a new name.
+    generation: u32,
+}
+
+/// All engines.
+#[derive(Clone, Debug)]
+pub struct EngineTable {
+    rows: Vec<Row>,
+}
+
+/// The name of an engine's zone, or of a router's.
+pub fn zone_name(number: u32) -> String {
+    format!("zone-{:02}", number % ZONES)
+}
+
+impl EngineTable {
+    /// So many engines, in service.
+    pub fn new(engines: u32) -> EngineTable {
+        EngineTable { rows: vec![Row { state: ListedState::InService, generation: 0 }; engines as usize] }
+    }
+
+    /// Gives engines a state; numbers that there are not are passed over. Gives the event's targets as text.
+    pub fn set(&mut self, engines: &[u32], state: ListedState) -> String {
+        let known: Vec<u32> = engines.iter().copied().filter(|e| (*e as usize) < self.rows.len()).collect();
+        known.iter().for_each(|engine| self.rows[*engine as usize].state = state);
+        self.targets(known.into_iter())
+    }
+
+    /// Starts engines anew: the old names are gone, new ones are in service. Gives the event's targets as text.
+    pub fn replace(&mut self, engines: &[u32]) -> String {
+        let gone = self.set(engines, ListedState::Terminated);
+        for engine in engines {
+            if let Some(row) = self.rows.get_mut(*engine as usize) {
+                row.generation += 1;
+            }
+        }
+        let there = self.set(engines, ListedState::InService);
+        [gone, there].into_iter().filter(|text| !text.is_empty()).collect::<Vec<_>>().join(",")
+    }
+
+    /// The targets of the whole list as text.
+    pub fn whole(&self) -> String {
+        let there = |engine: &u32| self.rows[*engine as usize].state != ListedState::Terminated;
+        self.targets((0..self.rows.len() as u32).filter(there))
+    }
+
+    /// What sums the list up.
+    pub fn digest(&self) -> ListDigest {
+        let mut digest = ListDigest::default();
+        for (engine, row) in self.rows.iter().enumerate().filter(|(_, r)| r.state != ListedState::Terminated)
+        {
+            let engine = engine as u32;
+            let id = engine_id(&name(engine, row.generation)).0;
+            let draining = row.state == ListedState::Terminating;
+            let one = fingerprint(id, address(engine), draining, boot_ms(engine, row.generation));
+            digest.engines += 1;
+            digest.sum = digest.sum.wrapping_add(one);
+        }
+        digest
+    }
+
+    fn targets(&self, engines: impl Iterator<Item = u32>) -> String {
+        let mut text = String::new();
+        for engine in engines {
+            let Row { state, generation } = self.rows[engine as usize];
+            let state = match state {
+                ListedState::InService => "in_service",
+                ListedState::Terminating => "terminating",
+                ListedState::Terminated => "terminated",
+            };
+            text.push_str(if text.is_empty() { "" } else { "," });
+            // Writing into a string does not fail.
+            let _ = write!(
+                text,
+                r#"{{"uid":"{}","endpoint":"{}","az":"{}","model":"std","state":"{state}","capacity_hint":1.0,"boot_ms":{}}}"#,
+                name(engine, generation),
+                address(engine),
+                zone_name(engine),
+                boot_ms(engine, generation),
+            );
+        }
+        text
+    }
+}
+
+/// An event of the stream.
+pub fn event(index: u64, all: bool, targets: &str) -> Vec<u8> {
+    format!(
+        "id: {index}\ndata: {{\"index\":{index},\"endpoints\":{{\"rev\":1,\"all\":{all},\"targets\":[{targets}]}}}}\n\n"
+    )
+    .into_bytes()
+}
+
+fn name(engine: u32, generation: u32) -> String {
+    format!("engine-{engine:05}-{generation}")
+}
+
+fn address(engine: u32) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from(u32::from(FIRST_ADDRESS) + engine), PORT))
+}
+
+fn boot_ms(engine: u32, generation: u32) -> u64 {
+    BOOT_MS + u64::from(engine) + u64::from(generation) * 1_000_000
+}
--- /dev/null
+++ b/crates/rig/src/hollow/fleet.rs
@@ -0,0 +1,347 @@
+//! A fleet of hollow routers seen from its owner: a list service and hosts, each a process of its own.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use super::child::Obedient;
+use super::protocol::{
+    FleetSetup, HostCommand, HostReport, HostSetup, ListDigest, ListedState, PaceSetup, RouterReport,
+    RouterStart, ServiceCommand, ServiceCounters, ServiceReport, ServiceSetup, ToldEvent,
+};
+use super::usage::Usage;
+use super::HollowError;
+
+/// Longest wait for an answer that takes no waiting of its own.
+const ANSWER: Duration = Duration::from_secs(60);
+
+/// How many of what.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// The program that becomes the service and the hosts, with [`SERVICE`] and [`HOST`].
+    pub program: PathBuf,
+    /// Hollow routers (count).
+    pub routers: u32,
+    /// Further routers that the service has a listener for: real ones (count).
+    pub real_routers: u32,
+    /// Engines on the list (count).
+    pub engines: u32,
+    /// Hosts of hollow routers (count).
+    pub hosts: u32,
+    /// Calls a second that the list service takes, which is the fleet's budget too.
+    pub calls_per_s: f64,
+    /// Whole lists that the service writes at a time (count).
+    pub concurrent_snapshots: usize,
+    /// The module's settings.
+    pub settings: String,
+    /// Whether each router's module is told the list.
+    pub module: bool,
+    /// What routers say to each other; nothing if none.
+    pub fleet: Option<FleetSetup>,
+    /// Seed of all draws.
+    pub seed: u64,
+}
+
+/// The argument that makes the lab a list service, and the one that makes it a host.
+pub const SERVICE: &str = "hollow-service";
+/// See [`SERVICE`].
+pub const HOST: &str = "hollow-host";
+
+type Host = Obedient<HostCommand, HostReport>;
+
+/// The fleet.
+pub struct HollowFleet {
+    plan: FleetPlan,
+    service: Obedient<ServiceCommand, ServiceReport>,
+    hosts: Vec<Host>,
+    lists: Vec<SocketAddr>,
+    there: BTreeSet<u32>,
+}
+
+impl HollowFleet {
+    /// Starts the service and the hosts; no router yet.
+    ///
+    /// # Errors
+    /// Where a process can't be started.
+    pub fn start(plan: FleetPlan) -> Result<HollowFleet, HollowError> {
+        let mut service = Obedient::start(&plan.program, &[SERVICE], "the list service".to_owned())?;
+        let setup = ServiceSetup {
+            routers: plan.routers + plan.real_routers,
+            engines: plan.engines,
+            calls_per_s: plan.calls_per_s,
+            concurrent_snapshots: plan.concurrent_snapshots,
+        };
+        let ServiceReport::Started(lists) = service.ask(&ServiceCommand::Start(setup), ANSWER)? else {
+            return Err(other(service.name(), "Started"));
+        };
+        let mut hosts = Vec::new();
+        for number in 0..plan.hosts {
+            hosts.push(Host::start(&plan.program, &[HOST], format!("host {number}"))?);
+        }
+        let mut fleet = HollowFleet { plan, service, hosts, lists, there: BTreeSet::new() };
+        fleet.set_up_hosts()?;
+        Ok(fleet)
+    }
+
+    fn set_up_hosts(&mut self) -> Result<(), HollowError> {
+        let setup = HostSetup {
+            fleet_routers: self.plan.routers + self.plan.real_routers,
+            settings: self.plan.settings.clone(),
+            pace: self.pace(),
+            seed: self.plan.seed,
+            module: self.plan.module,
+            fleet: self.plan.fleet.clone(),
+        };
+        for host in &mut self.hosts {
+            host.tell(&HostCommand::Setup(Box::new(setup.clone())))?;
+        }
+        for host in &mut self.hosts {
+            expect(host, ANSWER, "Done", |report| matches!(report, HostReport::Done).then_some(()))?;
+        }
+        Ok(())
+    }
+
+    /// How the fleet's calls are paced: over the time that the service needs for all.
+    pub fn pace(&self) -> PaceSetup {
+        let routers = self.plan.routers + self.plan.real_routers;
+        let window_ns = (f64::from(routers) / self.plan.calls_per_s * 1e9) as u64;
+        PaceSetup {
+            budget_per_s: self.plan.calls_per_s,
+            routers,
+            spread_ns: window_ns.max(100_000_000),
+            longest_ns: (2 * window_ns).max(4_300_000_000),
+        }
+    }
+
+    /// What it was planned as.
+    pub fn plan(&self) -> &FleetPlan {
+        &self.plan
+    }
+
+    /// Where a router finds the list service, by number: the real ones' come behind the hollow ones'.
+    pub fn list_address(&self, router: u32) -> Option<SocketAddr> {
+        self.lists.get(router as usize).copied()
+    }
+
+    /// Numbers of the hollow routers that are there.
+    pub fn there(&self) -> &BTreeSet<u32> {
+        &self.there
+    }
+
+    /// Starts routers, anew where they are there.
+    ///
+    /// # Errors
+    /// Where one gets no sockets.
+    pub fn start_routers(&mut self, numbers: &[u32]) -> Result<Vec<(u32, Option<SocketAddr>)>, HollowError> {
+        let of_host = self.by_host(numbers);
+        for (host, numbers) in self.hosts.iter_mut().zip(&of_host) {
+            let list = |number: &u32| self.lists.get(*number as usize).map(|list| (*number, *list));
+            let starts = numbers.iter().filter_map(list).map(|(number, list)| RouterStart { number, list });
+            host.tell(&HostCommand::Start(starts.collect()))?;
+        }
+        self.there.extend(numbers);
+        let mut started = Vec::new();
+        for host in &mut self.hosts {
+            started.extend(expect(host, ANSWER, "Started", |report| match report {
+                HostReport::Started(routers) => Some(routers),
+                _ => None,
+            })?);
+        }
+        Ok(started)
+    }
+
+    /// Ends routers at once.
+    ///
+    /// # Errors
+    /// Where a host has ended.
+    pub fn stop_routers(&mut self, numbers: &[u32]) -> Result<(), HollowError> {
+        let of_host = self.by_host(numbers);
+        for (host, numbers) in self.hosts.iter_mut().zip(of_host) {
+            host.tell(&HostCommand::Stop(numbers))?;
+        }
+        for host in &mut self.hosts {
+            expect(host, ANSWER, "Done", |report| matches!(report, HostReport::Done).then_some(()))?;
+        }
+        self.there.retain(|number| !numbers.contains(number));
+        Ok(())
+    }
+
+    fn by_host(&self, numbers: &[u32]) -> Vec<Vec<u32>> {
+        let mut all = vec![Vec::new(); self.hosts.len()];
+        for number in numbers {
+            all[*number as usize % self.hosts.len()].push(*number);
+        }
+        all
+    }
+
+    /// Gives engines a state, and tells all who follow.
+    ///
+    /// # Errors
+    /// Where the service has ended.
+    pub fn change(&mut self, engines: Vec<u32>, state: ListedState) -> Result<ToldEvent, HollowError> {
+        self.told(&ServiceCommand::Change { engines, state })
+    }
+
+    /// Starts engines anew under other names, and tells all who follow.
+    ///
+    /// # Errors
+    /// Where the service has ended.
+    pub fn replace(&mut self, engines: Vec<u32>) -> Result<ToldEvent, HollowError> {
+        self.told(&ServiceCommand::Replace { engines })
+    }
+
+    fn told(&mut self, command: &ServiceCommand) -> Result<ToldEvent, HollowError> {
+        match self.service.ask(command, ANSWER)? {
+            ServiceReport::Told(event) => Ok(event),
+            _ => Err(other(self.service.name(), "Told")),
+        }
+    }
+
+    /// Sends the list service away, or brings it back; cuts routers off; breaks it for one router.
+    ///
+    /// # Errors
+    /// Where the service has ended.
+    pub fn fault(&mut self, command: &ServiceCommand) -> Result<(), HollowError> {
+        match self.service.ask(command, ANSWER)? {
+            ServiceReport::Done => Ok(()),
+            _ => Err(other(self.service.name(), "Done")),
+        }
+    }
+
+    /// The list service's counters.
+    ///
+    /// # Errors
+    /// Where the service has ended.
+    pub fn counters(&mut self) -> Result<ServiceCounters, HollowError> {
+        match self.service.ask(&ServiceCommand::Report, ANSWER)? {
+            ServiceReport::Counters(counters) => Ok(counters),
+            _ => Err(other(self.service.name(), "Counters")),
+        }
+    }
+
+    /// Waits until all hollow routers that are there have this list; gives when each came to it (Unix ns), or none where that took
+    /// longer than the limit.
+    ///
+    /// # Errors
+    /// Where a host has ended.
+    pub fn await_list(
+        &mut self,
+        digest: ListDigest,
+        limit: Duration,
+    ) -> Result<Option<Vec<(u32, u64)>>, HollowError> {
+        let wanted = |report| match report {
+            HostReport::ListReached(reached, when) if reached == digest => Some(when),
+            _ => None,
+        };
+        let all = self.await_all(&HostCommand::AwaitList(digest), limit, wanted)?;
+        Ok(all.map(|hosts| hosts.into_iter().flatten().collect()))
+    }
+
+    /// Waits until all hollow routers that are there know so many peers; gives since when, at the latest (Unix ns).
+    ///
+    /// # Errors
+    /// Where a host has ended.
+    pub fn await_peers(&mut self, peers: u32, limit: Duration) -> Result<Option<u64>, HollowError> {
+        let wanted = |report| match report {
+            HostReport::PeersReached(reached, when) if reached == peers => Some(when),
+            _ => None,
+        };
+        let all = self.await_all(&HostCommand::AwaitPeers(peers), limit, wanted)?;
+        Ok(all.and_then(|hosts| hosts.into_iter().max()))
+    }
+
+    fn await_all<T>(
+        &mut self,
+        command: &HostCommand,
+        limit: Duration,
+        wanted: impl Fn(HostReport) -> Option<T>,
+    ) -> Result<Option<Vec<T>>, HollowError> {
+        let end = Instant::now() + limit;
+        for host in &mut self.hosts {
+            host.tell(command)?;
+        }
+        let mut all = Vec::new();
+        for host in &mut self.hosts {
+            match hear_wanted(host, end, &wanted)? {
+                Some(answer) => all.push(answer),
+                None => return Ok(None),
+            }
+        }
+        Ok(Some(all))
+    }
+
+    /// What each hollow router knows, by number.
+    ///
+    /// # Errors
+    /// Where a host has ended.
+    pub fn reports(&mut self) -> Result<Vec<RouterReport>, HollowError> {
+        for host in &mut self.hosts {
+            host.tell(&HostCommand::Report)?;
+        }
+        let mut all = Vec::new();
+        for host in &mut self.hosts {
+            all.extend(expect(host, ANSWER, "Routers", |report| match report {
+                HostReport::Routers(routers) => Some(routers),
+                _ => None,
+            })?);
+        }
+        all.sort_by_key(|report| report.number);
+        Ok(all)
+    }
+
+    /// What the hosts used so far, together.
+    pub fn hosts_usage(&self) -> Usage {
+        self.hosts.iter().map(Obedient::usage).fold(Usage::default(), |sum, one| Usage {
+            processor_ns: sum.processor_ns + one.processor_ns,
+            resident_kb: sum.resident_kb + one.resident_kb,
+            peak_kb: sum.peak_kb + one.peak_kb,
+        })
+    }
+
+    /// What the list service used so far.
+    pub fn service_usage(&self) -> Usage {
+        self.service.usage()
+    }
+
+    /// Numbers of the hosts' processes.
+    pub fn host_ids(&self) -> Vec<u32> {
+        self.hosts.iter().map(Obedient::id).collect()
+    }
+
+    /// Processes of the fleet (count).
+    pub fn processes(&self) -> usize {
+        self.hosts.len() + 1
+    }
+}
+
+fn other(child: &str, wanted: &'static str) -> HollowError {
+    HollowError::OtherAnswer { child: child.to_owned(), wanted }
+}
+
+/// The next answer of a kind. What was waited for earlier, and given up, may come before it.
+fn expect<T>(
+    host: &mut Host,
+    limit: Duration,
+    kind: &'static str,
+    wanted: impl Fn(HostReport) -> Option<T>,
+) -> Result<T, HollowError> {
+    hear_wanted(host, Instant::now() + limit, &wanted)?.ok_or_else(|| other(host.name(), kind))
+}
+
+fn hear_wanted<T>(
+    host: &mut Host,
+    end: Instant,
+    wanted: &impl Fn(HostReport) -> Option<T>,
+) -> Result<Option<T>, HollowError> {
+    loop {
+        match host.hear(end.saturating_duration_since(Instant::now()))? {
+            Some(report) => {
+                if let Some(answer) = wanted(report) {
+                    return Ok(Some(answer));
+                }
+            }
+            None => return Ok(None),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/hollow/host.rs
@@ -0,0 +1,161 @@
+//! The loop of a process that runs many hollow routers.
+
+use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
+
+use marljunction_net::clock::Clock;
+use mio::{Events, Poll};
+
+use super::protocol::{HostCommand, HostReport, ListDigest, RouterStart};
+use super::router::{HollowRouter, Shared, TOKEN_BITS};
+use super::{answer, io, read_commands, HollowError, COMMAND_TOKEN};
+
+/// How often time is passed to each router (ns): as often as the program does.
+const TICK_NS: u64 = 20_000_000;
+
+/// A host.
+struct Host {
+    poll: Poll,
+    clock: Clock,
+    shared: Option<Shared>,
+    routers: Vec<Option<HollowRouter>>,
+    /// Places of the routers by their numbers, kept over restarts.
+    slots: BTreeMap<u32, usize>,
+    lives: u64,
+    /// Connections with more to read, which no event tells of.
+    more: Vec<u64>,
+    awaited_list: Option<ListDigest>,
+    awaited_peers: Option<u32>,
+    ticked_ns: u64,
+}
+
+/// Runs a host until its input ends.
+///
+/// # Errors
+/// Where sockets can't be had or standard output is gone.
+pub fn run() -> Result<(), HollowError> {
+    let poll = Poll::new().map_err(io("poll"))?;
+    let commands: Receiver<HostCommand> = read_commands(poll.registry())?;
+    let mut host = Host {
+        poll,
+        clock: Clock::start(),
+        shared: None,
+        routers: Vec::new(),
+        slots: BTreeMap::new(),
+        lives: 0,
+        more: Vec::new(),
+        awaited_list: None,
+        awaited_peers: None,
+        ticked_ns: 0,
+    };
+    let mut events = Events::with_capacity(4_096);
+    loop {
+        host.run_iteration(&mut events)?;
+        while let Ok(command) = commands.try_recv() {
+            if let Some(report) = host.obey(command)? {
+                answer(&report)?;
+            }
+        }
+        host.answer_awaited()?;
+    }
+}
+
+impl Host {
+    fn run_iteration(&mut self, events: &mut Events) -> Result<(), HollowError> {
+        let due = (self.ticked_ns + TICK_NS).saturating_sub(self.clock.now_ns());
+        let wait = if self.more.is_empty() { Duration::from_nanos(due) } else { Duration::ZERO };
+        match self.poll.poll(events, Some(wait)) {
+            Err(fault) if fault.kind() != ErrorKind::Interrupted => return Err(io("poll")(fault)),
+            _ => {}
+        }
+        let mut connections = std::mem::take(&mut self.more);
+        for event in events.iter().filter(|event| event.token() != COMMAND_TOKEN) {
+            connections.push(event.token().0 as u64);
+        }
+        for connection in connections {
+            self.ready(connection);
+        }
+        let now = self.clock.now_ns();
+        if now >= self.ticked_ns + TICK_NS {
+            self.ticked_ns = now;
+            self.routers.iter_mut().flatten().for_each(|router| router.tick(now));
+        }
+        Ok(())
+    }
+
+    fn ready(&mut self, token: u64) {
+        let Some(slot) = ((token >> TOKEN_BITS) as usize).checked_sub(1) else { return };
+        let Some(Some(router)) = self.routers.get_mut(slot) else { return };
+        if router.ready(self.clock.now_ns(), token) {
+            self.more.push(token);
+        }
+    }
+
+    fn obey(&mut self, command: HostCommand) -> Result<Option<HostReport>, HollowError> {
+        match command {
+            HostCommand::Setup(setup) => self.shared = Some(Shared::new(*setup)?),
+            HostCommand::Start(starts) => return self.start(&starts).map(Some),
+            HostCommand::Stop(numbers) => numbers.iter().for_each(|number| self.stop(*number)),
+            HostCommand::AwaitList(digest) => {
+                self.awaited_list = Some(digest);
+                return Ok(None);
+            }
+            HostCommand::AwaitPeers(peers) => {
+                self.awaited_peers = Some(peers);
+                return Ok(None);
+            }
+            HostCommand::Report => {
+                let reports = self.routers.iter().flatten().map(HollowRouter::report);
+                return Ok(Some(HostReport::Routers(reports.collect())));
+            }
+        }
+        Ok(Some(HostReport::Done))
+    }
+
+    fn start(&mut self, starts: &[RouterStart]) -> Result<HostReport, HollowError> {
+        let Some(shared) = &self.shared else { return Ok(HostReport::Done) };
+        let mut started = Vec::new();
+        for start in starts {
+            let slot = *self.slots.entry(start.number).or_insert(self.routers.len());
+            if slot == self.routers.len() {
+                self.routers.push(None);
+            }
+            self.lives += 1;
+            // The life before goes first, with its sockets.
+            self.routers[slot] = None;
+            let now = self.clock.now_ns();
+            let place = (slot, self.lives % (1 << 12));
+            let router = HollowRouter::start(now, self.poll.registry(), shared, *start, place)?;
+            started.push((start.number, router.fleet_address()));
+            self.routers[slot] = Some(router);
+        }
+        Ok(HostReport::Started(started))
+    }
+
+    fn stop(&mut self, number: u32) {
+        if let Some(router) = self.slots.get(&number).and_then(|slot| self.routers.get_mut(*slot)) {
+            *router = None;
+        }
+    }
+
+    /// Answers what is waited for, once it is so.
+    fn answer_awaited(&mut self) -> Result<(), HollowError> {
+        if let Some(digest) = self.awaited_list {
+            if self.routers.iter().flatten().all(|router| router.digest() == digest) {
+                self.awaited_list = None;
+                let routers = self.routers.iter().flatten();
+                let reached = routers.map(|router| (router.number(), router.list_since_ns())).collect();
+                answer(&HostReport::ListReached(digest, reached))?;
+            }
+        }
+        if let Some(peers) = self.awaited_peers {
+            if self.routers.iter().flatten().all(|router| router.peers() == peers) {
+                self.awaited_peers = None;
+                answer(&HostReport::PeersReached(peers, self.clock.now_ns()))?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rig/src/hollow/router.rs
@@ -0,0 +1,183 @@
+//! One hollow router: the program's own parts that control costs, with its own sockets.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use marljunction_control::interface::Settings;
+use marljunction_core::{Command, Router};
+use marljunction_discovery::stream::Stream;
+use marljunction_discovery::{Change, Pacing};
+use marljunction_net::{Net, Room};
+use marljunction_pacing::Pace;
+use marljunction_settings::{read_settings, Names};
+use mio::Registry;
+
+use super::known_list::KnownList;
+use super::protocol::{HostSetup, ListDigest, RouterReport, RouterStart};
+use super::{io, HollowError};
+
+/// Part of a token that names the router; the rest numbers its connections.
+pub(crate) const TOKEN_BITS: u32 = 32;
+/// Connections that one life of a router may open before the next life's numbers begin (count).
+const LIFE_BITS: u32 = 20;
+/// Age from which news counts as too old (ns).
+const STALE_NS: u64 = 7_000_000_000;
+/// Memory that the module's bounds follow from (MB).
+const MEMORY_MB: f64 = 512.0;
+
+/// What all routers of a host share.
+pub struct Shared {
+    /// How the host is set up.
+    pub setup: HostSetup,
+    /// The module's settings, with the names behind their numbers.
+    pub settings: Rc<(Settings, Names)>,
+}
+
+impl Shared {
+    /// Reads the settings as the program does.
+    ///
+    /// # Errors
+    /// Where the program's reader refuses them.
+    pub fn new(setup: HostSetup) -> Result<Shared, HollowError> {
+        let settings = read_settings(&setup.settings).map_err(HollowError::Settings)?;
+        Ok(Shared { setup, settings: Rc::new(settings) })
+    }
+
+    fn pace(&self, number: u32) -> Pace {
+        let pace = self.setup.pace;
+        Pace {
+            spread_ns: pace.spread_ns,
+            longest_ns: pace.longest_ns,
+            budget_per_s: pace.budget_per_s,
+            callers: Some(pace.routers),
+            me: number,
+            ..Pace::default()
+        }
+    }
+}
+
+/// One router.
+pub struct HollowRouter {
+    number: u32,
+    net: Net,
+    stream: Stream,
+    list: KnownList,
+    /// When its list last changed (ns).
+    list_since_ns: u64,
+    learned_ns: Option<u64>,
+    started_ns: u64,
+    module: Router,
+    tells_module: bool,
+    commands: Vec<Command>,
+}
+
+impl HollowRouter {
+    /// Starts it, knowing nothing; `slot` is its place in the host and `life` counts its starts there.
+    ///
+    /// # Errors
+    /// Where it gets no sockets.
+    pub fn start(
+        now: u64,
+        registry: &Registry,
+        shared: &Shared,
+        start: RouterStart,
+        (slot, life): (usize, u64),
+    ) -> Result<HollowRouter, HollowError> {
+        let registry = registry.try_clone().map_err(io("poll"))?;
+        let first = (slot as u64 + 1) << TOKEN_BITS | life << LIFE_BITS;
+        let net = Net::new(registry, first, Room { engines: 0, output: 1 << 20 });
+        let seed = shared.setup.seed ^ u64::from(start.number) << 20 ^ life;
+        let pacing = Pacing { pace: shared.pace(start.number), seed, stale_ns: STALE_NS };
+        let (settings, names) = &*shared.settings;
+        let mut settings = settings.clone();
+        settings.gateway_index = start.number;
+        Ok(HollowRouter {
+            number: start.number,
+            net,
+            stream: Stream::new(now, start.list, names.clone(), 0, pacing),
+            list: KnownList::default(),
+            list_since_ns: now,
+            learned_ns: None,
+            started_ns: now,
+            module: Router::new(settings, seed, MEMORY_MB),
+            tells_module: shared.setup.module,
+            commands: Vec::new(),
+        })
+    }
+
+    /// Its number.
+    pub fn number(&self) -> u32 {
+        self.number
+    }
+
+    /// What its list is.
+    pub fn digest(&self) -> ListDigest {
+        self.list.digest()
+    }
+
+    /// When its list last changed (ns).
+    pub fn list_since_ns(&self) -> u64 {
+        self.list_since_ns
+    }
+
+    /// Where it takes datagrams, where it does.
+    pub fn fleet_address(&self) -> Option<SocketAddr> {
+        None
+    }
+
+    /// Peers that it knows (count).
+    pub fn peers(&self) -> u32 {
+        0
+    }
+
+    /// Passes time.
+    pub fn tick(&mut self, now: u64) {
+        self.stream.tick(now, &mut self.net);
+        self.turn(now);
+    }
+
+    /// Takes what has come in on a connection; whether there is more to take.
+    pub fn ready(&mut self, now: u64, connection: u64) -> bool {
+        let changes = self.stream.ready(now, &mut self.net, connection);
+        if !changes.is_empty() {
+            self.take(now, changes);
+        }
+        self.net.has_more(connection)
+    }
+
+    fn take(&mut self, now: u64, changes: Vec<Change>) {
+        for change in changes {
+            self.list.apply(&change);
+            if self.tells_module {
+                let entries = change.targets.iter().map(|target| target.entry).collect();
+                self.module.membership(change.kind, entries);
+            }
+        }
+        self.list_since_ns = now;
+        self.learned_ns = self.learned_ns.or(Some(now));
+        self.turn(now);
+    }
+
+    fn turn(&mut self, now: u64) {
+        self.module.turn(now, &mut self.commands);
+        // Without clients there is nothing to carry out.
+        self.commands.clear();
+    }
+
+    /// What it knows.
+    pub fn report(&self) -> RouterReport {
+        let ((calls, turned_away), _) = self.stream.view();
+        RouterReport {
+            number: self.number,
+            digest: self.list.digest(),
+            started_ns: self.started_ns,
+            learned_ns: self.learned_ns,
+            received_bytes: self.net.received_bytes(),
+            calls,
+            turned_away,
+            peers: self.peers(),
+            fleet_datagrams: 0,
+            fleet_bytes: 0,
+        }
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod herd;
+pub mod hollow;
 pub mod link;
 pub mod list;
 pub mod load;
