Bound the peers that are remembered by the configured routers

Cause: a fleet of 3,200 lost its members beyond 2,000 without a word, as the bound was a constant. Change: the bound is two for each configured router, and 2,000 at least; that of timers follows it. Result: crates/peers/tests, 12 tests passed, two of them new.

--- a/crates/peers/src/members.rs
+++ b/crates/peers/src/members.rs
@@ -18,10 +18,13 @@
 
 /// How often seeds that are not known to be there are asked to let this router join (ns).
 const JOIN_NS: u64 = 1_000_000_000;
-/// Peers that are kept at most (count): what any datagram can make this router remember.
-const PEERS_MOST: usize = 2_000;
-/// Timers that may be set at most (count): beyond these the farthest give way.
-const TIMERS_MOST: usize = 20_000;
+/// Peers that are kept at most (count), for each router that there is: those that were replaced are remembered for a while.
+const PEERS_PER_ROUTER: usize = 2;
+/// Timers that may be set at most (count), for each peer that may be kept: beyond these the farthest give way.
+const TIMERS_PER_PEER: usize = 4;
+/// Bounds of a small fleet, and of one whose count of routers is not known (count).
+const MIN_MAX_PEERS: usize = 2_000;
+const MIN_MAX_TIMERS: usize = 20_000;
 
 /// A router that comes back so often (count) within this time (ns) has a name that another has too: one that was cut off or
 /// stood still comes back once, and its peers believe that.
@@ -63,6 +66,16 @@
         looks * self.probe_ns + self.probe_ns + self.suspect_ns
     }
 
+    /// Peers that are kept at most (count): what datagrams can make this router remember.
+    pub fn max_peers(&self) -> usize {
+        (self.routers as usize).saturating_mul(PEERS_PER_ROUTER).max(MIN_MAX_PEERS)
+    }
+
+    /// Timers that may be set at most (count).
+    pub fn max_timers(&self) -> usize {
+        self.max_peers().saturating_mul(TIMERS_PER_PEER).max(MIN_MAX_TIMERS)
+    }
+
     fn config(&self) -> Config {
         let every = |ns: u64, count: usize| {
             let num_members = NonZeroUsize::new(count).unwrap_or(NonZeroUsize::MIN);
@@ -151,6 +164,9 @@
     keys: Keys,
     seeds: Vec<SocketAddr>,
     timers: BTreeMap<(u64, u64), Timer<Who>>,
+    /// Peers and timers that are kept at most (count).
+    max_peers: usize,
+    max_timers: usize,
     serial: u64,
     joined_ns: u64,
     up: BTreeMap<String, Who>,
@@ -172,6 +188,8 @@
             keys,
             seeds,
             timers: BTreeMap::new(),
+            max_peers: settings.max_peers(),
+            max_timers: settings.max_timers(),
             serial: 0,
             joined_ns: 0,
             up: BTreeMap::new(),
@@ -236,7 +254,7 @@
             Err(why) => *self.spoilt.entry(why).or_default() += 1,
             Ok((Kind::Members, content)) => {
                 // Guards against peers without end: what would add to a full table is passed over.
-                let full = self.foca.iter_membership_state().len() >= PEERS_MOST;
+                let full = self.foca.iter_membership_state().len() >= self.max_peers;
                 let heard = !full && self.run(now, |foca, runtime| foca.handle_data(content, runtime));
                 if !heard {
                     *self.spoilt.entry(Spoilt::Content).or_default() += 1;
@@ -292,7 +310,7 @@
         while let Some((after, timer)) = runtime.to_schedule() {
             self.serial += 1;
             self.timers.insert((now.saturating_add(after.as_nanos() as u64), self.serial), timer);
-            if self.timers.len() > TIMERS_MOST {
+            if self.timers.len() > self.max_timers {
                 self.timers.pop_last();
             }
         }
--- a/crates/peers/tests/fleet.rs
+++ b/crates/peers/tests/fleet.rs
@@ -296,3 +296,36 @@
         })
     });
 }
+
+/// A router of a fleet of `routers`, after `peers` others have asked it to let them join.
+fn heard_by_one(routers: u32, peers: usize) -> usize {
+    let settings = Settings { routers, ..Settings::default() };
+    let start = |at: usize, settings: &Settings| {
+        let (number, life) = (at as u32, S + at as u64);
+        let me = Who { name: format!("r{at}"), number, address: address(at), life, renewal: 0 };
+        Members::new(me, keys('a'), settings, at as u64)
+    };
+    let mut one = start(0, &settings);
+    let joining = Settings { seeds: vec![address(0)], ..settings.clone() };
+    for at in 1..=peers {
+        let mut peer = start(at, &joining);
+        peer.tick(S);
+        peer.take().0.iter().for_each(|(_, datagram)| one.hear(S, datagram));
+        one.take();
+    }
+    one.up().count()
+}
+
+#[test]
+fn all_routers_of_a_large_fleet_are_known() {
+    let peers = Settings::default().max_peers() + 100;
+    assert_eq!(heard_by_one(peers as u32 + 1, peers), peers);
+}
+
+#[test]
+fn peers_beyond_the_bound_are_not_remembered() {
+    let most = Settings { routers: 4, ..Settings::default() }.max_peers();
+    let known = heard_by_one(4, most + 50);
+    assert!(known <= most, "{known} of {most}");
+    assert!(known >= most - 1, "{known} of {most}");
+}
