--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -11,8 +11,7 @@
 use marljunction_limits::{Kind, Limit, Mode, Terms};
 use marljunction_peers::{Keys, Settings as MembershipSettings};
 use marljunction_settings::{index_of, Names};
-use marljunction_verdicts::bound::{agree_within_ns, beat_ns, fades_within_ns, heard_within_ns};
-use marljunction_verdicts::node::HANDED_MOST;
+use marljunction_verdicts::bound::{agree_within_ns, beat_ns, fades_within_ns, heard_within_ns, HANDED_MOST};
 use marljunction_verdicts::Terms as HealthTerms;
 
 use crate::error::{FleetError, KeyFileError, NameKind};
--- a/crates/verdicts/src/bound.rs
+++ b/crates/verdicts/src/bound.rs
@@ -1,9 +1,11 @@
 //! By when what one router knows has been heard by all that it can reach.
 
-use crate::Terms;
+use crate::terms::Terms;
 
 /// Peers that a router tells in each round (count).
 pub const FANOUT: usize = 3;
+/// Things that one comparison hands over at most (count).
+pub const HANDED_MOST: usize = 64;
 
 /// Rounds in which a router says a thing that is news to it (count): each peer that it tells does the same.
 pub fn says(routers: u32) -> u32 {
@@ -32,7 +34,7 @@
 pub fn agree_within_ns(terms: &Terms, differ: usize) -> u64 {
     heard_within_ns(terms)
         + 2 * beat_ns(terms)
-        + (differ as u64).div_ceil(crate::node::HANDED_MOST as u64) * beat_ns(terms)
+        + (differ as u64).div_ceil(HANDED_MOST as u64) * beat_ns(terms)
 }
 
 /// Evidence that its witness no longer says is believed for so long by those who heard it last (ns).
--- a/crates/verdicts/src/judge.rs
+++ b/crates/verdicts/src/judge.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::evidence::{Finding, Held, Table};
-use crate::{mix, Terms};
+use crate::mix::mix;
+use crate::terms::Terms;
 
 /// Part of those who say something new of an engine that must say the same (share).
 const AGREE: f64 = 0.6;
--- a/crates/verdicts/src/witness.rs
+++ b/crates/verdicts/src/witness.rs
@@ -43,6 +43,32 @@
     answers: u32,
 }
 
+impl Seen {
+    /// It is there, however long it takes.
+    fn alive(&mut self, now: u64) -> Option<(Finding, u64)> {
+        self.served_ns = now;
+        let was_silent = self.bad.take_if(|(finding, _)| *finding == Finding::Silent);
+        was_silent.map(|_| (Finding::Well, now))
+    }
+
+    /// An attempt failed. A failure that is new says more than that the last one has not been mended; not more often than others
+    /// hear it.
+    fn failed(&mut self, now: u64, finding: Finding, sent_ns: u64) -> Option<(Finding, u64)> {
+        let said = self.bad.is_some_and(|(before, _)| before == finding);
+        if said && now < self.said_ns.saturating_add(AGAIN_NS) {
+            return None;
+        }
+        self.said_ns = now;
+        self.bad = Some((finding, sent_ns));
+        self.bad
+    }
+
+    fn count_answer(&mut self, ratio: f64) {
+        self.answers = self.answers.saturating_add(1);
+        self.ratio += (ratio - self.ratio) * WEIGHT.max(1.0 / f64::from(self.answers));
+    }
+}
+
 /// What one router saw of all engines.
 #[derive(Clone, Debug, Default)]
 pub struct Witness {
@@ -71,50 +97,51 @@
         }
         match went {
             Went::Nothing => None,
-            // It is there, however long it takes.
-            Went::Alive => {
+            Went::Alive => seen.alive(now),
+            Went::Served(took_ns) => {
                 seen.served_ns = now;
-                let was = seen.bad.take_if(|(finding, _)| *finding == Finding::Silent);
-                was.map(|_| (Finding::Well, now))
-            }
-            Went::Served(took) => {
-                seen.served_ns = now;
-                let usual = self.classes.entry(class).or_insert(took as f64);
-                let ratio = (took as f64 / usual.max(1.0)).min(OUTLIER);
-                *usual += (took as f64 - *usual).min(*usual * OUTLIER) * CLASS_WEIGHT;
-                seen.answers = seen.answers.saturating_add(1);
-                seen.ratio += (ratio - seen.ratio) * WEIGHT.max(1.0 / f64::from(seen.answers));
-                let slow = self.slow(engine);
-                let seen = self.engines.get_mut(&engine)?;
-                match (seen.bad, slow) {
-                    (Some((Finding::Slow(_), since)), Some(tenths)) => {
-                        seen.bad = Some((Finding::Slow(tenths), since));
-                        return None;
-                    }
-                    (_, Some(tenths)) => seen.bad = Some((Finding::Slow(tenths), sent_ns)),
-                    (before, None) => {
-                        seen.bad = None;
-                        return Some((Finding::Well, now)).filter(|_| before.is_some());
-                    }
-                }
-                seen.bad
+                self.served(now, engine, class, sent_ns, took_ns)
             }
             // Guards against an engine that answers others meanwhile: one of many that is late, or was given up, is no silence.
             Went::Silent | Went::Spoilt if seen.served_ns >= sent_ns => None,
-            Went::Silent | Went::Spoilt => {
-                let finding = if went == Went::Silent { Finding::Silent } else { Finding::Spoils };
-                // A failure that is new says more than that the last one has not been mended; not more often than others hear it.
-                let said = seen.bad.is_some_and(|(before, _)| before == finding);
-                if said && now < seen.said_ns.saturating_add(AGAIN_NS) {
-                    return None;
-                }
-                seen.said_ns = now;
-                seen.bad = Some((finding, sent_ns));
-                seen.bad
-            }
+            Went::Silent => seen.failed(now, Finding::Silent, sent_ns),
+            Went::Spoilt => seen.failed(now, Finding::Spoils, sent_ns),
         }
     }
 
+    /// Takes how long an answer took: an engine is slow by its ratio to the others' alone.
+    fn served(
+        &mut self,
+        now: u64,
+        engine: u64,
+        class: usize,
+        sent_ns: u64,
+        took_ns: u64,
+    ) -> Option<(Finding, u64)> {
+        let ratio = self.ratio_to_usual(class, took_ns as f64);
+        self.engines.get_mut(&engine)?.count_answer(ratio);
+        let slow = self.slow(engine);
+        let seen = self.engines.get_mut(&engine)?;
+        let Some(tenths) = slow else {
+            let was_bad = seen.bad.take().is_some();
+            return was_bad.then_some((Finding::Well, now));
+        };
+        if let Some((Finding::Slow(_), since_ns)) = seen.bad {
+            seen.bad = Some((Finding::Slow(tenths), since_ns));
+            return None;
+        }
+        seen.bad = Some((Finding::Slow(tenths), sent_ns));
+        seen.bad
+    }
+
+    /// How much longer than usual an answer took (ratio), which counts in what is usual for its class.
+    fn ratio_to_usual(&mut self, class: usize, took_ns: f64) -> f64 {
+        let usual = self.classes.entry(class).or_insert(took_ns);
+        let ratio = (took_ns / usual.max(1.0)).min(OUTLIER);
+        *usual += (took_ns - *usual).min(*usual * OUTLIER) * CLASS_WEIGHT;
+        ratio
+    }
+
     /// How much slower than the median of the other engines one is (tenths), where that is enough to be said. All slow at once is
     /// nobody's fault.
     fn slow(&self, engine: u64) -> Option<u16> {
