--- /dev/null
+++ b/crates/limits/src/admission.rs
@@ -0,0 +1,107 @@
+//! Admits requests by all of their limits and keys, or by none.
+
+use crate::ledger::Ledger;
+use crate::sketch::Sketch;
+use crate::terms::Kind;
+
+/// The earliest that a refused request is worth another try (ns).
+const MIN_RETRY_NS: u64 = 1_000_000;
+
+/// Why a request is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// The limit, by its place in the file.
+    pub limit: usize,
+    /// When it is worth another try (ns from now).
+    pub after_ns: u64,
+}
+
+/// What a request was admitted by: to be given back once it is over.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ticket(Vec<Admitted>);
+
+/// One limit that a request was admitted by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Admitted {
+    limit: u16,
+    key: u64,
+    /// The key was not tracked.
+    by_sketch: bool,
+}
+
+/// How one limit and key look at a request: the units that may be used, none where the key is not tracked; or why not.
+type Verdict = Result<Option<u32>, Refused>;
+
+impl Ledger {
+    /// Admits a request by all of its limits and keys, or by none.
+    pub(crate) fn admit(&mut self, now: u64, wants: &[(u16, u64)]) -> Result<Ticket, Refused> {
+        // All of them count the request as demand, whichever refuses it.
+        let verdicts: Vec<Verdict> =
+            wants.iter().map(|(limit, key)| self.consider(now, *limit, *key)).collect();
+        let usable = verdicts.into_iter().collect::<Result<Vec<_>, Refused>>()?;
+        let mut ticket = Ticket(Vec::with_capacity(wants.len()));
+        for ((limit, key), usable) in wants.iter().copied().zip(usable) {
+            self.count(now, limit, key, usable);
+            ticket.0.push(Admitted { limit, key, by_sketch: usable.is_none() });
+        }
+        Ok(ticket)
+    }
+
+    /// Whether a limit and key admit a request, which counts as demand in any case.
+    fn consider(&mut self, now: u64, limit: u16, key: u64) -> Verdict {
+        let retry_ns = 2 * self.terms.round_ns();
+        let refused = |after_ns| Refused { limit: usize::from(limit), after_ns };
+        if !self.track(now, limit, key) {
+            let admits = self.sketch_admits(now, limit, key, false);
+            return if admits { Ok(None) } else { Err(refused(retry_ns)) };
+        }
+        let kind = self.kind(limit);
+        let usable = self.settle(now, limit, key);
+        let Some(entry) = self.keys.get_mut(&(limit, key)) else { return Ok(Some(usable)) };
+        let admits = entry.meter.admits(kind, usable);
+        entry.demand.count_request(kind, &self.terms, entry.meter.out(), admits);
+        if admits {
+            return Ok(Some(usable));
+        }
+        let after_ns = entry.meter.again_ns(kind, usable).unwrap_or(retry_ns);
+        Err(refused(after_ns.max(MIN_RETRY_NS)))
+    }
+
+    /// Counts an admitted request.
+    fn count(&mut self, now: u64, limit: u16, key: u64, usable: Option<u32>) {
+        let kind = self.kind(limit);
+        let until_ns = now.saturating_add(kind.counts_ns(&self.terms));
+        match (usable, self.keys.get_mut(&(limit, key))) {
+            (Some(usable), Some(entry)) => drop(entry.meter.admit(until_ns, kind, usable)),
+            _ => drop(self.sketch_admits(now, limit, key, true)),
+        }
+    }
+
+    /// Whether a key that found no place in the table is admitted on its router's own share; it counts where it `counts`.
+    fn sketch_admits(&mut self, now: u64, limit: u16, key: u64, counts: bool) -> bool {
+        let kind = self.kind(limit);
+        let of = (kind, self.owned(limit, key), self.terms.drift);
+        let slot = &mut self.slots[usize::from(limit)];
+        if now < slot.quiet_until_ns || matches!(kind, Kind::Window { .. }) {
+            return false;
+        }
+        let sketch = slot.sketch.get_or_insert_with(|| Sketch::new(now));
+        match counts {
+            true => sketch.admit(now, key, of),
+            false => sketch.used(now, key, of) + 1.0 <= f64::from(of.1),
+        }
+    }
+
+    /// A request that was admitted is over.
+    pub(crate) fn over(&mut self, ticket: Ticket) {
+        for Admitted { limit, key, by_sketch } in ticket.0 {
+            let kind = self.kind(limit);
+            let sketch = self.slots[usize::from(limit)].sketch.as_mut().filter(|_| by_sketch);
+            match (sketch, self.keys.get_mut(&(limit, key))) {
+                (Some(sketch), _) => sketch.over(key, kind),
+                (None, Some(entry)) => entry.meter.over(),
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/limits/src/ledger.rs
@@ -0,0 +1,303 @@
+//! The limits of one router and its keys: what it owns of each, what it may use now, and which keys it tracks.
+//!
+//! Invariants: a limit keeps its place for as long as the router is up; the table of keys is bounded, and a key is forgotten only
+//! where a new one would be the same.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::bound;
+use crate::demand::Demand;
+use crate::escrow::{Escrow, Peer};
+use crate::meter::Meter;
+use crate::sketch::Sketch;
+use crate::terms::{Kind, Limit, Mode, Terms};
+
+/// Keys that are looked at for one that may be forgotten, where the table is full (count).
+const LOOKED_AT: usize = 16;
+/// Keys of a limit that are shown (count).
+const SHOWN: usize = 8;
+
+/// A limit in its place.
+#[derive(Clone, Debug)]
+pub(crate) struct Slot {
+    pub(crate) limit: Limit,
+    /// The operator's file has it no more: nothing is admitted by it, and what was lent is kept track of.
+    retired: bool,
+    /// Until when its own units count as lent for a start's sake (ns).
+    pub(crate) quiet_until_ns: u64,
+    /// Peers that say what they hold end that: they were not understood before it was there.
+    told: bool,
+    /// Keys that found no place in the table; none where all did.
+    pub(crate) sketch: Option<Sketch>,
+}
+
+/// A key of a limit.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) escrow: Escrow,
+    pub(crate) meter: Meter,
+    pub(crate) demand: Demand,
+    /// Peers that had nothing to lend, until they are asked again (ns).
+    pub(crate) empty: BTreeMap<u32, u64>,
+}
+
+/// What one router knows of a key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Look {
+    /// Units that it owns.
+    pub owned: u32,
+    /// Of these, lent.
+    pub lent: u32,
+    /// Units borrowed.
+    pub borrowed: u32,
+    /// Units that may be used.
+    pub usable: u32,
+    /// Admissions out.
+    pub out: u32,
+}
+
+/// One router's limits and keys.
+#[derive(Clone, Debug)]
+pub(crate) struct Ledger {
+    pub(crate) me: Peer,
+    pub(crate) terms: Terms,
+    pub(crate) slots: Vec<Slot>,
+    pub(crate) keys: BTreeMap<(u16, u64), Entry>,
+    keys_most: usize,
+    pub(crate) started_ns: u64,
+    /// Since when some of the routers that are counted can't be reached (ns).
+    cut_since_ns: Option<u64>,
+    /// The key behind the one that was looked at last for one to forget.
+    looked_at: (u16, u64),
+}
+
+impl Ledger {
+    /// Of a router that has just started: its own units count as lent.
+    pub(crate) fn new(now: u64, me: Peer, terms: Terms, limits: Vec<Limit>, keys_most: usize) -> Ledger {
+        let slot = |limit: Limit| Slot {
+            quiet_until_ns: now + terms.quiet_ns(limit.kind),
+            limit,
+            retired: false,
+            told: true,
+            sketch: None,
+        };
+        Ledger {
+            me,
+            terms,
+            slots: limits.into_iter().map(slot).collect(),
+            keys: BTreeMap::new(),
+            keys_most,
+            started_ns: now,
+            cut_since_ns: None,
+            looked_at: (0, 0),
+        }
+    }
+
+    /// The operator's file says other limits: gives each one's place, which those that stay keep.
+    pub(crate) fn resize(&mut self, now: u64, limits: Vec<Limit>) -> Vec<u16> {
+        self.slots.iter_mut().for_each(|slot| slot.retired = true);
+        let mut places = Vec::with_capacity(limits.len());
+        for limit in limits {
+            let place = self.place_or_new(&limit);
+            places.push(place);
+            let slot = &mut self.slots[usize::from(place)];
+            slot.retired = false;
+            if slot.limit.version() != limit.version() {
+                self.resize_keys(now, place, &limit);
+            }
+            self.slots[usize::from(place)].limit = limit;
+        }
+        places
+    }
+
+    /// The place of a limit, a new one where it had none.
+    fn place_or_new(&mut self, limit: &Limit) -> u16 {
+        let id = limit.id();
+        let known = self.slots.iter().position(|slot| slot.limit.id() == id);
+        let at = known.unwrap_or_else(|| {
+            // Peers may hold units that an earlier life lent, and could not say so before.
+            let quiet_until_ns = self.started_ns + self.terms.quiet_ns(limit.kind);
+            let (retired, told, sketch) = (true, false, None);
+            self.slots.push(Slot { limit: limit.clone(), retired, quiet_until_ns, told, sketch });
+            self.slots.len() - 1
+        });
+        at as u16
+    }
+
+    fn resize_keys(&mut self, now: u64, place: u16, limit: &Limit) {
+        let keys: Vec<u64> = self.keys_of(place).collect();
+        // Fills buckets by the old size first.
+        for key in &keys {
+            self.settle(now, place, *key);
+        }
+        let worth = !matches!(limit.kind, Kind::Concurrency { .. });
+        for key in keys {
+            let owned = self.terms.share(limit.kind.units(), self.me.number, key);
+            if let Some(entry) = self.keys.get_mut(&(place, key)) {
+                entry.escrow.resize(now, owned, worth);
+                entry.empty.clear();
+            }
+        }
+    }
+
+    /// The keys of a limit that are tracked.
+    pub(crate) fn keys_of(&self, limit: u16) -> impl Iterator<Item = u64> + '_ {
+        self.keys.range((limit, 0)..=(limit, u64::MAX)).map(|((_, key), _)| *key)
+    }
+
+    pub(crate) fn kind(&self, limit: u16) -> Kind {
+        self.slots[usize::from(limit)].limit.kind
+    }
+
+    /// The place of a limit that a peer names, where this router has it in that size.
+    pub(crate) fn place(&self, id: u64, version: u32) -> Option<u16> {
+        let here = |slot: &Slot| slot.limit.id() == id && slot.limit.version() == version && !slot.retired;
+        self.slots.iter().position(here).map(|at| at as u16)
+    }
+
+    /// The peers that can be reached now.
+    pub(crate) fn set_reachable(&mut self, now: u64, peers: &BTreeSet<u32>) {
+        let counted = |number: &&u32| **number < self.terms.routers && **number != self.me.number;
+        let missing = peers.iter().filter(counted).count() as u32 + 1 < self.terms.routers;
+        self.cut_since_ns = if missing { self.cut_since_ns.or(Some(now)) } else { None };
+    }
+
+    /// Units of a key that this router owns (count).
+    pub(crate) fn owned(&self, limit: u16, key: u64) -> u32 {
+        self.terms.share(self.kind(limit).units(), self.me.number, key)
+    }
+
+    /// Units of a key that its own clients want (count).
+    pub(crate) fn wanted(&self, limit: u16, entry: &Entry) -> u32 {
+        entry.demand.units(self.kind(limit), &self.terms, entry.meter.out())
+    }
+
+    /// Units beyond its own that a limit's mode allows now: none while what an earlier life had out may still run, or it
+    /// would be over by as much again with each life.
+    fn extra(&self, now: u64, limit: u16, owned: u32) -> u32 {
+        let slot = &self.slots[usize::from(limit)];
+        match (slot.limit.mode, self.cut_since_ns) {
+            (Mode::Bounded { over, for_ns }, Some(since))
+                if now < since.saturating_add(for_ns) && now >= slot.quiet_until_ns =>
+            {
+                bound::extra(owned, over)
+            }
+            _ => 0,
+        }
+    }
+
+    /// Fills a key's bucket and forgets what has run out; gives the units that may be used now.
+    pub(crate) fn settle(&mut self, now: u64, limit: u16, key: u64) -> u32 {
+        let kind = self.kind(limit);
+        let owned = self.owned(limit, key);
+        let extra = self.extra(now, limit, owned);
+        let sketch = self.slots[usize::from(limit)].sketch.as_ref();
+        let beside = sketch.map_or(0.0, |sketch| sketch.used(now, key, (kind, owned, self.terms.drift)));
+        let Some(entry) = self.keys.get_mut(&(limit, key)) else { return 0 };
+        if let Kind::Concurrency { .. } = kind {
+            entry.meter.set_beside(beside.ceil() as u32);
+        }
+        let steady = entry.escrow.steady(entry.meter.filled_ns(), now);
+        entry.escrow.pass(now);
+        let usable = entry.escrow.usable(now) + extra;
+        entry.meter.fill(now, kind, self.terms.drift, (steady + extra, usable));
+        let least = if let Kind::Concurrency { .. } = kind { f64::from(entry.meter.out()) } else { 0.0 };
+        entry.demand.pass(now, kind, &self.terms, least);
+        entry.empty.retain(|_, until| now < *until);
+        usable
+    }
+
+    /// Makes room for a key; false where there is none.
+    pub(crate) fn track(&mut self, now: u64, limit: u16, key: u64) -> bool {
+        if self.keys.contains_key(&(limit, key)) {
+            return true;
+        }
+        if self.keys.len() >= self.keys_most && !self.forget_one(now) {
+            return false;
+        }
+        let entry = self.new_entry(now, limit, key);
+        self.keys.insert((limit, key), entry);
+        true
+    }
+
+    fn new_entry(&self, now: u64, limit: u16, key: u64) -> Entry {
+        let kind = self.kind(limit);
+        let owned = self.owned(limit, key);
+        let slot = &self.slots[usize::from(limit)];
+        let quiet = slot.quiet_until_ns;
+        let meter = match (&slot.sketch, kind) {
+            (Some(sketch), Kind::Rate { .. }) if now >= quiet => {
+                let used = sketch.used(now, key, (kind, owned, self.terms.drift));
+                Meter::holding(now, (f64::from(owned) - used).max(0.0))
+            }
+            // Nothing was admitted on it in this life; what an earlier one did is not known.
+            _ => Meter::new(self.started_ns.max(quiet.min(now))),
+        };
+        let escrow = Escrow::new(owned, quiet);
+        Entry { escrow, meter, demand: Demand::none(now), empty: BTreeMap::new() }
+    }
+
+    /// Forgets a key that a new one would be the same as; false where none was found among a few.
+    fn forget_one(&mut self, now: u64) -> bool {
+        let behind = self.keys.range(self.looked_at..).map(|(k, _)| *k);
+        let some: Vec<(u16, u64)> =
+            behind.chain(self.keys.keys().copied()).take(LOOKED_AT.min(self.keys.len())).collect();
+        for (limit, key) in some {
+            let usable = self.settle(now, limit, key);
+            let kind = self.kind(limit);
+            self.looked_at = (limit, key.wrapping_add(1));
+            let entry = &self.keys[&(limit, key)];
+            if entry.escrow.is_still(now) && entry.meter.is_still(kind, usable) {
+                self.keys.remove(&(limit, key));
+                return true;
+            }
+        }
+        false
+    }
+
+    /// What is known of a key.
+    pub(crate) fn look(&mut self, now: u64, limit: u16, key: u64) -> Look {
+        let usable = self.settle(now, limit, key);
+        let owned = self.owned(limit, key);
+        let Some(entry) = self.keys.get(&(limit, key)) else {
+            return Look { owned, ..Look::default() };
+        };
+        let (lent, borrowed) = (entry.escrow.lent_out(), entry.escrow.borrowed(now));
+        Look { owned, lent, borrowed, usable, out: entry.meter.out() }
+    }
+
+    /// The keys of a limit that use most, and what is known of them.
+    pub(crate) fn busiest(&mut self, now: u64, limit: u16) -> Vec<(u64, Look)> {
+        let keys: Vec<u64> = self.keys_of(limit).collect();
+        let mut all: Vec<(u64, Look)> =
+            keys.into_iter().map(|key| (key, self.look(now, limit, key))).collect();
+        all.sort_by_key(|(key, look)| (std::cmp::Reverse((look.out, look.borrowed, look.lent)), *key));
+        all.truncate(SHOWN);
+        all
+    }
+
+    /// Ends the quiet of a start, as all peers have said what they hold and earlier lives' work runs on until then (ns).
+    pub(crate) fn end_quiet(&mut self, now: u64, run_on_until_ns: u64) {
+        for slot in self.slots.iter_mut().filter(|slot| slot.told) {
+            let end_ns = match slot.limit.kind {
+                Kind::Rate { .. } => now,
+                kind @ (Kind::Concurrency { .. } | Kind::Window { .. }) => {
+                    let own_ns = self.terms.by_any_clock(kind.run_on_ns(&self.terms));
+                    run_on_until_ns.max(self.started_ns + own_ns).max(now)
+                }
+            };
+            slot.quiet_until_ns = slot.quiet_until_ns.min(end_ns);
+        }
+        for ((limit, _), entry) in &mut self.keys {
+            let slot = &self.slots[usize::from(*limit)];
+            if slot.told {
+                entry.escrow.end_quiet(slot.quiet_until_ns);
+            }
+        }
+    }
+
+    /// Whether all that an earlier life lent must have run out.
+    pub(crate) fn quiet_is_over(&self, now: u64) -> bool {
+        self.slots.iter().all(|slot| now >= slot.quiet_until_ns)
+    }
+}
