--- /dev/null
+++ b/crates/discovery/src/answer.rs
@@ -0,0 +1,229 @@
+//! Consul's answers, entry by entry as they come: the catalogue and the health of a service's engines.
+//!
+//! An answer counts once all of it has come and can be read. Its text is not held, only what it says of the engines so far.
+
+use std::borrow::Cow;
+use std::net::{IpAddr, SocketAddr};
+
+use serde::de::IgnoredAny;
+use serde::Deserialize;
+
+use crate::bound::ListBound;
+use crate::split::Splitter;
+use crate::update::{ListError, Text};
+use crate::{engine_id, Target};
+use marljunction_control::interface::*;
+use marljunction_settings::{index_of, Names};
+
+/// What is asked of Consul.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// Which engines there are.
+    Catalog,
+    /// Which of them are well.
+    Health,
+}
+
+impl Asked {
+    /// The path of the query, up to the service's name.
+    pub fn path(self) -> &'static str {
+        match self {
+            Asked::Catalog => "/v1/catalog/service/",
+            Asked::Health => "/v1/health/service/",
+        }
+    }
+
+    /// Its name in messages.
+    pub fn name(self) -> &'static str {
+        match self {
+            Asked::Catalog => "catalogue",
+            Asked::Health => "health answer",
+        }
+    }
+}
+
+/// What an answer says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The engines, and how many more are at addresses that can't be read (count).
+    Catalog(Vec<Target>, usize),
+    /// Their states, by engine and in that order.
+    Health(Vec<(EngineId, EngineState)>),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct CatalogEntry<'a> {
+    #[serde(rename = "ServiceID", borrow)]
+    service_id: Cow<'a, str>,
+    address: IpAddr,
+    #[serde(default, borrow)]
+    service_address: Cow<'a, str>,
+    service_port: u16,
+    #[serde(default, borrow)]
+    service_meta: Option<Meta<'a>>,
+}
+
+/// What the operators say of an engine.
+#[derive(Default, Deserialize)]
+struct Meta<'a> {
+    #[serde(borrow)]
+    az: Option<Text<'a>>,
+    #[serde(borrow)]
+    model: Option<Text<'a>>,
+    #[serde(borrow)]
+    boot_ms: Option<Text<'a>>,
+}
+
+impl CatalogEntry<'_> {
+    /// The engine, its state apart; none where its address can't be read.
+    fn target(&self, names: &Names) -> Option<Target> {
+        let ip = match self.service_address.as_ref() {
+            "" => self.address,
+            other => other.parse().ok()?,
+        };
+        let nothing = Meta::default();
+        let meta = self.service_meta.as_ref().unwrap_or(&nothing);
+        let started_ms = meta.boot_ms.as_ref().and_then(|ms| ms.parse().ok()).filter(|ms: &u64| *ms > 0);
+        let entry = EngineEntry {
+            engine: engine_id(&self.service_id),
+            zone: meta.az.as_ref().and_then(|z| index_of(&names.zones, z)).map(ZoneId),
+            kind: meta.model.as_ref().and_then(|k| index_of(&names.kinds, k)).map(KindId),
+            cell: None,
+            state: EngineState::Gone,
+            weight: 1.0,
+            started_ns: started_ms.map(|ms| ms.saturating_mul(1_000_000)),
+        };
+        Some(Target { entry, address: SocketAddr::new(ip, self.service_port) })
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct HealthEntry<'a> {
+    #[serde(borrow)]
+    service: HealthService<'a>,
+    #[serde(default, borrow)]
+    checks: Vec<HealthCheck<'a>>,
+}
+
+#[derive(Deserialize)]
+struct HealthService<'a> {
+    #[serde(rename = "ID", borrow)]
+    id: Cow<'a, str>,
+}
+
+#[derive(Deserialize)]
+struct HealthCheck<'a> {
+    #[serde(rename = "CheckID", default, borrow)]
+    id: Cow<'a, str>,
+    #[serde(rename = "Status", borrow)]
+    status: Cow<'a, str>,
+}
+
+/// The state that an engine's checks show: maintenance drains it, any other critical check takes it out.
+fn state_of(checks: &[HealthCheck]) -> EngineState {
+    let maintenance =
+        |c: &HealthCheck| c.id.starts_with("_node_maintenance") || c.id.starts_with("_service_maintenance");
+    let critical: Vec<&HealthCheck> = checks.iter().filter(|c| c.status == "critical").collect();
+    match critical.is_empty() {
+        true => EngineState::Ready,
+        false if critical.iter().any(|c| maintenance(c)) => EngineState::Draining,
+        false => EngineState::Gone,
+    }
+}
+
+/// An answer that is being read.
+#[derive(Debug)]
+pub struct AnswerReader {
+    splitter: Splitter,
+    bound: ListBound,
+    bytes: usize,
+    answer: Answer,
+}
+
+impl AnswerReader {
+    /// An answer of which nothing has come.
+    pub fn new(asked: Asked, bound: ListBound) -> AnswerReader {
+        let answer = match asked {
+            Asked::Catalog => Answer::Catalog(Vec::new(), 0),
+            Asked::Health => Answer::Health(Vec::new()),
+        };
+        AnswerReader { splitter: Splitter::new(&[], bound.entry_bytes), bound, bytes: 0, answer }
+    }
+
+    /// What has come of it (bytes).
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// It will have so many bytes.
+    ///
+    /// # Errors
+    /// Where that is over its bound.
+    pub fn expect(&self, bytes: usize) -> Result<(), ListError> {
+        let most = self.bound.answer_bytes;
+        match bytes > most {
+            true => Err(ListError::TooLong { bytes, engines: self.answer.engines(), most }),
+            false => Ok(()),
+        }
+    }
+
+    /// Takes the next piece of its text.
+    ///
+    /// # Errors
+    /// Where it is over its bound, or can't be read.
+    pub fn push(&mut self, piece: &[u8], names: &Names) -> Result<(), ListError> {
+        self.bytes += piece.len();
+        self.expect(self.bytes)?;
+        let AnswerReader { splitter, bound, bytes, answer } = self;
+        splitter.push(piece, |entry| {
+            if answer.engines() >= bound.engines {
+                return Err(ListError::TooMany { bytes: *bytes, most: bound.engines });
+            }
+            answer.add(entry, names)
+        })
+    }
+
+    /// What it says, once all of it has come.
+    ///
+    /// # Errors
+    /// Where it can't be read.
+    pub fn finish(&mut self) -> Result<Answer, ListError> {
+        let splitter = std::mem::replace(&mut self.splitter, Splitter::new(&[], self.bound.entry_bytes));
+        let _: Vec<IgnoredAny> = serde_json::from_slice(&splitter.finish()?)?;
+        let mut answer = std::mem::replace(&mut self.answer, Answer::Health(Vec::new()));
+        if let Answer::Health(states) = &mut answer {
+            // Of an engine that is named twice, the last counts.
+            states.reverse();
+            states.sort_by_key(|(engine, _)| *engine);
+            states.dedup_by_key(|(engine, _)| *engine);
+        }
+        Ok(answer)
+    }
+}
+
+impl Answer {
+    fn engines(&self) -> usize {
+        match self {
+            Answer::Catalog(targets, unknown) => targets.len() + unknown,
+            Answer::Health(states) => states.len(),
+        }
+    }
+
+    fn add(&mut self, entry: &[u8], names: &Names) -> Result<(), ListError> {
+        match self {
+            Answer::Catalog(targets, unknown) => {
+                match serde_json::from_slice::<CatalogEntry>(entry)?.target(names) {
+                    Some(target) => targets.push(target),
+                    None => *unknown += 1,
+                }
+            }
+            Answer::Health(states) => {
+                let entry: HealthEntry = serde_json::from_slice(entry)?;
+                states.push((engine_id(&entry.service.id), state_of(&entry.checks)));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/discovery/src/bans.rs
+++ b/crates/discovery/src/bans.rs
@@ -4,11 +4,12 @@
 //! at its end, that the engine has just started, since operators restart an engine that they took out. So the
 //! module's drain grace and its care of cold engines apply unchanged. Nothing here reads a clock or a file.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::BTreeMap;
 
 use marljunction_control::interface::{EngineId, EngineState, MembershipKind};
 use marljunction_verdicts::words::well_formed;
 
+use crate::roster::Roster;
 use crate::{engine_id, Change, Target};
 
 /// Engines that may be banned at once (count). Guards against a file or callers that name engines without end;
@@ -33,9 +34,10 @@
     banned: BTreeMap<EngineId, String>,
     /// Engines that the whole fleet was told to leave out, by an operator at any router.
     fleet: BTreeMap<EngineId, String>,
-    /// The latest entry of each engine that a list names, to tell again where a ban ends. Bounded by the lists:
-    /// an engine that they call gone is dropped, unless it is banned.
-    latest: HashMap<EngineId, Target>,
+    /// The latest entry of each engine that the lists name, to tell again where a ban ends.
+    listed: Roster,
+    /// The latest entry of engines that the lists name no more, while they are banned: up to the next whole list.
+    unlisted: BTreeMap<EngineId, Target>,
 }
 
 impl Bans {
@@ -49,9 +51,19 @@
         self.banned.contains_key(&engine) || self.fleet.contains_key(&engine)
     }
 
+    /// The engines that the lists name.
+    pub fn listed(&self) -> &Roster {
+        &self.listed
+    }
+
     /// Whether a list names an engine now.
     pub fn knows(&self, name: &str) -> bool {
-        well_formed(name) && self.latest.contains_key(&engine_id(name))
+        well_formed(name) && self.latest(engine_id(name)).is_some()
+    }
+
+    /// What the lists said last of an engine.
+    fn latest(&self, id: EngineId) -> Option<&Target> {
+        self.listed.get(id).or_else(|| self.unlisted.get(&id))
     }
 
     /// The whole fleet leaves these engines out: what the module is to be told. An engine that a router's own ban holds too
@@ -70,7 +82,7 @@
 
     /// News that an engine drains.
     fn leaves(&self, id: EngineId) -> Option<Change> {
-        let mut target = *self.latest.get(&id)?;
+        let mut target = *self.latest(id)?;
         if target.entry.state == EngineState::Ready {
             target.entry.state = EngineState::Draining;
         }
@@ -79,7 +91,7 @@
 
     /// News that an engine is back. Operators restart an engine while it is out: it comes back cold, whatever the list last said.
     fn returns(&self, id: EngineId, now_ns: u64) -> Option<Change> {
-        let mut target = *self.latest.get(&id)?;
+        let mut target = *self.latest(id)?;
         target.entry.started_ns = Some(now_ns.max(target.entry.started_ns.unwrap_or(0)));
         Some(Change { kind: MembershipKind::Delta, targets: vec![target] })
     }
@@ -90,28 +102,40 @@
     }
 
     /// What a source said, as the module is to hear it: banned engines drain.
-    pub fn pass(&mut self, change: Change) -> Change {
-        if change.kind == MembershipKind::Full || change.kind == MembershipKind::Cached {
-            let named: BTreeSet<EngineId> = change.targets.iter().map(|t| t.entry.engine).collect();
-            let (banned, fleet) = (&self.banned, &self.fleet);
-            let held = |id: &EngineId| banned.contains_key(id) || fleet.contains_key(id);
-            self.latest.retain(|id, _| named.contains(id) || held(id));
-        }
-        let mut change = change;
+    pub fn pass(&mut self, mut change: Change) -> Change {
+        self.keep_held(&change);
+        self.listed.change(&change);
+        let Bans { banned, fleet, listed, unlisted } = self;
+        unlisted.retain(|id, _| listed.get(*id).is_none());
         for target in &mut change.targets {
             let id = target.entry.engine;
-            if target.entry.state == EngineState::Gone && !self.holds(id) {
-                self.latest.remove(&id);
-            } else {
-                self.latest.insert(id, *target);
-            }
-            if self.holds(id) && target.entry.state == EngineState::Ready {
+            let held = banned.contains_key(&id) || fleet.contains_key(&id);
+            if held && target.entry.state == EngineState::Ready {
                 target.entry.state = EngineState::Draining;
             }
         }
         change
     }
 
+    /// Keeps what was known last of banned engines that a list is about to name no more.
+    fn keep_held(&mut self, change: &Change) {
+        let ids: Vec<EngineId> = self.banned.keys().chain(self.fleet.keys()).copied().collect();
+        if change.kind != MembershipKind::Delta {
+            let Bans { banned, fleet, unlisted, .. } = self;
+            unlisted.retain(|id, _| banned.contains_key(id) || fleet.contains_key(id));
+            let known = ids.iter().filter_map(|id| self.listed.get(*id));
+            self.unlisted.extend(known.map(|target| (target.entry.engine, *target)));
+        }
+        let gone = change.targets.iter().filter(|target| target.entry.state == EngineState::Gone);
+        for target in gone {
+            let id = target.entry.engine;
+            match self.holds(id) {
+                true => drop(self.unlisted.insert(id, *target)),
+                false => drop(self.unlisted.remove(&id)),
+            }
+        }
+    }
+
     /// Takes an engine out: the module is told that it drains. Nothing to tell where it is out already, or no list
     /// has named it yet.
     ///
@@ -120,7 +144,7 @@
     /// that nobody has. [`Refusal::Malformed`], [`Refusal::Full`] as they say.
     pub fn disable(&mut self, name: &str, known_or_not: bool) -> Result<Option<Change>, Refusal> {
         let id = self.id(name)?;
-        if !known_or_not && !self.latest.contains_key(&id) && !self.holds(id) {
+        if !known_or_not && self.latest(id).is_none() && !self.holds(id) {
             return Err(Refusal::Unknown);
         }
         if self.banned.contains_key(&id) {
@@ -142,7 +166,7 @@
     pub fn enable(&mut self, name: &str, now_ns: u64) -> Result<Option<Change>, Refusal> {
         let id = self.id(name)?;
         if self.banned.remove(&id).is_none() {
-            return if self.latest.contains_key(&id) { Ok(None) } else { Err(Refusal::Unknown) };
+            return if self.latest(id).is_some() { Ok(None) } else { Err(Refusal::Unknown) };
         }
         Ok(if self.holds(id) { None } else { self.returns(id, now_ns) })
     }
--- a/crates/discovery/src/kept.rs
+++ b/crates/discovery/src/kept.rs
@@ -1,76 +1,77 @@
 //! The last list of engines, kept for a start without the list service: what is in it, when it is to be written, and what of
 //! a file can be believed. Pure; files and clocks are the caller's.
 
-use std::collections::BTreeMap;
+use std::io::{self, BufWriter, Seek, SeekFrom, Write};
 use std::net::SocketAddr;
+use std::path::Path;
 
+use log::warn;
 use marljunction_control::interface::*;
 use marljunction_settings::{index_of, Names};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use super::{Change, Target};
+use crate::bound::ListBound;
+use crate::roster::Roster;
+use crate::split::{SplitError, Splitter};
+use crate::update::{ListError, Text};
 
 /// The first word of a file, and the version of what follows.
 const WORD: &str = "marljunction-list";
 const VERSION: u32 = 1;
-/// Largest file that is read (bytes), and most engines that one may name (count).
-pub const FILE_MOST: u64 = 4 << 20;
-const ENGINES_MOST: usize = 10_000;
+/// Where a file's engines are in its text.
+const ENGINES: &[&str] = &["engines"];
+/// Digits of a checksum.
+const SUM_DIGITS: usize = 64;
 /// Least time between writes (ns), and time after which a list that has not changed is written again, so that its age is
 /// told right.
 const WRITE_NS: u64 = 1_000_000_000;
 const REWRITE_NS: u64 = 10_000_000_000;
 
 /// Why a file is not used.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum Refusal {
     /// It is empty, or not a file of this kind.
+    #[error("it is no kept list")]
     NotAList,
     /// It was written by another version of the format.
+    #[error("it is of version {0} of the format, and this program reads version {VERSION}")]
     Version(u32),
     /// Its checksum is not that of what it holds: it is torn, or was changed.
+    #[error("it is torn or was changed: its checksum is wrong")]
     Spoilt,
     /// It holds what can't be read though its checksum is right.
-    Unreadable(String),
-    /// It is larger than a list may be (bytes, or engines).
-    Huge(u64),
+    #[error("it can't be read: {0}")]
+    Unreadable(ListError),
+    /// It is larger than a list may be under the memory limit (bytes).
+    #[error("its {0} bytes are more than the {1} that the memory limit allows")]
+    Huge(u64, u64),
+    /// It names more engines than a list may under the memory limit (count).
+    #[error("it names over {0} engines, which is all that the memory limit allows")]
+    Many(usize),
     /// It is older than it may be (ns).
+    #[error("it is {} s old, which is more than it may be", .0 / 1_000_000_000)]
     Old(u64),
 }
 
-impl std::fmt::Display for Refusal {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Refusal::NotAList => write!(f, "it is no kept list"),
-            Refusal::Version(found) => {
-                write!(f, "it is of version {found} of the format, and this program reads version {VERSION}")
-            }
-            Refusal::Spoilt => write!(f, "it is torn or was changed: its checksum is wrong"),
-            Refusal::Unreadable(why) => write!(f, "it can't be read: {why}"),
-            Refusal::Huge(size) => write!(f, "it is too large ({size})"),
-            Refusal::Old(age) => {
-                write!(f, "it is {} s old, which is more than it may be", age / 1_000_000_000)
-            }
-        }
-    }
-}
-
-#[derive(Serialize, Deserialize)]
-struct Body {
+#[derive(Deserialize)]
+struct Body<'a> {
     /// When the list was last known to be right (Unix ms).
     heard_ms: u64,
-    engines: Vec<Entry>,
+    #[serde(borrow)]
+    engines: Vec<Entry<'a>>,
 }
 
-#[derive(Serialize, Deserialize)]
-struct Entry {
+#[derive(Deserialize)]
+struct Entry<'a> {
     id: u64,
     address: SocketAddr,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    zone: Option<String>,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    kind: Option<String>,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default, borrow)]
+    zone: Option<Text<'a>>,
+    #[serde(default, borrow)]
+    kind: Option<Text<'a>>,
+    #[serde(default)]
     cell: Option<u64>,
     #[serde(default)]
     draining: bool,
@@ -79,73 +80,164 @@
     started_ms: u64,
 }
 
-/// The list as it is now, and when it is to be written.
+#[derive(Serialize)]
+struct EntryText<'a> {
+    id: u64,
+    address: SocketAddr,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    zone: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    kind: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    cell: Option<u64>,
+    draining: bool,
+    weight: f64,
+    started_ms: u64,
+}
+
+impl Entry<'_> {
+    fn target(&self, names: &Names) -> Target {
+        let entry = EngineEntry {
+            engine: EngineId(self.id),
+            zone: self.zone.as_ref().and_then(|z| index_of(&names.zones, z)).map(ZoneId),
+            kind: self.kind.as_ref().and_then(|k| index_of(&names.kinds, k)).map(KindId),
+            cell: self.cell,
+            state: if self.draining { EngineState::Draining } else { EngineState::Ready },
+            weight: self.weight,
+            started_ns: Some(self.started_ms.saturating_mul(1_000_000)).filter(|ns| *ns > 0),
+        };
+        Target { entry, address: self.address }
+    }
+}
+
+impl<'a> EntryText<'a> {
+    fn of(target: &Target, names: &'a Names) -> EntryText<'a> {
+        let name = |list: &'a [String], at: Option<usize>| at.and_then(|at| list.get(at)).map(String::as_str);
+        EntryText {
+            id: target.entry.engine.0,
+            address: target.address,
+            zone: name(&names.zones, target.entry.zone.map(|z| z.0)),
+            kind: name(&names.kinds, target.entry.kind.map(|k| k.0)),
+            cell: target.entry.cell,
+            draining: target.entry.state == EngineState::Draining,
+            weight: target.entry.weight,
+            started_ms: target.entry.started_ns.unwrap_or(0) / 1_000_000,
+        }
+    }
+}
+
+/// When the list is to be written.
 #[derive(Clone, Debug, Default)]
 pub struct Kept {
-    targets: BTreeMap<EngineId, Target>,
+    bound: ListBound,
     changed: bool,
     written_ns: u64,
+    /// It was said that the list is too large to be kept, and that it could not be written.
+    told: [bool; 2],
 }
 
 impl Kept {
-    /// Takes news.
-    pub fn change(&mut self, change: &Change) {
-        if change.kind != MembershipKind::Delta {
-            self.targets.clear();
-        }
-        for target in &change.targets {
-            match target.entry.state {
-                EngineState::Gone => drop(self.targets.remove(&target.entry.engine)),
-                _ => drop(self.targets.insert(target.entry.engine, *target)),
-            }
-        }
-        self.changed = true;
+    /// A list that is kept up to a bound.
+    pub fn new(bound: ListBound) -> Kept {
+        Kept { bound, ..Kept::default() }
     }
 
-    /// Engines on the list (count).
-    pub fn engines(&self) -> usize {
-        self.targets.len()
+    /// The list has changed.
+    pub fn changed(&mut self) {
+        self.changed = true;
     }
 
-    /// Whether the list is to be written now; what was asked counts as written. Nothing is written of a list that names no
-    /// engine: a start with none would be no better for it.
-    pub fn due(&mut self, now: u64) -> bool {
+    /// Whether the list of so many engines is to be written now; what was asked counts as written. Nothing is written of a list that names no
+    /// engine: a start with none would be no better for it. Nor of one over the bound, which no start would read.
+    pub fn due(&mut self, now: u64, engines: usize) -> bool {
         let wait = if self.changed { WRITE_NS } else { REWRITE_NS };
-        let due = !self.targets.is_empty() && now >= self.written_ns + wait;
+        let due = engines > 0 && now >= self.written_ns + wait;
         if due {
             (self.changed, self.written_ns) = (false, now);
         }
-        due
+        due && self.fits(engines)
     }
 
-    /// The file's text, of a list that was last known to be right at `heard_ns` (Unix ns).
-    pub fn encode(&self, names: &Names, heard_ns: u64) -> String {
-        let name = |list: &[String], at: Option<usize>| at.and_then(|at| list.get(at).cloned());
-        let entry = |target: &Target| Entry {
-            id: target.entry.engine.0,
-            address: target.address,
-            zone: name(&names.zones, target.entry.zone.map(|z| z.0)),
-            kind: name(&names.kinds, target.entry.kind.map(|k| k.0)),
-            cell: target.entry.cell,
-            draining: target.entry.state == EngineState::Draining,
-            weight: target.entry.weight,
-            started_ms: target.entry.started_ns.unwrap_or(0) / 1_000_000,
-        };
-        let body =
-            Body { heard_ms: heard_ns / 1_000_000, engines: self.targets.values().map(entry).collect() };
-        let body = serde_json::to_string(&body).unwrap_or_default();
-        format!("{WORD} {VERSION} {}\n{body}\n", blake3::hash(body.as_bytes()).to_hex())
+    /// What became of a write; a file that can't be written is told of once.
+    pub fn written(&mut self, path: &Path, written: io::Result<()>) {
+        match written {
+            Ok(()) => self.told[1] = false,
+            Err(e) if !std::mem::replace(&mut self.told[1], true) => {
+                warn!("the list of engines could not be kept in {}: {e}", path.display());
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Whether the list is within its bound; one that is not is told of once.
+    fn fits(&mut self, engines: usize) -> bool {
+        let most = self.bound.engines;
+        if engines <= most {
+            self.told[0] = false;
+        } else if !std::mem::replace(&mut self.told[0], true) {
+            warn!("the list of {engines} engines is not kept: the memory limit allows {most}");
+        }
+        engines <= most
+    }
+}
+
+/// Writes a file's text, of a list that was last known to be right at `heard_ns` (Unix ns). It is written entry by entry, its
+/// checksum last, and never held.
+///
+/// # Errors
+/// What `out` says: the file is of no use then.
+pub fn write<W: Write + Seek>(out: W, roster: &Roster, names: &Names, heard_ns: u64) -> io::Result<()> {
+    let head = format!("{WORD} {VERSION} ");
+    let mut text = Summed { out: BufWriter::new(out), hasher: blake3::Hasher::new() };
+    writeln!(text.out, "{head}{:0>SUM_DIGITS$}", "")?;
+    write!(text, "{{\"heard_ms\":{},\"engines\":[", heard_ns / 1_000_000)?;
+    let mut entry = Vec::new();
+    for (at, target) in roster.iter().enumerate() {
+        entry.clear();
+        entry.extend_from_slice(if at > 0 { b"," } else { b"" });
+        serde_json::to_writer(&mut entry, &EntryText::of(target, names))?;
+        text.write_all(&entry)?;
+    }
+    text.write_all(b"]}")?;
+    let Summed { mut out, hasher } = text;
+    out.write_all(b"\n")?;
+    out.seek(SeekFrom::Start(head.len() as u64))?;
+    out.write_all(hasher.finalize().to_hex().as_bytes())?;
+    out.flush()
+}
+
+/// What is written is summed up.
+struct Summed<W: Write> {
+    out: BufWriter<W>,
+    hasher: blake3::Hasher,
+}
+
+impl<W: Write> Write for Summed<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.hasher.update(bytes);
+        self.out.write_all(bytes)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.out.flush()
     }
 }
 
 /// Reads a file's text: the list, and how old it is at `now` (Unix ns; a file from the future is as new as can be). One
-/// older than `most_ns` is refused.
+/// older than `most_ns` is refused, and one over `bound`.
 ///
 /// # Errors
 /// Where it can't be believed: nothing of it is used then.
-pub fn decode(bytes: &[u8], names: &Names, now: u64, most_ns: u64) -> Result<(Change, u64), Refusal> {
-    if bytes.len() as u64 > FILE_MOST {
-        return Err(Refusal::Huge(bytes.len() as u64));
+pub fn decode(
+    bytes: &[u8],
+    names: &Names,
+    now: u64,
+    most_ns: u64,
+    bound: &ListBound,
+) -> Result<(Change, u64), Refusal> {
+    if bytes.len() > bound.file_bytes {
+        return Err(Refusal::Huge(bytes.len() as u64, bound.file_bytes as u64));
     }
     let text = std::str::from_utf8(bytes).map_err(|_| Refusal::NotAList)?;
     let (head, body) = text.split_once('\n').ok_or(Refusal::NotAList)?;
@@ -160,26 +252,35 @@
     if blake3::hash(body.as_bytes()).to_hex().as_str() != sum {
         return Err(Refusal::Spoilt);
     }
-    let body: Body = serde_json::from_str(body).map_err(|e| Refusal::Unreadable(e.to_string()))?;
-    if body.engines.len() > ENGINES_MOST {
-        return Err(Refusal::Huge(body.engines.len() as u64));
-    }
-    let age = now.saturating_sub(body.heard_ms.saturating_mul(1_000_000));
+    let (heard_ms, targets) = read_body(body, names, bound)?;
+    let age = now.saturating_sub(heard_ms.saturating_mul(1_000_000));
     if age > most_ns {
         return Err(Refusal::Old(age));
     }
-    let target = |e: Entry| Target {
-        entry: EngineEntry {
-            engine: EngineId(e.id),
-            zone: e.zone.and_then(|z| index_of(&names.zones, &z)).map(ZoneId),
-            kind: e.kind.and_then(|k| index_of(&names.kinds, &k)).map(KindId),
-            cell: e.cell,
-            state: if e.draining { EngineState::Draining } else { EngineState::Ready },
-            weight: e.weight,
-            started_ns: Some(e.started_ms.saturating_mul(1_000_000)).filter(|ns| *ns > 0),
-        },
-        address: e.address,
-    };
-    let targets = body.engines.into_iter().map(target).collect();
     Ok((Change { kind: MembershipKind::Full, targets }, age))
 }
+
+/// When the list was last known to be right (Unix ms), and its engines.
+fn read_body(body: &str, names: &Names, bound: &ListBound) -> Result<(u64, Vec<Target>), Refusal> {
+    let unreadable = |error: serde_json::Error| Refusal::Unreadable(ListError::from(error));
+    let mut targets = Vec::new();
+    let mut splitter = Splitter::new(ENGINES, bound.entry_bytes);
+    splitter.push(body.as_bytes(), |entry| {
+        if targets.len() >= bound.engines {
+            return Err(Refusal::Many(bound.engines));
+        }
+        let entry: Entry = serde_json::from_slice(entry).map_err(unreadable)?;
+        targets.push(entry.target(names));
+        Ok(())
+    })?;
+    let rest = splitter.finish()?;
+    let body: Body = serde_json::from_slice(&rest).map_err(unreadable)?;
+    targets.extend(body.engines.iter().map(|entry| entry.target(names)));
+    Ok((body.heard_ms, targets))
+}
+
+impl From<SplitError> for Refusal {
+    fn from(error: SplitError) -> Refusal {
+        Refusal::Unreadable(ListError::from(error))
+    }
+}
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -3,14 +3,26 @@
 #![forbid(unsafe_code)]
 
 pub mod age;
+pub mod answer;
 pub mod bans;
+pub mod bound;
 pub mod consul;
+pub mod event;
 pub mod kept;
+pub mod refused;
+pub mod roster;
+pub mod split;
 pub mod stream;
+pub mod update;
 
 use std::net::SocketAddr;
 
+use thiserror::Error;
+
+use crate::refused::Refused;
+use crate::update::ListError;
 use marljunction_control::interface::{EngineEntry, EngineId, MembershipKind};
+use marljunction_http1::chunks::ChunkError;
 use marljunction_http1::head::Head;
 use marljunction_net::Net;
 use marljunction_pacing::Pace;
@@ -73,9 +85,13 @@
             Source::Stream(stream) => stream.view(),
             Source::Consul(consul) => consul.view(),
         };
+        let refused = match self {
+            Source::Stream(stream) => Refused::line(&[stream.refused()]),
+            Source::Consul(consul) => Refused::line(&consul.refused()),
+        };
         let ms = |ns: u64| ns / 1_000_000;
         format!(
-            "list_calls={calls} list_turned_away={turned_away} list_age_ms={} list_age_most_ms={} list_stale={}",
+            "list_calls={calls} list_turned_away={turned_away} list_age_ms={} list_age_most_ms={} list_stale={} {refused}",
             ms(age.age_ns(now)),
             ms(age.longest_ns),
             age.times
@@ -109,18 +125,30 @@
     }
 }
 
-/// Why a call for news came to nothing.
-enum Fault {
+/// Why a call for news came to nothing, or to an end.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Fault {
     /// The service is there and takes no more calls for now; for how long it wants none (ns).
+    #[error("it takes no more calls for now")]
     TurnedAway(Option<u64>),
-    /// It has ended, or can't be read.
-    Broken(String),
-}
-
-impl From<String> for Fault {
-    fn from(why: String) -> Fault {
-        Fault::Broken(why)
-    }
+    /// It answers otherwise than with news.
+    #[error("status {0}")]
+    Status(u16),
+    /// The head of its answer can't be read.
+    #[error("{0}")]
+    Head(String),
+    /// The length of its answer is not told.
+    #[error("the body's length is not told")]
+    NoLength,
+    /// The chunks of its answer can't be read.
+    #[error("{0}")]
+    Chunk(#[from] ChunkError),
+    /// It has ended, or is silent.
+    #[error("it has ended")]
+    Ended,
+    /// A list is over its bound, or can't be read.
+    #[error("{0}")]
+    List(#[from] ListError),
 }
 
 /// Whether a service took a call, by the head of its answer.
@@ -128,10 +156,13 @@
     match head.status {
         200 => Ok(()),
         429 | 503 => Err(Fault::TurnedAway(head.retry_after.map(|after| after.from(now)))),
-        status => Err(Fault::Broken(format!("status {status}"))),
+        status => Err(Fault::Status(status)),
     }
 }
 
+/// Time that a list may take for each of its bytes, behind what it may take in any case (ns): 10 KB/s.
+const BYTE_NS: u64 = 100_000;
+
 /// An engine and where it listens.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Target {
--- /dev/null
+++ b/crates/discovery/src/update.rs
@@ -0,0 +1,246 @@
+//! Numbered events of the coordinator: their JSON text, whole or as it comes.
+//!
+//! An event is applied once all of it has come and can be read; until then nothing of it is known outside of here. Its text is
+//! not held, only the engines that it has named so far.
+
+use std::borrow::Cow;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::bound::ListBound;
+use crate::split::{SplitError, Splitter};
+use crate::{engine_id, Change, Target};
+use marljunction_control::interface::*;
+use marljunction_settings::{index_of, Names};
+
+/// Where an event's engines are in its text.
+const TARGETS: &[&str] = &["endpoints", "targets"];
+/// Longest reason that is told (bytes): it may quote what was read.
+const MAX_REASON: usize = 160;
+
+/// Why a list of engines is not taken.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ListError {
+    /// Its text is longer than the memory limit allows.
+    #[error("{bytes} bytes so far with {engines} engines, and {most} bytes at most under the memory limit")]
+    TooLong {
+        /// What has come of it (bytes).
+        bytes: usize,
+        /// Engines that it has named so far (count).
+        engines: usize,
+        /// Its bound (bytes).
+        most: usize,
+    },
+    /// It names more engines than the memory limit allows.
+    #[error(
+        "over {most} engines in {bytes} bytes so far, and {most} engines at most under the memory limit"
+    )]
+    TooMany {
+        /// What has come of it (bytes).
+        bytes: usize,
+        /// Its bound (count).
+        most: usize,
+    },
+    /// It can't be read.
+    #[error("{0}")]
+    Spoilt(String),
+}
+
+impl ListError {
+    /// Whether it is over a bound, and not spoilt.
+    pub fn is_size(&self) -> bool {
+        !matches!(self, ListError::Spoilt(_))
+    }
+
+    /// A reason of no more than [`MAX_REASON`] bytes, whatever it quotes.
+    pub(crate) fn spoilt(why: impl std::fmt::Display) -> ListError {
+        let mut why = why.to_string();
+        if why.len() > MAX_REASON {
+            let end = (0..=MAX_REASON).rev().find(|at| why.is_char_boundary(*at)).unwrap_or(0);
+            why.truncate(end);
+            why.push_str("...");
+        }
+        ListError::Spoilt(why)
+    }
+}
+
+impl From<SplitError> for ListError {
+    fn from(error: SplitError) -> ListError {
+        ListError::spoilt(error)
+    }
+}
+
+impl From<serde_json::Error> for ListError {
+    fn from(error: serde_json::Error) -> ListError {
+        ListError::spoilt(error)
+    }
+}
+
+#[derive(Deserialize)]
+struct RawUpdate<'a> {
+    index: u64,
+    #[serde(borrow)]
+    endpoints: RawList<'a>,
+}
+
+#[derive(Deserialize)]
+struct RawList<'a> {
+    #[serde(default)]
+    all: bool,
+    #[serde(default, borrow)]
+    targets: Vec<RawTarget<'a>>,
+}
+
+/// A string that is copied only where it holds escapes.
+#[derive(Deserialize)]
+#[serde(transparent)]
+pub(crate) struct Text<'a>(#[serde(borrow)] Cow<'a, str>);
+
+impl std::ops::Deref for Text<'_> {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        &self.0
+    }
+}
+
+#[derive(Deserialize)]
+struct RawTarget<'a> {
+    #[serde(borrow)]
+    uid: Text<'a>,
+    endpoint: SocketAddr,
+    #[serde(borrow)]
+    az: Option<Text<'a>>,
+    #[serde(borrow)]
+    model: Option<Text<'a>>,
+    pod_group: Option<u64>,
+    state: RawState,
+    #[serde(default)]
+    capacity_hint: f64,
+    #[serde(default)]
+    boot_ms: u64,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RawState {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+impl RawTarget<'_> {
+    fn target(&self, names: &Names) -> Target {
+        let state = match self.state {
+            RawState::InService => EngineState::Ready,
+            RawState::Terminating => EngineState::Draining,
+            RawState::Terminated => EngineState::Gone,
+        };
+        let entry = EngineEntry {
+            engine: engine_id(&self.uid),
+            zone: self.az.as_ref().and_then(|z| index_of(&names.zones, z)).map(ZoneId),
+            kind: self.model.as_ref().and_then(|k| index_of(&names.kinds, k)).map(KindId),
+            cell: self.pod_group,
+            state,
+            weight: self.capacity_hint,
+            // The module's clock runs in Unix time: milliseconds need no more than this.
+            started_ns: Some(self.boot_ms).filter(|ms| *ms > 0).map(|ms| ms.saturating_mul(1_000_000)),
+        };
+        Target { entry, address: self.endpoint }
+    }
+}
+
+/// A numbered event of the coordinator.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Update {
+    /// Its number.
+    pub index: u64,
+    /// What it says.
+    pub change: Change,
+}
+
+impl Update {
+    /// Reads an event's JSON text.
+    ///
+    /// # Errors
+    /// Where it is no event.
+    pub fn read(text: &str, names: &Names) -> Result<Update, ListError> {
+        Update::of(text.as_bytes(), Vec::new(), names)
+    }
+
+    /// An event whose first engines were read before, from the text without them.
+    fn of(text: &[u8], mut targets: Vec<Target>, names: &Names) -> Result<Update, ListError> {
+        let raw: RawUpdate = serde_json::from_slice(text)?;
+        targets.extend(raw.endpoints.targets.iter().map(|target| target.target(names)));
+        let kind = if raw.endpoints.all { MembershipKind::Full } else { MembershipKind::Delta };
+        Ok(Update { index: raw.index, change: Change { kind, targets } })
+    }
+}
+
+/// An event that is being read.
+#[derive(Debug)]
+pub struct UpdateReader {
+    splitter: Splitter,
+    bound: ListBound,
+    targets: Vec<Target>,
+    bytes: usize,
+    /// Why it can't be read: the rest of it is passed over, up to its end.
+    spoilt: Option<ListError>,
+}
+
+impl UpdateReader {
+    /// An event of which nothing has come.
+    pub fn new(bound: ListBound) -> UpdateReader {
+        let splitter = Splitter::new(TARGETS, bound.entry_bytes);
+        UpdateReader { splitter, bound, targets: Vec::new(), bytes: 0, spoilt: None }
+    }
+
+    /// What has come of it (bytes).
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Takes the next piece of its text.
+    ///
+    /// # Errors
+    /// Where it is over its bound; what can't be read is told by [`UpdateReader::finish`].
+    pub fn push(&mut self, piece: &[u8], names: &Names) -> Result<(), ListError> {
+        let UpdateReader { splitter, bound, targets, bytes, spoilt } = self;
+        *bytes += piece.len();
+        if *bytes > bound.event_bytes {
+            let (bytes, engines) = (*bytes, targets.len());
+            return Err(ListError::TooLong { bytes, engines, most: bound.event_bytes });
+        }
+        if spoilt.is_some() {
+            return Ok(());
+        }
+        let took = splitter.push(piece, |entry| {
+            if targets.len() >= bound.engines {
+                return Err(ListError::TooMany { bytes: *bytes, most: bound.engines });
+            }
+            targets.push(serde_json::from_slice::<RawTarget>(entry)?.target(names));
+            Ok(())
+        });
+        match took {
+            Err(error) if error.is_size() => Err(error),
+            Err(error) => {
+                (*spoilt, *targets) = (Some(error), Vec::new());
+                Ok(())
+            }
+            Ok(()) => Ok(()),
+        }
+    }
+
+    /// The event, once all of it has come.
+    ///
+    /// # Errors
+    /// Where it can't be read.
+    pub fn finish(self, names: &Names) -> Result<Update, ListError> {
+        match self.spoilt {
+            Some(error) => Err(error),
+            None => Update::of(&self.splitter.finish()?, self.targets, names),
+        }
+    }
+}
--- /dev/null
+++ b/crates/discovery/tests/common/mod.rs
@@ -0,0 +1,163 @@
+//! A list service on a real socket, and lists of any size.
+#![allow(dead_code)]
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use marljunction_control::interface::MembershipKind;
+use marljunction_discovery::{engine_id, Change};
+use marljunction_net::{Net, Room};
+use marljunction_pacing::pace::TOLD_NS;
+use marljunction_pacing::Pace;
+use marljunction_settings::Names;
+use mio::{Events, Poll};
+
+pub const MS: u64 = 1_000_000;
+pub const T0: u64 = 1_700_000_000_000 * MS;
+/// Longer than anything that must happen takes.
+const LIMIT: Duration = Duration::from_secs(8);
+
+pub fn names() -> Names {
+    Names { zones: vec!["a".into(), "b".into()], kinds: vec!["std".into()], ..Names::default() }
+}
+
+pub fn pacing(seed: u64) -> marljunction_discovery::Pacing {
+    marljunction_discovery::Pacing { pace: Pace::default(), seed, stale_ns: TOLD_NS }
+}
+
+/// One engine of a list, as the coordinator tells it.
+pub fn target(i: usize, state: &str) -> String {
+    let (a, b, c) = (i >> 16 & 255, i >> 8 & 255, i & 255);
+    format!(
+        r#"{{"uid":"engine-{i:08}-\"}}]","endpoint":"127.{a}.{b}.{c}:4000","az":"{}","model":"std","pod_group":{},"state":"{state}","capacity_hint":4.0,"boot_ms":1700000000000}}"#,
+        ["a", "b"][i % 2],
+        i / 64
+    )
+}
+
+/// A whole list of so many engines, from number 1 on.
+pub fn list(index: u64, engines: usize) -> String {
+    let targets: Vec<String> = (1..=engines).map(|i| target(i, "in_service")).collect();
+    format!(r#"{{"index":{index},"endpoints":{{"all":true,"targets":[{}]}}}}"#, targets.join(","))
+}
+
+pub fn event(index: u64, text: &str) -> String {
+    format!("id: {index}\ndata: {text}\n\n")
+}
+
+/// As a body in chunks of so many bytes.
+pub fn chunked(body: &[u8], size: usize) -> Vec<u8> {
+    let chunk = |part: &[u8]| [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat();
+    body.chunks(size).flat_map(chunk).collect()
+}
+
+/// A whole list of just these engines, in order.
+#[track_caller]
+pub fn assert_names(change: &Change, engines: usize) {
+    assert_eq!((change.kind, change.targets.len()), (MembershipKind::Full, engines));
+    for (at, target) in change.targets.iter().enumerate() {
+        assert_eq!(target.entry.engine, engine_id(&format!("engine-{:08}-\"}}]", at + 1)), "engine {at}");
+    }
+}
+
+/// The sockets of whoever asks, and the service that is asked.
+pub struct Wire {
+    poll: Poll,
+    pub net: Net,
+    service: TcpListener,
+    /// The service's connections, and what came on them since the last whole call.
+    calls: Vec<(TcpStream, Vec<u8>)>,
+    pub now: u64,
+}
+
+impl Wire {
+    pub fn new() -> Wire {
+        let poll = Poll::new().unwrap();
+        let net = Net::new(poll.registry().try_clone().unwrap(), 1, Room::of(64, 64.0));
+        let service = TcpListener::bind("127.0.0.1:0").unwrap();
+        service.set_nonblocking(true).unwrap();
+        Wire { poll, net, service, calls: Vec::new(), now: T0 }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.service.local_addr().unwrap()
+    }
+
+    /// A call that has come whole, and what it asks for.
+    pub fn call(&mut self) -> Option<(TcpStream, String)> {
+        while let Ok((call, _)) = self.service.accept() {
+            call.set_nonblocking(false).unwrap();
+            call.set_read_timeout(Some(Duration::from_millis(1))).unwrap();
+            self.calls.push((call, Vec::new()));
+        }
+        let mut bytes = [0; 4096];
+        self.calls.retain_mut(|(call, asked)| match call.read(&mut bytes) {
+            Ok(size) => {
+                asked.extend_from_slice(&bytes[..size]);
+                size > 0
+            }
+            Err(e) => matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+        });
+        let (call, asked) = self.calls.iter_mut().find(|(_, asked)| asked.ends_with(b"\r\n\r\n"))?;
+        Some((call.try_clone().unwrap(), String::from_utf8(std::mem::take(asked)).unwrap()))
+    }
+
+    /// Connections with something to look at within a time.
+    pub fn ready_within(&mut self, limit: Duration) -> Vec<u64> {
+        let mut events = Events::with_capacity(8);
+        self.poll.poll(&mut events, Some(limit)).unwrap();
+        events.iter().map(|event| event.token().0 as u64).collect()
+    }
+
+    /// Connections with something to look at, which must come.
+    pub fn ready(&mut self) -> Vec<u64> {
+        let ready = self.ready_within(LIMIT);
+        assert!(!ready.is_empty(), "nothing comes");
+        ready
+    }
+}
+
+/// Answers on a thread of its own, as what it says may be larger than the machine holds on its way; ends the connection behind it
+/// unless that `stays`.
+pub fn answer(mut call: TcpStream, head: &str, body: Vec<u8>, stays: bool) -> std::thread::JoinHandle<()> {
+    let head = head.to_owned();
+    std::thread::spawn(move || {
+        // Whoever asked may have had enough.
+        let _ = call.write_all(head.as_bytes()).and_then(|()| call.write_all(&body));
+        if !stays {
+            let _ = call.shutdown(Shutdown::Both);
+        }
+    })
+}
+
+thread_local! {
+    static SAID: std::cell::RefCell<Vec<String>> = const { std::cell::RefCell::new(Vec::new()) };
+}
+
+struct Said;
+
+impl log::Log for Said {
+    fn enabled(&self, _: &log::Metadata) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record) {
+        SAID.with(|said| said.borrow_mut().push(format!("{} {}", record.level(), record.args())));
+    }
+
+    fn flush(&self) {}
+}
+
+/// What this test logs from here on.
+pub fn listen() {
+    // Another test of this program may have set it up.
+    let _ = log::set_logger(&Said);
+    log::set_max_level(log::LevelFilter::Info);
+    SAID.with(|said| said.borrow_mut().clear());
+}
+
+/// Lines of this test's log that hold some words.
+pub fn said(words: &str) -> Vec<String> {
+    SAID.with(|said| said.borrow().iter().filter(|line| line.contains(words)).cloned().collect())
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -85,7 +85,7 @@
     /// What the backend keeps for it.
     pub own: T,
     /// How fast connections for new work are opened to it; none for any pace.
-    opening: Option<Opening>,
+    opening: Option<Box<Opening>>,
 }
 
 impl<T: Default> Default for Targets<T> {
@@ -132,7 +132,7 @@
     pub fn connect_for_work(&mut self, cx: &mut Context, engine: EngineId) -> Result<u64, Ending> {
         if let Some((openings, seed)) = self.openings {
             let known = self.all.get_mut(&engine).ok_or(Ending::NoDescriptor)?;
-            let new = || Opening::new(openings, seed ^ engine.0, cx.now);
+            let new = || Box::new(Opening::new(openings, seed ^ engine.0, cx.now));
             if !known.opening.get_or_insert_with(new).may_open(cx.now) {
                 return Err(Ending::Paced);
             }
@@ -143,7 +143,11 @@
 
     /// A connection to one of them came up.
     pub fn came_up(&mut self, engine: EngineId) {
-        self.all.get_mut(&engine).and_then(|k| k.opening.as_mut()).into_iter().for_each(Opening::came_up);
+        self.all
+            .get_mut(&engine)
+            .and_then(|k| k.opening.as_mut())
+            .into_iter()
+            .for_each(|opening| opening.came_up());
     }
 
     /// A connection to one of them ended, which was up or not: refused, or never up, speaks against the engine.
--- a/crates/pacing/src/pacer.rs
+++ b/crates/pacing/src/pacer.rs
@@ -13,6 +13,8 @@
 const LOOSE: f64 = 0.125;
 /// The window is widened to this multiple at most by calls that were turned away (ratio).
 const STRETCH_MOST: f64 = 16.0;
+/// Longest wait behind an answer that is of no use (ns).
+pub const MAX_USELESS_WAIT_NS: u64 = 60_000_000_000;
 /// Time up after which half of that is forgotten (ns): a count that was wrong stays so for long.
 const STRETCH_EASE_NS: f64 = 60_000_000_000.0;
 
@@ -26,6 +28,9 @@
         /// The time asked for, where one was told that can be read (ns).
         after_ns: Option<u64>,
     },
+    /// What it said is of no use to this caller and would be so again, as a list over its bound. Each call costs the service
+    /// all that it carries, so waits grow past the longest of the settings, up to [`MAX_USELESS_WAIT_NS`].
+    Useless,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -106,6 +111,11 @@
     pub fn failed(&mut self, now: u64, failure: Failure) {
         let wait = match failure {
             Failure::Away => self.grow(true),
+            Failure::Useless => {
+                let wait = self.grow_to(MAX_USELESS_WAIT_NS, true);
+                self.state = State::Waiting(now.saturating_add(wait));
+                return;
+            }
             Failure::TurnedAway { after_ns } => {
                 self.turned_away += 1;
                 let spread = self.draw(0.0, self.window_ns());
@@ -168,7 +178,11 @@
     /// The wait after one more failure in a row: decorrelated jitter, and at least the caller's share of the budget where
     /// callers are `spread` over it already.
     fn grow(&mut self, spread: bool) -> u64 {
-        let (shortest, most) = (self.pace.shortest_ns, self.pace.grown_ns());
+        self.grow_to(self.pace.grown_ns(), spread)
+    }
+
+    fn grow_to(&mut self, most: u64, spread: bool) -> u64 {
+        let shortest = self.pace.shortest_ns;
         let high = (self.grown_ns.max(shortest as f64) * GROWTH).min(most.max(shortest) as f64) as u64;
         let drawn = self.draw((high as f64 * LEAST).max(shortest as f64), high);
         self.grown_ns = drawn as f64;
--- a/crates/pacing/tests/pacer.rs
+++ b/crates/pacing/tests/pacer.rs
@@ -1,5 +1,6 @@
 //! The pacer held against its bounds: whatever happens, over many seeds, alone and in a herd.
 
+use marljunction_pacing::pacer::MAX_USELESS_WAIT_NS;
 use marljunction_pacing::{Failure, Pace, Pacer, Unfit};
 use marljunction_rig::herd::{Herd, Service};
 use proptest::prelude::*;
@@ -212,3 +213,26 @@
     assert!(matches!(thin.unfit(), Some(Unfit::ShareOverLongest(share)) if share > 20 * S));
     assert_eq!(thin.window_ns(), thin.longest_ns, "a fleet goes over the budget rather than be told late");
 }
+
+#[test]
+fn an_answer_that_is_of_no_use_is_asked_for_ever_more_rarely_and_the_next_good_one_at_once() {
+    for seed in 0..50 {
+        let pace = Pace::default();
+        let (mut pacer, mut waits) = (Pacer::new(pace, seed, 0), Vec::new());
+        for _ in 0..20 {
+            let now = pacer.due_ns().unwrap();
+            assert!(pacer.call(now));
+            pacer.taken(now);
+            pacer.failed(now, Failure::Useless);
+            waits.push(pacer.due_ns().unwrap() - now);
+        }
+        assert!(waits[..4].windows(2).all(|pair| pair[1] > pair[0]), "{waits:?}");
+        let longest = MAX_USELESS_WAIT_NS;
+        assert!(waits[8..].iter().all(|wait| (longest / 2..=longest).contains(wait)), "{waits:?}");
+        // What fails otherwise waits no longer than the settings say.
+        let now = pacer.due_ns().unwrap();
+        assert!(pacer.call(now));
+        pacer.failed(now, Failure::Away);
+        assert!(pacer.due_ns().unwrap() - now <= pace.longest_ns);
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -369,7 +369,9 @@
             coordinator: raw.coordinator.filter(|c| !c.is_empty()),
             operator: raw.operator.filter(|o| !o.is_empty()),
             known_index: raw.known.index,
-            known: known.collect::<Result<_, _>>().map_err(ConfigError::Content)?,
+            known: known
+                .collect::<Result<_, _>>()
+                .map_err(|error| ConfigError::Content(format!("membership event: {error}")))?,
             settings,
             settings_text: raw.settings.get().to_owned(),
             engine_idle_ns: timing.limits.conn_idle_ns.unwrap_or(30_000_000_000),
--- a/src/daemon/engine_list.rs
+++ b/src/daemon/engine_list.rs
@@ -13,9 +13,9 @@
 pub(super) struct EngineList {
     /// The list service; none where there is none.
     pub(super) source: Option<Source>,
-    /// The list as it was told last, kept for a start without the list service.
+    /// When and where the list is kept, for a start without the list service.
     pub(super) snapshot: Snapshot,
-    /// Engines that operators took out.
+    /// Engines that operators took out, and the list as it was told last.
     pub(super) exclusions: Exclusions,
 }
 
@@ -49,7 +49,7 @@
 
     /// News of the source: kept, and told through the exclusions.
     pub(super) fn engines_changed(&mut self, change: Change) {
-        self.engine_list.snapshot.list.change(&change);
+        self.engine_list.snapshot.list.changed();
         if let Some(health) = self.router.verdicts() {
             health.change(change.kind, change.targets.iter().map(|target| target.entry));
         }
@@ -62,7 +62,8 @@
         let now = self.clock.now_ns();
         let mut context = Context { now, net: &mut self.net, router: &mut self.router };
         self.engines.change(&mut context, &change);
-        let entries = change.targets.iter().map(|target| target.entry).collect();
+        // In the place of the targets: guards against memory for both at once.
+        let entries = change.targets.into_iter().map(|target| target.entry).collect();
         self.router.membership(change.kind, entries);
     }
 }
--- a/src/daemon/snapshot.rs
+++ b/src/daemon/snapshot.rs
@@ -5,24 +5,25 @@
 use std::path::{Path, PathBuf};
 
 use log::{info, warn};
-use marljunction_discovery::kept::{self, Kept, FILE_MOST};
+use marljunction_discovery::bound::ListBound;
+use marljunction_discovery::kept::{self, Kept};
 use marljunction_discovery::Change;
-use marljunction_settings::atomic_file::write_atomically;
+use marljunction_settings::atomic_file::write_atomically_by;
 
 use super::Daemon;
 
-/// The list as it was told, and the file that it is kept in.
-#[derive(Default)]
+/// When the list is written, and the file that it is kept in.
 pub(super) struct Snapshot {
     pub(super) list: Kept,
+    bound: ListBound,
     /// None where it is not kept.
     path: Option<PathBuf>,
 }
 
 impl Snapshot {
-    /// An empty one, kept in this file.
-    pub(super) fn in_file(path: Option<PathBuf>) -> Snapshot {
-        Snapshot { path, ..Snapshot::default() }
+    /// One that is kept in this file, up to a bound.
+    pub(super) fn in_file(path: Option<PathBuf>, bound: ListBound) -> Snapshot {
+        Snapshot { list: Kept::new(bound), bound, path }
     }
 }
 
@@ -57,24 +58,26 @@
         max_age_ns: u64,
     ) -> Result<(Change, u64), SnapshotError> {
         // Guards against a file that is read into memory before it is found too large.
-        if size > FILE_MOST {
-            return Err(SnapshotError::Rejected(kept::Refusal::Huge(size)));
+        let bound = &self.engine_list.snapshot.bound;
+        let most = bound.file_bytes as u64;
+        if size > most {
+            return Err(SnapshotError::Rejected(kept::Refusal::Huge(size, most)));
         }
         let bytes = std::fs::read(path)?;
         let names = self.config.directory.names();
-        kept::decode(&bytes, names, self.clock.now_ns(), max_age_ns).map_err(SnapshotError::Rejected)
+        kept::decode(&bytes, names, self.clock.now_ns(), max_age_ns, bound).map_err(SnapshotError::Rejected)
     }
 
     /// Writes the list, where that is due.
     pub(super) fn write_snapshot(&mut self, now: u64) {
         let source = self.engine_list.source.as_ref();
         let heard_ns = source.map_or(0, |source| now.saturating_sub(source.age_ns(now)));
-        let Snapshot { list, path } = &mut self.engine_list.snapshot;
-        let Some(path) = path.as_ref().filter(|_| list.due(now)) else { return };
-        let text = list.encode(self.config.directory.names(), heard_ns);
-        if let Err(fault) = write_atomically(path, &text) {
-            warn!("the list of engines could not be kept in {}: {fault}", path.display());
-        }
+        let roster = self.engine_list.exclusions.bans.listed();
+        let Snapshot { list, path, .. } = &mut self.engine_list.snapshot;
+        let Some(path) = path.as_ref().filter(|_| list.due(now, roster.len())) else { return };
+        let names = self.config.directory.names();
+        let written = write_atomically_by(path, |file| kept::write(file, roster, names, heard_ns));
+        list.written(path, written);
     }
 }
 
--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -9,6 +9,7 @@
 use marljunction_core::limits::FleetLimits;
 use marljunction_core::verdicts::FleetVerdicts;
 use marljunction_core::Router;
+use marljunction_discovery::bound::ListBound;
 use marljunction_discovery::consul::Consul;
 use marljunction_discovery::stream::Stream;
 use marljunction_discovery::{Pacing, Source};
@@ -71,7 +72,7 @@
         let (fleet, machines) = start_fleet(now, &registry, fleet, &config, &files)?;
         let router = build_router(&config, pacing.seed, door, machines);
         let net = build_net(registry, &config);
-        let snapshot = Snapshot::in_file(start.keep.clone());
+        let snapshot = Snapshot::in_file(start.keep.clone(), ListBound::of(config.limits.memory_mb));
         let exclusions = Exclusions::in_directory(files.kept.as_deref());
         let admin = Admin::new(config.limits.sockets);
         let known = std::mem::take(&mut config.known);
@@ -144,17 +145,18 @@
     pacing: Pacing,
 ) -> Result<Option<Source>, DaemonError> {
     let names = config.names.clone();
+    let bound = ListBound::of(config.limits.memory_mb);
     let consul = postgres.and_then(|postgres| postgres.consul.as_ref());
     let source = match (consul, &config.coordinator) {
         (Some(consul), _) => {
             let address = parse_address(&consul.address)?;
             let consul = Consul::new(now, address, consul.service.clone(), names, pacing);
-            Source::Consul(Box::new(consul))
+            Source::Consul(Box::new(consul.with_bound(bound)))
         }
         (None, Some(coordinator)) => {
             let address = parse_address(coordinator)?;
             let stream = Stream::new(now, address, names, config.known_index, pacing);
-            Source::Stream(Box::new(stream))
+            Source::Stream(Box::new(stream.with_bound(bound)))
         }
         (None, None) => return Ok(None),
     };
