Run relays and routers of cells: the list by sealed datagrams, off without the file's word

Need: 3,200 routers each read the whole list from one service and decide over all 30,000 engines.

Change: a fourth kind of sealed datagram, whose content stands behind its sender as it is (as a value inside another it took half as much again). The fleet's runtime holds a relay or a cell's router where the operator's file has 'list' in its 'fleet'. A relay tells on what its event stream brings, under the number of the read's last event, and counts the service as heard once nothing can be missing; a router of a cell has no stream, keeps and takes only its cell's engines, and lets the module divide shared budgets by the cell's routers. 'marljunction check' tells by when a change is known for each fault; the counters' line and 'marljunction fleet' tell of the part. Without the key nothing differs.

--- a/crates/cells/src/relay.rs
+++ b/crates/cells/src/relay.rs
@@ -30,7 +30,7 @@
 /// What a relay is set up with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelaySettings {
-    /// Routers that it serves at most (count).
+    /// Routers of the fleet (count). As many again may be known: those that started anew at another address.
     pub routers: u32,
     /// Time between a router's asks (ns).
     pub ask_ns: u64,
@@ -255,7 +255,7 @@
             Some(known) if known >= (ask.life, ask.sequence) => {
                 return self.passed.count(Reason::OtherAsk, from);
             }
-            None if self.clients.len() >= self.settings.routers as usize => {
+            None if self.clients.len() >= 2 * self.settings.routers as usize => {
                 return self.passed.count(Reason::Full, from);
             }
             _ => {}
--- a/crates/cells/src/subscriber.rs
+++ b/crates/cells/src/subscriber.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Its cell.
+    pub fn cell(&self) -> &CellId {
+        &self.settings.cell
+    }
+
     /// The part that is known; none before the first was learned.
     pub fn part(&self) -> Option<&Part> {
         self.known.as_ref().map(|known| &known.part)
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -79,6 +79,19 @@
         }
     }
 
+    /// Number of the last event that was taken; 0 where the service numbers none.
+    pub fn last_event(&self) -> u64 {
+        match self {
+            Source::Stream(stream) => stream.position().0,
+            Source::Consul(_) => 0,
+        }
+    }
+
+    /// Whether a stream of numbered events is open now.
+    pub fn is_open(&self) -> bool {
+        matches!(self, Source::Stream(stream) if stream.position().1)
+    }
+
     /// What calls for news came to, and how old the news is, as counters.
     pub fn line(&self, now: u64) -> String {
         let ((calls, turned_away), age) = match self {
--- a/crates/discovery/src/stream.rs
+++ b/crates/discovery/src/stream.rs
@@ -76,6 +76,11 @@
         self.refused
     }
 
+    /// Number of the last event that was taken, and whether the stream is open now.
+    pub fn position(&self) -> (u64, bool) {
+        (self.last, self.reader.is_some())
+    }
+
     /// Paces calls so from the next one on.
     pub fn set_pace(&mut self, pace: Pace, stale_ns: u64) {
         self.pacer.set_pace(pace);
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -15,6 +15,7 @@
 use marljunction_verdicts::Terms as HealthTerms;
 
 use crate::error::{FleetError, KeyFileError, NameKind};
+use crate::list::ListConfig;
 
 /// How long a request may have attempts out behind its deadline (ns): a given-up attempt is out until its engine was told, or 2 s.
 const MAX_ATTEMPT_OVERRUN_NS: u64 = 2_500_000_000;
@@ -70,6 +71,8 @@
     pub cold: bool,
     /// How engines' health is agreed on; none where it is not shared.
     pub health: Option<HealthConfig>,
+    /// What this process has to do with the list of engines; none for nothing.
+    pub list: Option<ListConfig>,
 }
 
 impl FleetConfig {
@@ -111,6 +114,7 @@
     pub fn bounds(&self, longest_ns: u64) -> Vec<String> {
         let terms = self.terms(longest_ns);
         let mut lines: Vec<String> = self.health_terms().iter().map(describe_health_bounds).collect();
+        lines.extend(self.list.iter().flat_map(|list| list.bounds(self.routers)));
         for LimitConfig { limit, .. } in &self.limits {
             let units = limit.kind.units();
             let idle = if units < self.routers { ", fewer than routers: some own none of it" } else { "" };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,6 +1,6 @@
 //! The runtime of what the routers of a fleet share: membership, limits and engine health over one UDP socket.
 //!
-//! The pure machines live in `marljunction-peers`, `marljunction-limits` and `marljunction-verdicts`; this crate owns the socket,
+//! The pure machines live in `marljunction-peers`, `marljunction-limits`, `marljunction-verdicts` and `marljunction-cells`; this crate owns the socket,
 //! passes them time and datagrams, and sends what they say. Invariants:
 //!
 //! - It knows nothing of the program's configuration file: what it needs comes as [`FleetConfig`] and [`RouterIdentity`], so that
@@ -12,6 +12,7 @@
 
 pub mod config;
 mod error;
+pub mod list;
 mod outbox;
 mod overrides_file;
 mod payloads;
@@ -21,5 +22,6 @@
 
 pub use config::{FleetConfig, HealthConfig, LimitConfig};
 pub use error::{FleetError, KeyFileError, NameKind};
+pub use list::{ListConfig, ListRole, ListTiming};
 pub use payloads::{PeerPayload, MAX_PENDING_PAYLOADS};
 pub use runtime::{FleetRuntime, FleetStart, RouterIdentity};
--- a/crates/fleet/src/payloads.rs
+++ b/crates/fleet/src/payloads.rs
@@ -56,6 +56,7 @@
         match payload.kind {
             Kind::Verdicts => self.handle_health(now, &payload, router),
             Kind::Limits => self.handle_limits(now, &payload, router),
+            Kind::List => self.handle_list(now, &payload),
             _ => self.queue_payload(payload),
         }
     }
--- a/crates/fleet/src/reload.rs
+++ b/crates/fleet/src/reload.rs
@@ -28,12 +28,17 @@
             Err(fault) => warn!("the fleet's keys stay as they were: {fault}"),
         }
         let Some(config) = config else { return warn!("a fleet that is there no more needs a restart") };
+        let mut config = config.clone();
+        // What follows from the calls of the list service is as it was at the start.
+        if let (Some(list), Some(before)) = (&mut config.list, &self.config.list) {
+            list.timing = before.timing;
+        }
         let same_limits = FleetConfig { limits: self.config.limits.clone(), ..config.clone() };
         if same_limits != self.config {
             return warn!("changes of the fleet other than its limits need a restart");
         }
         if config.limits != self.config.limits {
-            self.resize(now, config.clone(), settings, names, limits);
+            self.resize(now, config, settings, names, limits);
         }
     }
 
--- a/crates/fleet/src/runtime.rs
+++ b/crates/fleet/src/runtime.rs
@@ -8,6 +8,7 @@
 use std::path::Path;
 
 use log::{info, warn};
+use marljunction_cells::PartNews;
 use marljunction_control::interface::Settings;
 use marljunction_core::cold::ColdBudgets;
 use marljunction_core::limits::FleetLimits;
@@ -26,6 +27,7 @@
 
 use crate::config::{describe_budget, longest_request_ns, parse_address, read_keys, FleetConfig};
 use crate::error::FleetError;
+use crate::list::ListMachine;
 use crate::overrides_file::OverridesFile;
 use crate::payloads::PeerPayload;
 use crate::view;
@@ -79,6 +81,8 @@
     suspect: bool,
     pub(crate) pending_payloads: Vec<PeerPayload>,
     pub(crate) dropped_payloads: u64,
+    pub(crate) list: Option<ListMachine>,
+    pub(crate) list_news: Vec<PartNews>,
 }
 
 impl FleetRuntime {
@@ -111,7 +115,10 @@
         let overrides_file = kept_directory.map(OverridesFile::in_directory);
         let health =
             config.health_terms().map(|terms| build_health(now, terms, &identity, overrides_file.as_ref()));
+        let list = ListMachine::start(now, &config, &identity, names)?;
         let runtime = FleetRuntime {
+            list,
+            list_news: Vec::new(),
             datagrams,
             members,
             config,
@@ -157,6 +164,7 @@
         let members = &mut self.members;
         self.datagrams.receive(|datagram| members.hear(now, datagram));
         self.exchange(now, router);
+        self.run_list(now);
     }
 
     /// Passes time.
@@ -176,6 +184,7 @@
             }
         }
         self.exchange(now, router);
+        self.run_list(now);
     }
 
     /// Tells the peers that this router leaves.
@@ -187,7 +196,11 @@
 
     /// What is known of peers and limits, as text for operators.
     pub fn view(&self, now: u64, limits: &mut FleetLimits) -> String {
-        view::describe_fleet(now, &self.members, &self.config, limits)
+        let text = view::describe_fleet(now, &self.members, &self.config, limits);
+        match self.view_list(now) {
+            Some(list) => format!("{text}\n{list}"),
+            None => text,
+        }
     }
 
     /// What the fleet agrees on engines' health, as text for operators.
@@ -196,8 +209,12 @@
     }
 
     /// Counters, as one line.
-    pub fn line(&self, limits: &FleetLimits) -> String {
-        view::counters_line(&self.members, limits)
+    pub fn line(&self, now: u64, limits: &FleetLimits) -> String {
+        let line = view::counters_line(&self.members, limits);
+        match self.list_line(now) {
+            Some(list) => format!("{line} {list}"),
+            None => line,
+        }
     }
 
     /// Notices that this router stood still: what waits for it is old, and nobody said how old.
@@ -222,7 +239,7 @@
         }
     }
 
-    fn send_datagrams(&mut self, outgoing: Vec<(SocketAddr, Vec<u8>)>) {
+    pub(crate) fn send_datagrams(&mut self, outgoing: Vec<(SocketAddr, Vec<u8>)>) {
         for (to, datagram) in outgoing {
             self.datagrams.send(to, &datagram);
         }
--- a/crates/peers/src/members.rs
+++ b/crates/peers/src/members.rs
@@ -121,6 +121,17 @@
     rmp_serde::decode::from_read(buffer.reader()).map_err(|e| Unreadable(e.to_string()))
 }
 
+/// Who said what. Of the list it stands behind its sender as it is: as a value of its own it would take half as much again.
+fn unpack_said(kind: Kind, mut content: &[u8]) -> Result<(Who, Vec<u8>), Unreadable> {
+    match kind {
+        Kind::List => {
+            let from = unpack::<Who>(&mut content)?;
+            Ok((from, content.to_vec()))
+        }
+        _ => unpack::<(Who, Vec<u8>)>(content),
+    }
+}
+
 impl Codec<Who> for Pack {
     type Error = Unreadable;
 
@@ -154,7 +165,7 @@
     SameName,
     /// Another router has this one's number under a name of its own.
     SameNumber(Who),
-    /// What a peer says of limits, or of engines.
+    /// What a peer says of limits, of engines or of the list.
     Said(Who, Kind, Vec<u8>),
 }
 
@@ -260,17 +271,25 @@
                     *self.spoilt.entry(Spoilt::Content).or_default() += 1;
                 }
             }
-            Ok((kind, content)) => match unpack::<(Who, Vec<u8>)>(content) {
+            Ok((kind, content)) => match unpack_said(kind, content) {
                 Ok((from, said)) => self.events.push(Event::Said(from, kind, said)),
                 Err(_) => *self.spoilt.entry(Spoilt::Content).or_default() += 1,
             },
         }
     }
 
-    /// Says something of limits or engines to a peer; false where it is larger than a datagram may be.
+    /// Says something of limits, engines or the list to a peer; false where it is larger than a datagram may be.
     pub fn say(&mut self, to: SocketAddr, kind: Kind, said: &[u8]) -> bool {
         let mut content = Vec::new();
-        let packed = pack(&(self.me(), said), &mut content).is_ok() && content.len() <= CONTENT_MOST;
+        let packed = match kind {
+            Kind::List => {
+                let packed = pack(self.me(), &mut content);
+                content.extend_from_slice(said);
+                packed
+            }
+            _ => pack(&(self.me(), said), &mut content),
+        };
+        let packed = packed.is_ok() && content.len() <= CONTENT_MOST;
         if packed {
             self.send(to, kind, &content);
         }
--- a/crates/peers/src/seal.rs
+++ b/crates/peers/src/seal.rs
@@ -20,6 +20,8 @@
     Limits,
     /// What they say of engines.
     Verdicts,
+    /// What routers and relays say of the list of engines.
+    List,
 }
 
 /// Why a datagram is passed over.
@@ -132,6 +134,7 @@
             0 => Ok((Kind::Members, content)),
             1 => Ok((Kind::Limits, content)),
             2 => Ok((Kind::Verdicts, content)),
+            3 => Ok((Kind::List, content)),
             _ => Err(Spoilt::Content),
         }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -8,7 +8,7 @@
 
 use crate::error::ConfigError;
 use crate::setup::Setup;
-use marljunction_fleet::{FleetConfig, RouterIdentity};
+use marljunction_fleet::{FleetConfig, ListTiming, RouterIdentity};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -19,6 +19,9 @@
 use marljunction_pacing::pace::{Pace, Unfit, TOLD_NS};
 use marljunction_settings::{read_settings, Names};
 
+/// How often the list service says something at least (ns).
+const COMMENT_NS: u64 = 1_000_000_000;
+
 /// Limits of the machine.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct Limits {
@@ -156,6 +159,12 @@
         Pace { budget_per_s, callers, me, spread_ns, longest_ns, ..Pace::default() }
     }
 
+    /// The times that a fleet with relays goes by, which call the list service so.
+    pub fn list_timing(&self) -> ListTiming {
+        let reconnect_ns = self.pace(0, 0).blind_at_most_ns(SILENT_NS);
+        ListTiming { silence_ns: SILENT_NS + COMMENT_NS, reconnect_ns, stale_ns: self.stale_ns }
+    }
+
     /// What routers together may open to one engine, for a fleet of this pace; none for any number.
     pub fn openings(&self, pace: Pace) -> Option<Openings> {
         self.connections_per_s.map(|per_s| Openings { per_s, sharers: pace.sharers(), pace })
--- a/src/daemon/counters.rs
+++ b/src/daemon/counters.rs
@@ -16,7 +16,7 @@
         ];
         parts.extend(self.engine_list.source.as_ref().map(|source| source.line(now)));
         if let (Some(fleet), Some(limits)) = (&self.fleet, self.router.limits()) {
-            parts.push(fleet.line(limits));
+            parts.push(fleet.line(now, limits));
         }
         parts.extend(self.router.verdicts().map(|health| health.line()));
         parts.join(" ")
--- a/src/daemon/engine_list.rs
+++ b/src/daemon/engine_list.rs
@@ -6,6 +6,7 @@
 use marljunction_engine::Context;
 
 use super::exclusions::Exclusions;
+use super::relayed_list::RelayFeed;
 use super::snapshot::Snapshot;
 use super::Daemon;
 
@@ -17,6 +18,8 @@
     pub(super) snapshot: Snapshot,
     /// Engines that operators took out, and the list as it was told last.
     pub(super) exclusions: Exclusions,
+    /// What a relay's stream has brought.
+    pub(super) feed: RelayFeed,
 }
 
 impl EngineList {
@@ -28,9 +31,14 @@
 
 impl Daemon {
     /// Takes the engines that are known at the start: exclusions first, then the configuration's list, else the kept one.
-    pub(super) fn load_engines(&mut self, known: Vec<Update>, max_snapshot_age_ns: u64) {
+    pub(super) fn load_engines(&mut self, mut known: Vec<Update>, max_snapshot_age_ns: u64) {
         self.read_exclusions(self.clock.now_ns());
         let any_known = known.iter().any(|update| !update.change.targets.is_empty());
+        known.iter_mut().for_each(|update| self.retain_cell(&mut update.change));
+        if let Some(last) = known.iter().map(|update| update.index).max() {
+            let changes: Vec<Change> = known.iter().map(|update| update.change.clone()).collect();
+            self.tell_routers(self.clock.now_ns(), last, &changes);
+        }
         for update in known {
             self.engines_changed(update.change);
         }
@@ -42,7 +50,12 @@
     /// Takes what has come in on a connection to the list service.
     pub(super) fn discovery_ready(&mut self, now: u64, conn: u64) {
         let Some(source) = &mut self.engine_list.source else { return };
-        for change in source.ready(now, &mut self.net, conn) {
+        let changes = source.ready(now, &mut self.net, conn);
+        let version = source.last_event();
+        if !changes.is_empty() {
+            self.tell_routers(now, version, &changes);
+        }
+        for change in changes {
             self.engines_changed(change);
         }
     }
--- a/src/daemon/iteration.rs
+++ b/src/daemon/iteration.rs
@@ -151,6 +151,7 @@
                 self.event_loop.unread.push(FLEET.0 as u64);
             }
         }
+        self.follow_relays();
         // An override counts from when it was heard.
         self.apply_overrides(now);
     }
@@ -166,6 +167,7 @@
             source.tick(now, &mut self.net);
         }
         self.write_snapshot(now);
+        self.feed_relay(now);
         if let Some(fleet) = &mut self.fleet {
             fleet.tick(now, &mut self.router);
             self.apply_overrides(now);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -15,6 +15,7 @@
 mod iteration;
 mod listeners;
 mod overrides;
+mod relayed_list;
 mod reload;
 mod snapshot;
 mod stop;
--- /dev/null
+++ b/src/daemon/relayed_list.rs
@@ -0,0 +1,130 @@
+//! The list of engines by way of relays: a relay tells on what the list service told it, a router of a cell learns its part.
+//!
+//! Invariants: a relay takes the news of one read at once, under the number of the last of them; it counts the list service as
+//! heard only once what it missed must have come; a router of a cell takes nothing of the list but its cell's engines.
+
+use log::{info, warn};
+use marljunction_cells::{CellConfig, Engine, PartNews};
+use marljunction_control::interface::MembershipKind;
+use marljunction_discovery::{Change, Target};
+use marljunction_fleet::list::{engine_of, entry_gone, entry_of};
+use marljunction_fleet::{FleetConfig, RouterIdentity};
+use marljunction_settings::Names;
+
+use super::Daemon;
+use crate::config::{Config, Count, StartFile};
+
+/// Time for which a stream must be open before what is heard on it tells that nothing was missed (ns), unless the whole list came on
+/// it: what happened meanwhile comes first, and a comment each second behind it.
+const CATCH_UP_NS: u64 = 1_000_000_000;
+/// Where an engine that is gone listened: it is told of without.
+const NOWHERE: std::net::SocketAddr =
+    std::net::SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+
+/// What a relay's stream has brought.
+#[derive(Default)]
+pub(super) struct RelayFeed {
+    /// Since when the stream is open (ns).
+    open_since_ns: Option<u64>,
+    /// The whole list has come on it.
+    whole: bool,
+}
+
+/// Makes the module divide by the routers of the cell, where this router is of one, in place of the whole fleet.
+pub(super) fn apply_cell(
+    config: &mut Config,
+    start: &mut StartFile,
+    fleet: Option<&FleetConfig>,
+    identity: &RouterIdentity,
+) -> Option<CellConfig> {
+    let fleet = fleet?;
+    let cell = fleet.list.as_ref()?.cell(identity, &config.names, fleet.routers)?;
+    (config.settings.gateways, config.settings.gateway_index) = (cell.sharers, cell.rank);
+    start.routers = Count::AsInSettings;
+    Some(cell)
+}
+
+/// Tells of classes that no engine of the cell can serve.
+pub(super) fn warn_of_classes(config: &Config, cell: &CellConfig) {
+    if cell.id.zone.is_none() {
+        return;
+    }
+    for (class, name) in config.settings.classes.iter().zip(&config.names.classes) {
+        let elsewhere = class.only_zones.as_ref().zip(config.settings.zone);
+        if elsewhere.is_some_and(|(zones, own)| !zones.contains(&own)) {
+            warn!("class {name} is served in other zones only: a router of a cell knows no engine there");
+        }
+    }
+}
+
+/// The engines of a change, as relays tell of them.
+fn engines_of(change: &Change, names: &Names) -> Vec<Engine> {
+    change.targets.iter().map(|target| engine_of(&target.entry, target.address, names)).collect()
+}
+
+fn target_of(engine: &Engine, names: &Names) -> Target {
+    Target { entry: entry_of(engine, names), address: engine.address }
+}
+
+/// A change of the list, of what a relay told.
+fn change_of(news: PartNews, names: &Names) -> Change {
+    match news {
+        PartNews::Whole(engines) => Change {
+            kind: MembershipKind::Full,
+            targets: engines.iter().map(|engine| target_of(engine, names)).collect(),
+        },
+        PartNews::Changed(engines, gone) => {
+            let gone = gone.into_iter().map(|id| Target { entry: entry_gone(id), address: NOWHERE });
+            let changed = engines.iter().map(|engine| target_of(engine, names));
+            Change { kind: MembershipKind::Delta, targets: changed.chain(gone).collect() }
+        }
+    }
+}
+
+impl Daemon {
+    /// Leaves of a change what is of this router's cell, where it is of one.
+    pub(super) fn retain_cell(&self, change: &mut Change) {
+        let Some(subscriber) = self.fleet.as_ref().and_then(|fleet| fleet.subscriber()) else { return };
+        let names = self.config.directory.names();
+        let cell = subscriber.cell();
+        change.targets.retain(|target| cell.holds(&engine_of(&target.entry, target.address, names)));
+    }
+
+    /// Takes what relays told of this router's cell.
+    pub(super) fn follow_relays(&mut self) {
+        let Some(fleet) = &mut self.fleet else { return };
+        for news in fleet.take_list_news() {
+            let change = change_of(news, self.config.directory.names());
+            self.engines_changed(change);
+        }
+    }
+
+    /// Tells routers what the list service told, where this process is a relay; the list is at this event then.
+    pub(super) fn tell_routers(&mut self, now: u64, version: u64, changes: &[Change]) {
+        let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.relay().is_some()) else { return };
+        let names = self.config.directory.names();
+        let is_whole = |change: &Change| change.kind == MembershipKind::Full;
+        self.engine_list.feed.whole |= changes.iter().any(is_whole);
+        let news = changes.iter().map(|change| (is_whole(change), engines_of(change, names))).collect();
+        fleet.learn_list(now, version, news);
+    }
+
+    /// Tells a relay's routers how old its news is, once nothing of it can be missing.
+    pub(super) fn feed_relay(&mut self, now: u64) {
+        let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.relay().is_some()) else { return };
+        let Some(source) = &self.engine_list.source else { return };
+        let feed = &mut self.engine_list.feed;
+        if !source.is_open() {
+            *feed = RelayFeed::default();
+            return;
+        }
+        let since_ns = *feed.open_since_ns.get_or_insert(now);
+        if feed.whole || now >= since_ns + CATCH_UP_NS {
+            let was_ready = fleet.relay().is_some_and(|relay| relay.is_ready());
+            fleet.hear_list_service(now, source.age_ns(now));
+            if let Some(relay) = fleet.relay().filter(|relay| relay.is_ready() && !was_ready) {
+                info!("relay: knows the whole list, {} engines, and tells routers of it", relay.engines());
+            }
+        }
+    }
+}
--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -10,6 +10,7 @@
 use marljunction_door::settings::DoorSettings;
 use marljunction_language::value::{Value, What};
 
+use super::relayed_list::apply_cell;
 use super::wiring::parse_address;
 use super::{AppliedConfig, Daemon};
 use crate::behaviour::effects;
@@ -46,7 +47,9 @@
     }
 
     fn apply_files(&mut self, now: u64, read: Read, address: Option<SocketAddr>) {
-        let Read { mut config, door, start, fleet, operator, level, .. } = read;
+        let Read { mut config, door, mut start, fleet, operator, level, .. } = read;
+        let identity = config.identity();
+        apply_cell(&mut config, &mut start, fleet.as_ref(), &identity);
         self.log_effects(operator.as_ref());
         logger::set_level(level);
         self.config.operator_file = operator;
--- a/src/daemon/snapshot.rs
+++ b/src/daemon/snapshot.rs
@@ -37,7 +37,8 @@
             Err(fault) => return info!("no list of engines is kept in {}: {fault}", path.display()),
         };
         match self.decode_snapshot(&path, size, max_age_ns) {
-            Ok((change, age_ns)) => {
+            Ok((mut change, age_ns)) => {
+                self.retain_cell(&mut change);
                 let heard_ns = self.clock.now_ns().saturating_sub(age_ns);
                 if let Some(source) = &mut self.engine_list.source {
                     source.set_heard(heard_ns);
@@ -70,8 +71,10 @@
 
     /// Writes the list, where that is due.
     pub(super) fn write_snapshot(&mut self, now: u64) {
-        let source = self.engine_list.source.as_ref();
-        let heard_ns = source.map_or(0, |source| now.saturating_sub(source.age_ns(now)));
+        let source_age_ns = self.engine_list.source.as_ref().map(|source| source.age_ns(now));
+        let subscriber = self.fleet.as_ref().and_then(|fleet| fleet.subscriber());
+        let age_ns = source_age_ns.or(subscriber.map(|subscriber| subscriber.age_ns(now)));
+        let heard_ns = age_ns.map_or(0, |age_ns| now.saturating_sub(age_ns));
         let roster = self.engine_list.exclusions.bans.listed();
         let Snapshot { list, path, .. } = &mut self.engine_list.snapshot;
         let Some(path) = path.as_ref().filter(|_| list.due(now, roster.len())) else { return };
--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -18,7 +18,7 @@
 use marljunction_engine::http::HttpEngines;
 use marljunction_engine::postgres::PostgresEngines;
 use marljunction_engine::Backend;
-use marljunction_fleet::{FleetConfig, FleetRuntime, FleetStart};
+use marljunction_fleet::{FleetConfig, FleetRuntime, FleetStart, RouterIdentity};
 use marljunction_front::msgpack::MsgpackFront;
 use marljunction_front::postgres::{PostgresFront, PostgresSetup};
 use marljunction_front::Directory;
@@ -31,6 +31,7 @@
 use super::exclusions::Exclusions;
 use super::iteration::EventLoop;
 use super::listeners::{Listeners, FIRST_CONNECTION, FLEET, MIN_DESCRIPTORS};
+use super::relayed_list::{apply_cell, warn_of_classes, RelayFeed};
 use super::snapshot::Snapshot;
 use super::stop::StopState;
 use super::{ConfigState, Daemon, Fronts};
@@ -58,18 +59,25 @@
         registry: Registry,
         listeners: Listeners,
     ) -> Result<Daemon, DaemonError> {
-        let Read { mut config, postgres, door, start, fleet, operator, .. } = read;
+        let Read { mut config, postgres, door, mut start, fleet, operator, .. } = read;
+        let identity = config.identity();
+        let cell = apply_cell(&mut config, &mut start, fleet.as_ref(), &identity);
+        cell.iter().for_each(|cell| warn_of_classes(&config, cell));
         let clock = Clock::start();
         let now = clock.now_ns();
         let directory = build_directory(&config, door.as_ref(), fleet.as_ref())?;
         let door = door.map(|settings| build_fair_queue(now, settings, &config));
         let pacing = build_pacing(&config, &start);
-        let source = build_source(now, &config, &start, postgres.as_ref(), pacing)?;
+        let source = match cell {
+            // Relays read the list service in its place.
+            Some(_) => None,
+            None => build_source(now, &config, &start, postgres.as_ref(), pacing)?,
+        };
         // Cold engines' budgets are divided by the same count as the list service's.
         config.settings.gateways = pacing.pace.sharers();
         let engines = build_engines(&config, &start, postgres.as_ref(), pacing);
         let fronts = build_fronts(&config, postgres, &directory)?;
-        let (fleet, machines) = start_fleet(now, &registry, fleet, &config, &files)?;
+        let (fleet, machines) = start_fleet(now, &registry, fleet, identity, &config, &files)?;
         let router = build_router(&config, pacing.seed, door, machines);
         let net = build_net(registry, &config);
         let snapshot = Snapshot::in_file(start.keep.clone(), ListBound::of(config.limits.memory_mb));
@@ -86,7 +94,7 @@
             stop: StopState::serving(),
             fronts,
             engines,
-            engine_list: EngineList { source, snapshot, exclusions },
+            engine_list: EngineList { source, snapshot, exclusions, feed: RelayFeed::default() },
             admin,
             fleet,
         };
@@ -209,6 +217,7 @@
     now: u64,
     registry: &Registry,
     fleet: Option<FleetConfig>,
+    identity: RouterIdentity,
     config: &Config,
     files: &Files,
 ) -> Result<(Option<FleetRuntime>, FleetMachines), DaemonError> {
@@ -218,7 +227,7 @@
         registry,
         FLEET,
         fleet,
-        config.identity(),
+        identity,
         &config.settings,
         &config.names,
         files.kept.as_deref(),
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -10,9 +10,10 @@
 use marljunction_language::value::{Quantity, RecordValue, Value, What};
 use marljunction_language::{read, Outcome};
 
+use marljunction_cells::{CellPlan, DivideBy, Numbers};
 use marljunction_core::limits::By;
 use marljunction_fleet::config::{failure_mode, limit_kind};
-use marljunction_fleet::{FleetConfig, HealthConfig, LimitConfig};
+use marljunction_fleet::{FleetConfig, HealthConfig, LimitConfig, ListConfig, ListRole, ListTiming};
 use marljunction_limits::Limit;
 
 use crate::config::{ConsulFile, Count, EngineFile, PostgresFile, StartFile};
@@ -98,7 +99,10 @@
             Some(part) => start(part)?,
             None => StartFile::default(),
         };
-        let fleet = flat(main.fields.get("fleet").map(|f| fleet(&f.value)))?;
+        let mut fleet = flat(main.fields.get("fleet").map(|f| fleet(&f.value)))?;
+        if let Some(list) = fleet.as_mut().and_then(|fleet| fleet.list.as_mut()) {
+            list.timing = start.list_timing();
+        }
         let (door, postgres) = (flat(door)?, flat(postgres)?);
         Some(Setup { door, postgres, start, fleet, level, value: Some(value.clone()) })
     }
@@ -209,6 +213,7 @@
         drift: number(fleet, "drift")?,
         cold: text(fleet, "cold")? == "shared",
         health: flat(fleet.fields.get("verdicts").map(|f| health(&f.value)))?,
+        list: flat(fleet.fields.get("list").map(|f| list(&f.value)))?,
         limits: limits.fields.iter().map(|(name, f)| limit(name, &f.value)).collect::<Option<_>>()?,
     })
 }
@@ -223,6 +228,28 @@
     })
 }
 
+fn list(value: &Value) -> Option<ListConfig> {
+    let list = record(value)?;
+    let of = |key: &str| number(list, key).map(|number| number as u32);
+    let role = match field(list, "relays") {
+        None => ListRole::Relay,
+        Some(relays) => ListRole::Cell {
+            relays: texts(relays)?,
+            plan: CellPlan {
+                cells: of("cells")?,
+                by: if text(list, "divide")? == "group" { DivideBy::Group } else { DivideBy::Engine },
+                numbers: if text(list, "numbers")? == "turns" { Numbers::Turns } else { Numbers::Blocks },
+                cell: of("cell"),
+                sharers: of("sharers"),
+                rank: of("rank"),
+            },
+            engines: of("engines")?,
+        },
+    };
+    let delay_ns = number(list, "delay").map_or(0, |ns| ns as u64);
+    Some(ListConfig { role, ask_ns: number(list, "ask")? as u64, delay_ns, timing: ListTiming::default() })
+}
+
 fn limit(name: &str, value: &Value) -> Option<LimitConfig> {
     let limit = record(value)?;
     let over = field(limit, "fail").and_then(record);
