Let hollow routers talk to each other: membership, limits and engine health by size

Change: a hollow router may have the program's fleet runtime over a datagram socket of its own; the lab measures the join and quiet time of fleets by size. A host reads what waits for a router before it passes time to it, and the stand-in list service keeps little in the machine's buffers: streams of busy hosts were taken for silent, and lists fetched twice.

--- a/crates/lab/src/scale/decide.rs
+++ b/crates/lab/src/scale/decide.rs
@@ -13,7 +13,7 @@
 use super::size::{median_and_worst, module_settings};
 use super::ScaleError;
 
-/// Engines that decisions are measured with (count), and requests with each (quick, full).
+/// Engines that decisions are measured with (count), and requests with each (full, quick).
 const FEW: u64 = 8;
 const MANY: u64 = 30_000;
 const REQUESTS: [u64; 2] = [400, 60];
--- a/crates/lab/src/scale/faults.rs
+++ b/crates/lab/src/scale/faults.rs
@@ -15,7 +15,7 @@
 const REGIONS: u32 = 9;
 /// One in so many routers is restarted.
 const RESTARTED: u32 = 10;
-/// How long a region is cut off, and the list service away (quick, full): longer than a silent stream is believed.
+/// How long a region is cut off, and the list service away (full, quick): longer than a silent stream is believed.
 const CUT: [Duration; 2] = [Duration::from_secs(20), Duration::from_secs(4)];
 const AWAY: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(3)];
 /// Changes while a part of the fleet can't hear them (count).
@@ -70,7 +70,8 @@
         let all_know_s = since.elapsed().as_secs_f64();
         let watched_s = self.began.elapsed().as_secs_f64();
         let spent_s = (fleet.hosts_usage().processor_ns - self.processor_ns) as f64 / 1e9;
-        let quiet_s = most.quiet_core_share * watched_s * f64::from(most.routers);
+        let quiet_share = most.quiet_core_share * f64::from(most.routers) + most.empty_hosts_core_share;
+        let quiet_s = quiet_share * watched_s;
         let processor_ms = (spent_s - quiet_s).max(0.0) * 1e3 / f64::from(struck);
         let written = fleet.counters()?.written;
         let hollow = written.iter().zip(&self.written).take(most.routers as usize);
--- a/crates/lab/src/scale/figures.rs
+++ b/crates/lab/src/scale/figures.rs
@@ -5,6 +5,7 @@
 
 use super::decide::Decisions;
 use super::faults::FaultCost;
+use super::peers::PeersMeasured;
 use super::size::Measured;
 
 /// Budgets of a router for control: share of a core, memory (MB), bytes a second.
@@ -23,7 +24,13 @@
 type Figure = fn(&Measured) -> f64;
 
 /// All figures.
-pub fn tell(smaller: &[Measured], most: &Measured, faults: &[FaultCost], decisions: &Decisions) -> Value {
+pub fn tell(
+    smaller: &[Measured],
+    most: &Measured,
+    faults: &[FaultCost],
+    peers: &[PeersMeasured],
+    decisions: &Decisions,
+) -> Value {
     let errors = prediction_errors(smaller, most);
     let worst_error = errors.values().filter_map(Value::as_f64).fold(0.0, f64::max);
     let worst = |of: fn(&FaultCost) -> f64| faults.iter().map(of).fold(0.0, f64::max);
@@ -58,6 +65,8 @@
         "mechanism_after_reason": "routers learn only the whole list",
         "processes": most.processes,
         "memory_gib": most.memory_gib,
+        "real_quiet_core_share": most.real.map(|real| real.quiet_core_share),
+        "real_start_processor_ms": most.real.map(|real| real.start_processor_ms),
         "bytes_disagreement": most.bytes_disagreement,
     });
     if let Value::Object(all) = &mut all {
@@ -66,6 +75,7 @@
         );
         all.insert("over_budget".into(), rows.iter().map(|(n, r)| ((*n).to_owned(), json!(r))).collect());
         all.insert("faults".into(), json!(faults));
+        all.insert("peers".into(), json!(peers));
         let sizes: Vec<&Measured> = smaller.iter().chain([most]).collect();
         all.insert("sizes".into(), json!(sizes));
     }
@@ -100,7 +110,7 @@
         ("list_bytes", |m| m.list_bytes),
         ("start_processor_ms", |m| m.start_processor_ms),
         ("hollow_mb", |m| m.hollow_mb),
-        ("quiet_core_share", |m| m.quiet_core_share),
+        ("quiet_hosts_core_share", |m| m.quiet_hosts_core_share),
         ("control_bytes_per_s", |m| m.control_bytes_per_s),
     ];
     let error = |of: Figure| {
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -7,6 +7,7 @@
 mod decide;
 mod faults;
 mod figures;
+mod peers;
 mod real;
 mod size;
 
@@ -16,6 +17,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
+use peers::PeersMeasured;
 use size::Size;
 
 /// Engines before each router of the fleet to design for (ratio).
@@ -25,6 +27,9 @@
 const FULL: [u32; 4] = [200, 400, 800, 1_600];
 const FULL_LARGEST: u32 = 3_200;
 
+/// Routers that talk to each other, of a full run and of a quick one.
+const PEERS: [&[u32]; 2] = [&[50, 100, 200, 400], &[25, 50, 100]];
+
 /// Why a run came to nothing.
 #[derive(Debug, Error)]
 pub enum ScaleError {
@@ -34,6 +39,9 @@
     /// A real router.
     #[error("a real router: {0}")]
     Real(String),
+    /// The files of the fleet's keys.
+    #[error("the fleet's keys: {0}")]
+    Keys(std::io::Error),
     /// The lab does not know where its own program is.
     #[error("this program: {0}")]
     Program(std::io::Error),
@@ -87,9 +95,23 @@
     let faults = faults::run(&mut fleet, &most, quick)?;
     most.note_memory(&fleet);
     drop(fleet);
+    eprintln!("peers");
+    let peers = measure_peers(&run)?;
     eprintln!("decisions");
     let decisions = decide::run(quick)?;
-    Ok(figures::tell(&measured, &most, &faults, &decisions))
+    Ok(figures::tell(&measured, &most, &faults, &peers, &decisions))
+}
+
+/// What routers say to each other, at each size; in a full run the largest goes through faults.
+fn measure_peers(run: &Run) -> Result<Vec<PeersMeasured>, ScaleError> {
+    let sizes = PEERS[usize::from(run.quick)];
+    let largest = sizes[sizes.len() - 1];
+    let mut measured = Vec::new();
+    for routers in sizes {
+        eprintln!("{routers} routers that talk to each other");
+        measured.push(peers::measure(run, *routers, *routers == largest && !run.quick)?);
+    }
+    Ok(measured)
 }
 
 /// Engines before so many routers, in the proportion of the fleet to design for.
--- /dev/null
+++ b/crates/lab/src/scale/peers.rs
@@ -0,0 +1,191 @@
+//! What routers say to each other, by the size of the fleet: membership, limits and engines' health over real datagrams.
+//!
+//! The list is left out, so that each cost is its own. A size at which not all know all in time is told with the fewest peers that a
+//! router knew; its figures are of a fleet that still joins.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use marljunction_rig::fleet::KEY;
+use marljunction_rig::hollow::fleet::{FleetPlan, HollowFleet};
+use marljunction_rig::hollow::fleet_side::{key_file, REGIONS};
+use marljunction_rig::hollow::protocol::FleetSetup;
+use serde::Serialize;
+
+use super::size::{hosts, module_settings};
+use super::{Run, ScaleError};
+
+/// Another key, for a region that is cut off.
+const OTHER_KEY: &str = "6f746865722d6b65792d6f662d612d726567696f6e2d7468617420776173206f";
+/// Units a second of the one limit.
+const LIMIT_PER_S: f64 = 50_000.0;
+/// Quiet time that is measured (full, quick).
+const QUIET: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(2)];
+/// Longest time for all to know all (full, quick; s).
+const JOIN_LIMIT_S: [u64; 2] = [45, 15];
+/// How long a region is cut off: longer than peers are suspected.
+const CUT: Duration = Duration::from_secs(6);
+
+/// What was measured at a size, of one router where nothing else is said.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct PeersMeasured {
+    /// Hollow routers (count).
+    pub routers: u32,
+    /// Time until each knew all others (s); none where that was not so in time.
+    pub join_s: Option<f64>,
+    /// Fewest peers that a router knew at the end of the join (count).
+    pub fewest_peers: u32,
+    /// Bytes sent in the join: mean.
+    pub join_bytes: f64,
+    /// Processor time of the join (ms).
+    pub join_processor_ms: f64,
+    /// Share of a core in quiet time.
+    pub quiet_core_share: f64,
+    /// Bytes sent a second in quiet time: mean.
+    pub quiet_bytes_per_s: f64,
+    /// Memory (MB).
+    pub hollow_mb: f64,
+    /// Time until all knew who was there after a zone was gone, a region was back and a tenth was restarted (s); none where that
+    /// was not measured or not so in time.
+    pub zone_gone_s: Option<f64>,
+    /// See `zone_gone_s`.
+    pub region_back_s: Option<f64>,
+    /// See `zone_gone_s`.
+    pub restart_a_tenth_s: Option<f64>,
+    /// Memory of all processes (GiB).
+    pub memory_gib: f64,
+}
+
+/// A folder of keys that goes with this value.
+struct Keys(PathBuf);
+
+impl Keys {
+    fn new(routers: u32) -> Result<Keys, ScaleError> {
+        let dir = std::env::temp_dir().join(format!("marljunction-keys-{}-{routers}", std::process::id()));
+        std::fs::create_dir_all(&dir).map_err(ScaleError::Keys)?;
+        let keys = Keys(dir);
+        for region in 0..REGIONS {
+            keys.write(region, KEY)?;
+        }
+        Ok(keys)
+    }
+
+    fn write(&self, region: u32, key: &str) -> Result<(), ScaleError> {
+        std::fs::write(key_file(&self.0, region), key).map_err(ScaleError::Keys)
+    }
+
+    fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Keys {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Measures a fleet of a size; with faults where asked for.
+///
+/// # Errors
+/// Where a process can't be had or has ended.
+pub fn measure(run: &Run, routers: u32, with_faults: bool) -> Result<PeersMeasured, ScaleError> {
+    let keys = Keys::new(routers)?;
+    let mut fleet = HollowFleet::start(plan(run, routers, keys.path()))?;
+    let mut measured = PeersMeasured { routers, ..PeersMeasured::default() };
+    let limit = Duration::from_secs(JOIN_LIMIT_S[usize::from(run.quick)]);
+    measured.join(&mut fleet, limit)?;
+    measured.quiet(&mut fleet, QUIET[usize::from(run.quick)])?;
+    if with_faults && measured.join_s.is_some() {
+        measured.faults(&mut fleet, &keys, limit)?;
+    }
+    let kb = fleet.hosts_usage().peak_kb + fleet.service_usage().peak_kb;
+    measured.memory_gib = kb as f64 / f64::from(1 << 20);
+    Ok(measured)
+}
+
+fn plan(run: &Run, routers: u32, keys: &Path) -> FleetPlan {
+    let fleet =
+        FleetSetup { keys: keys.to_owned(), seeds: Vec::new(), limit_per_s: Some(LIMIT_PER_S), health: true };
+    FleetPlan {
+        program: run.lab.clone(),
+        routers,
+        real_routers: 0,
+        engines: 0,
+        hosts: hosts(),
+        calls_per_s: 1_000.0,
+        concurrent_snapshots: 1,
+        settings: module_settings(routers),
+        module: false,
+        list: false,
+        fleet: Some(fleet),
+        seed: run.seed,
+    }
+}
+
+impl PeersMeasured {
+    fn join(&mut self, fleet: &mut HollowFleet, limit: Duration) -> Result<(), ScaleError> {
+        let empty_kb = fleet.hosts_usage().resident_kb;
+        let (began, before) = (Instant::now(), self.spent(fleet)?);
+        fleet.start_seeds()?;
+        let others: Vec<u32> = (0..self.routers).filter(|number| !fleet.there().contains(number)).collect();
+        fleet.start_routers(&others)?;
+        let joined = fleet.await_peers(self.routers - 1, limit)?;
+        self.join_s = joined.map(|_| began.elapsed().as_secs_f64());
+        let after = self.spent(fleet)?;
+        self.join_processor_ms = (after.0 - before.0) * 1e3;
+        self.join_bytes = after.1;
+        let peers = fleet.reports()?.into_iter().map(|report| report.peers);
+        self.fewest_peers = peers.min().unwrap_or(0);
+        let kb = fleet.hosts_usage().resident_kb.saturating_sub(empty_kb);
+        self.hollow_mb = kb as f64 / 1024.0 / f64::from(self.routers);
+        Ok(())
+    }
+
+    fn quiet(&mut self, fleet: &mut HollowFleet, time: Duration) -> Result<(), ScaleError> {
+        let (began, before) = (Instant::now(), self.spent(fleet)?);
+        std::thread::sleep(time);
+        let (passed_s, after) = (began.elapsed().as_secs_f64(), self.spent(fleet)?);
+        self.quiet_core_share = (after.0 - before.0) / passed_s;
+        self.quiet_bytes_per_s = (after.1 - before.1) / passed_s;
+        Ok(())
+    }
+
+    /// Processor time (s) and bytes sent of a router so far.
+    fn spent(&self, fleet: &mut HollowFleet) -> Result<(f64, f64), ScaleError> {
+        let routers = f64::from(self.routers);
+        let processor_s = fleet.hosts_usage().processor_ns as f64 / 1e9;
+        let bytes = fleet.reports()?.iter().map(|report| report.fleet_bytes).sum::<u64>() as f64;
+        Ok((processor_s / routers, bytes / routers))
+    }
+
+    fn faults(&mut self, fleet: &mut HollowFleet, keys: &Keys, limit: Duration) -> Result<(), ScaleError> {
+        let all: Vec<u32> = (0..self.routers).collect();
+        let one_in = |count: u32, of: u32| -> Vec<u32> {
+            all.iter().copied().filter(|number| number % count == of).collect()
+        };
+        let zone = one_in(25, 4);
+        let since = Instant::now();
+        fleet.stop_routers(&zone)?;
+        let gone = fleet.await_peers(self.routers - zone.len() as u32 - 1, limit)?;
+        self.zone_gone_s = gone.map(|_| since.elapsed().as_secs_f64());
+        fleet.start_routers(&zone)?;
+        fleet.await_peers(self.routers - 1, limit)?;
+
+        let region = one_in(REGIONS, 5);
+        keys.write(5, OTHER_KEY)?;
+        fleet.reload_keys(&region)?;
+        std::thread::sleep(CUT);
+        keys.write(5, KEY)?;
+        fleet.reload_keys(&region)?;
+        let since = Instant::now();
+        let back = fleet.await_peers(self.routers - 1, limit)?;
+        self.region_back_s = back.map(|_| since.elapsed().as_secs_f64());
+
+        let since = Instant::now();
+        fleet.start_routers(&one_in(10, 0))?;
+        let known = fleet.await_peers(self.routers - 1, limit)?;
+        self.restart_a_tenth_s = known.map(|_| since.elapsed().as_secs_f64());
+        Ok(())
+    }
+}
--- a/crates/lab/src/scale/size.rs
+++ b/crates/lab/src/scale/size.rs
@@ -15,7 +15,7 @@
 /// Calls a second that the list service takes from the fleet.
 const CALLS_PER_S: f64 = 400.0;
 /// Whole lists that the service writes at a time: what is on its way is memory on both sides.
-const CONCURRENT_SNAPSHOTS: usize = 48;
+const CONCURRENT_SNAPSHOTS: usize = 16;
 /// Longest time for all routers to know the list after a start (s).
 const START_LIMIT_S: u64 = 180;
 /// Longest time for a change to be everywhere (s).
@@ -26,10 +26,12 @@
 const DAY_S: f64 = 86_400.0;
 /// Events that tell of one such machine: that it drains, and that another is there in its place.
 const EVENTS_A_MACHINE: f64 = 2.0;
-/// Real routers beside the hollow ones, in a quick run and in a full one (count).
+/// Real routers beside the hollow ones, in a full run and in a quick one (count).
 const REAL_ROUTERS: [u32; 2] = [24, 6];
-/// Quiet time that is measured, and changes that are told (quick, full).
-const QUIET: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(3)];
+/// Time for which the hosts are watched with no router in them.
+const EMPTY: Duration = Duration::from_millis(800);
+/// Quiet time that is measured, and changes that are told (full, quick).
+const QUIET: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(2)];
 const CHANGES: [u32; 2] = [24, 10];
 
 /// A size.
@@ -59,7 +61,11 @@
     pub service_start_bytes: u64,
     /// Processor time of a start (ms).
     pub start_processor_ms: f64,
-    /// Share of a core in quiet time.
+    /// Share of a core that the hosts' own loops take together, with no router in them.
+    pub empty_hosts_core_share: f64,
+    /// Share of a core that they take together in quiet time, with the routers.
+    pub quiet_hosts_core_share: f64,
+    /// Share of a core in quiet time, without the hosts' own loops.
     pub quiet_core_share: f64,
     /// Bytes a second in quiet time.
     pub quiet_bytes_per_s: f64,
@@ -112,6 +118,7 @@
         let real = RealRouters::new(run, self.routers, real_routers)?;
         let mut fleet = ScaleFleet { hollow, real };
         let mut measured = Measured { routers: self.routers, ..Measured::default() };
+        measured.empty(&fleet);
         measured.start(&mut fleet)?;
         measured.quiet(&mut fleet, QUIET[usize::from(run.quick)])?;
         measured.changes(&mut fleet, CHANGES[usize::from(run.quick)])?;
@@ -127,17 +134,23 @@
             routers: self.routers,
             real_routers,
             engines: engines_before(self.routers),
-            hosts: std::thread::available_parallelism().map_or(4, |n| n.get() as u32).clamp(2, 8),
+            hosts: hosts(),
             calls_per_s: CALLS_PER_S,
             concurrent_snapshots: CONCURRENT_SNAPSHOTS,
             settings: module_settings(self.routers),
             module: false,
+            list: true,
             fleet: None,
             seed: run.seed,
         }
     }
 }
 
+/// Hosts of hollow routers: one a core, within bounds (count).
+pub fn hosts() -> u32 {
+    std::thread::available_parallelism().map_or(4, |n| n.get() as u32).clamp(2, 8)
+}
+
 /// The module's settings of a fleet with so many routers.
 pub fn module_settings(routers: u32) -> String {
     let classes = classes();
@@ -154,6 +167,14 @@
 }
 
 impl Measured {
+    /// The hosts' own loops, with no router in them.
+    fn empty(&mut self, fleet: &ScaleFleet) {
+        let (began, before) = (Instant::now(), fleet.hollow.hosts_usage().processor_ns);
+        std::thread::sleep(EMPTY);
+        let spent_s = (fleet.hollow.hosts_usage().processor_ns - before) as f64 / 1e9;
+        self.empty_hosts_core_share = spent_s / began.elapsed().as_secs_f64();
+    }
+
     /// All routers at once, cold.
     fn start(&mut self, fleet: &mut ScaleFleet) -> Result<(), ScaleError> {
         let empty_kb = fleet.hollow.hosts_usage().resident_kb;
@@ -187,7 +208,10 @@
         let (began, before) = (Instant::now(), self.spent(fleet)?);
         fleet.real.measure_quiet(time);
         let (passed_s, after) = (began.elapsed().as_secs_f64(), self.spent(fleet)?);
-        self.quiet_core_share = (after.0 - before.0) / passed_s;
+        let empty_share = self.empty_hosts_core_share / f64::from(self.routers);
+        let share = (after.0 - before.0) / passed_s;
+        self.quiet_hosts_core_share = share * f64::from(self.routers);
+        self.quiet_core_share = (share - empty_share).max(0.0);
         self.quiet_bytes_per_s = (after.1 - before.1) / passed_s;
         Ok(())
     }
@@ -209,7 +233,10 @@
         }
         let (passed_s, after) = (began.elapsed().as_secs_f64(), self.spent(fleet)?);
         let beyond = |spent: f64, quiet: f64| (spent - quiet * passed_s).max(0.0) / f64::from(changes);
-        self.change_processor_us = beyond(after.0 - before.0, self.quiet_core_share) * 1e6;
+        self.change_processor_us = beyond(
+            after.0 - before.0,
+            self.quiet_core_share + self.empty_hosts_core_share / f64::from(self.routers),
+        ) * 1e6;
         self.change_bytes = beyond(after.1 - before.1, self.quiet_bytes_per_s);
         (self.change_everywhere_p50_s, self.change_everywhere_worst_s) = median_and_worst(&mut delays);
         Ok(())
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -37,6 +37,7 @@
         concurrent_snapshots: 8,
         settings: settings(&site).to_string(),
         module: true,
+        list: true,
         fleet: None,
         seed: 1,
     }
--- a/crates/rig/src/hollow/fleet.rs
+++ b/crates/rig/src/hollow/fleet.rs
@@ -13,6 +13,8 @@
 use super::usage::Usage;
 use super::HollowError;
 
+/// Routers that others join by (count).
+const SEEDS: u32 = 3;
 /// Longest wait for an answer that takes no waiting of its own.
 const ANSWER: Duration = Duration::from_secs(60);
 
@@ -37,6 +39,8 @@
     pub settings: String,
     /// Whether each router's module is told the list.
     pub module: bool,
+    /// Whether routers follow the list service.
+    pub list: bool,
     /// What routers say to each other; nothing if none.
     pub fleet: Option<FleetSetup>,
     /// Seed of all draws.
@@ -91,15 +95,13 @@
             pace: self.pace(),
             seed: self.plan.seed,
             module: self.plan.module,
+            list: self.plan.list,
             fleet: self.plan.fleet.clone(),
         };
         for host in &mut self.hosts {
             host.tell(&HostCommand::Setup(Box::new(setup.clone())))?;
         }
-        for host in &mut self.hosts {
-            expect(host, ANSWER, "Done", |report| matches!(report, HostReport::Done).then_some(()))?;
-        }
-        Ok(())
+        self.expect_done()
     }
 
     /// How the fleet's calls are paced: over the time that the service needs for all.
@@ -151,6 +153,31 @@
         Ok(started)
     }
 
+    /// Starts the routers that others join by, and tells the hosts where they are.
+    ///
+    /// # Errors
+    /// Where one gets no sockets.
+    pub fn start_seeds(&mut self) -> Result<(), HollowError> {
+        let numbers: Vec<u32> = (0..SEEDS.min(self.plan.routers)).collect();
+        let started = self.start_routers(&numbers)?;
+        if let Some(fleet) = &mut self.plan.fleet {
+            fleet.seeds = started.into_iter().filter_map(|(_, address)| address).collect();
+        }
+        self.set_up_hosts()
+    }
+
+    /// Has routers read their files of keys again.
+    ///
+    /// # Errors
+    /// Where a host has ended.
+    pub fn reload_keys(&mut self, numbers: &[u32]) -> Result<(), HollowError> {
+        let of_host = self.by_host(numbers);
+        for (host, numbers) in self.hosts.iter_mut().zip(of_host) {
+            host.tell(&HostCommand::ReloadKeys(numbers))?;
+        }
+        self.expect_done()
+    }
+
     /// Ends routers at once.
     ///
     /// # Errors
@@ -160,10 +187,15 @@
         for (host, numbers) in self.hosts.iter_mut().zip(of_host) {
             host.tell(&HostCommand::Stop(numbers))?;
         }
+        self.expect_done()?;
+        self.there.retain(|number| !numbers.contains(number));
+        Ok(())
+    }
+
+    fn expect_done(&mut self) -> Result<(), HollowError> {
         for host in &mut self.hosts {
             expect(host, ANSWER, "Done", |report| matches!(report, HostReport::Done).then_some(()))?;
         }
-        self.there.retain(|number| !numbers.contains(number));
         Ok(())
     }
 
--- a/crates/rig/src/hollow/host.rs
+++ b/crates/rig/src/hollow/host.rs
@@ -1,7 +1,8 @@
 //! The loop of a process that runs many hollow routers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 
 /// How often time is passed to each router (ns): as often as the program does.
 const TICK_NS: u64 = 20_000_000;
+/// Time for which sockets are served before new events are asked for (ns).
+const WORK_NS: u64 = 10_000_000;
 
 /// A host.
 struct Host {
@@ -24,8 +27,11 @@
     /// Places of the routers by their numbers, kept over restarts.
     slots: BTreeMap<u32, usize>,
     lives: u64,
-    /// Connections with more to read, which no event tells of.
-    more: Vec<u64>,
+    /// Where routers took datagrams last, by number: a restart listens there again.
+    addresses: BTreeMap<u32, SocketAddr>,
+    /// Sockets with something to take, in turn, and the same as a set.
+    pending: VecDeque<u64>,
+    is_pending: BTreeSet<u64>,
     awaited_list: Option<ListDigest>,
     awaited_peers: Option<u32>,
     ticked_ns: u64,
@@ -45,7 +51,9 @@
         routers: Vec::new(),
         slots: BTreeMap::new(),
         lives: 0,
-        more: Vec::new(),
+        addresses: BTreeMap::new(),
+        pending: VecDeque::new(),
+        is_pending: BTreeSet::new(),
         awaited_list: None,
         awaited_peers: None,
         ticked_ns: 0,
@@ -63,36 +71,59 @@
 }
 
 impl Host {
+    /// Takes what has come, up to a time, and passes time to routers that have nothing left to take: a router hears what waits for
+    /// it before it judges how long it heard nothing, as one with a process of its own does.
     fn run_iteration(&mut self, events: &mut Events) -> Result<(), HollowError> {
         let due = (self.ticked_ns + TICK_NS).saturating_sub(self.clock.now_ns());
-        let wait = if self.more.is_empty() { Duration::from_nanos(due) } else { Duration::ZERO };
+        let wait = if self.pending.is_empty() { Duration::from_nanos(due) } else { Duration::ZERO };
         match self.poll.poll(events, Some(wait)) {
             Err(fault) if fault.kind() != ErrorKind::Interrupted => return Err(io("poll")(fault)),
             _ => {}
         }
-        let mut connections = std::mem::take(&mut self.more);
         for event in events.iter().filter(|event| event.token() != COMMAND_TOKEN) {
-            connections.push(event.token().0 as u64);
+            self.add_pending(event.token().0 as u64);
         }
-        for connection in connections {
-            self.ready(connection);
+        let end_ns = self.clock.now_ns() + WORK_NS;
+        while self.clock.now_ns() < end_ns {
+            let Some(token) = self.pending.pop_front() else { break };
+            self.is_pending.remove(&token);
+            self.ready(token);
         }
         let now = self.clock.now_ns();
         if now >= self.ticked_ns + TICK_NS {
             self.ticked_ns = now;
-            self.routers.iter_mut().flatten().for_each(|router| router.tick(now));
+            let busy: BTreeSet<usize> = self.is_pending.iter().map(|token| slot_of(*token)).collect();
+            for (slot, router) in self.routers.iter_mut().enumerate() {
+                if let Some(router) = router.as_mut().filter(|_| !busy.contains(&slot)) {
+                    router.tick(now);
+                }
+            }
         }
         Ok(())
     }
 
+    fn add_pending(&mut self, token: u64) {
+        if self.is_pending.insert(token) {
+            self.pending.push_back(token);
+        }
+    }
+
     fn ready(&mut self, token: u64) {
-        let Some(slot) = ((token >> TOKEN_BITS) as usize).checked_sub(1) else { return };
-        let Some(Some(router)) = self.routers.get_mut(slot) else { return };
-        if router.ready(self.clock.now_ns(), token) {
-            self.more.push(token);
+        let now = self.clock.now_ns();
+        let Some(router) = self.router_at(slot_of(token)) else { return };
+        let more = match is_datagrams(token) {
+            true => router.ready_fleet(now),
+            false => router.ready(now, token),
+        };
+        if more {
+            self.add_pending(token);
         }
     }
 
+    fn router_at(&mut self, slot: usize) -> Option<&mut HollowRouter> {
+        self.routers.get_mut(slot)?.as_mut()
+    }
+
     fn obey(&mut self, command: HostCommand) -> Result<Option<HostReport>, HollowError> {
         match command {
             HostCommand::Setup(setup) => self.shared = Some(Shared::new(*setup)?),
@@ -106,6 +137,11 @@
                 self.awaited_peers = Some(peers);
                 return Ok(None);
             }
+            HostCommand::ReloadKeys(numbers) => {
+                let now = self.clock.now_ns();
+                let of_them = |router: &&mut HollowRouter| numbers.contains(&router.number());
+                self.routers.iter_mut().flatten().filter(of_them).for_each(|router| router.reload_keys(now));
+            }
             HostCommand::Report => {
                 let reports = self.routers.iter().flatten().map(HollowRouter::report);
                 return Ok(Some(HostReport::Routers(reports.collect())));
@@ -127,7 +163,9 @@
             self.routers[slot] = None;
             let now = self.clock.now_ns();
             let place = (slot, self.lives % (1 << 12));
-            let router = HollowRouter::start(now, self.poll.registry(), shared, *start, place)?;
+            let address = self.addresses.get(&start.number).copied();
+            let router = HollowRouter::start(now, self.poll.registry(), shared, *start, place, address)?;
+            self.addresses.extend(router.fleet_address().map(|address| (start.number, address)));
             started.push((start.number, router.fleet_address()));
             self.routers[slot] = Some(router);
         }
@@ -159,3 +197,14 @@
         Ok(())
     }
 }
+
+/// The place of the router that a token is of: sockets for datagrams have it as their token, connections have it, counted from one,
+/// above their own numbers.
+fn slot_of(token: u64) -> usize {
+    let above = (token >> TOKEN_BITS) as usize;
+    above.checked_sub(1).unwrap_or(token as usize)
+}
+
+fn is_datagrams(token: u64) -> bool {
+    token >> TOKEN_BITS == 0
+}
--- a/crates/rig/src/hollow/mod.rs
+++ b/crates/rig/src/hollow/mod.rs
@@ -10,6 +10,7 @@
 pub mod child;
 pub mod engine_table;
 pub mod fleet;
+pub mod fleet_side;
 pub mod host;
 pub mod known_list;
 pub mod protocol;
--- a/crates/rig/src/hollow/protocol.rs
+++ b/crates/rig/src/hollow/protocol.rs
@@ -134,8 +134,8 @@
 /// The fleet's side of hollow routers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct FleetSetup {
-    /// The file of the fleet's keys.
-    pub key: PathBuf,
+    /// The folder of the files of keys, one a region.
+    pub keys: PathBuf,
     /// Routers that others join by.
     pub seeds: Vec<SocketAddr>,
     /// The limits' units a second; none for no limit.
@@ -157,6 +157,8 @@
     pub seed: u64,
     /// Whether the decision module of each router is told the list.
     pub module: bool,
+    /// Whether routers follow the list service.
+    pub list: bool,
     /// Membership, limits and health; none where routers do not talk to each other.
     pub fleet: Option<FleetSetup>,
 }
@@ -183,6 +185,8 @@
     AwaitList(ListDigest),
     /// Answered by `PeersReached` once all routers that are there know so many peers.
     AwaitPeers(u32),
+    /// These routers read their files of keys again; answered by `Done`.
+    ReloadKeys(Vec<u32>),
     /// Answered by `Routers`.
     Report,
 }
--- a/crates/rig/src/hollow/router.rs
+++ b/crates/rig/src/hollow/router.rs
@@ -10,8 +10,9 @@
 use marljunction_net::{Net, Room};
 use marljunction_pacing::Pace;
 use marljunction_settings::{read_settings, Names};
-use mio::Registry;
+use mio::{Registry, Token};
 
+use super::fleet_side::FleetSide;
 use super::known_list::KnownList;
 use super::protocol::{HostSetup, ListDigest, RouterReport, RouterStart};
 use super::{io, HollowError};
@@ -68,11 +69,15 @@
     started_ns: u64,
     module: Router,
     tells_module: bool,
+    follows_list: bool,
+    fleet: Option<FleetSide>,
+    shared: Rc<(Settings, Names)>,
     commands: Vec<Command>,
 }
 
 impl HollowRouter {
-    /// Starts it, knowing nothing; `slot` is its place in the host and `life` counts its starts there.
+    /// Starts it, knowing nothing; `slot` is its place in the host, `life` counts its starts there, and `address` is where its life
+    /// before took datagrams.
     ///
     /// # Errors
     /// Where it gets no sockets.
@@ -82,15 +87,25 @@
         shared: &Shared,
         start: RouterStart,
         (slot, life): (usize, u64),
+        address: Option<SocketAddr>,
     ) -> Result<HollowRouter, HollowError> {
-        let registry = registry.try_clone().map_err(io("poll"))?;
+        let own = registry.try_clone().map_err(io("poll"))?;
         let first = (slot as u64 + 1) << TOKEN_BITS | life << LIFE_BITS;
-        let net = Net::new(registry, first, Room { engines: 0, output: 1 << 20 });
+        let net = Net::new(own, first, Room { engines: 0, output: 1 << 20 });
         let seed = shared.setup.seed ^ u64::from(start.number) << 20 ^ life;
         let pacing = Pacing { pace: shared.pace(start.number), seed, stale_ns: STALE_NS };
         let (settings, names) = &*shared.settings;
         let mut settings = settings.clone();
         settings.gateway_index = start.number;
+        let mut module = Router::new(settings.clone(), seed, MEMORY_MB);
+        let mut fleet = None;
+        if let Some(setup) = &shared.setup.fleet {
+            let who = (start.number, shared.setup.fleet_routers, seed);
+            let socket = (registry, Token(slot));
+            let started = FleetSide::start(now, socket, setup, who, address, (&settings, names), module)?;
+            module = started.1;
+            fleet = Some(started.0);
+        }
         Ok(HollowRouter {
             number: start.number,
             net,
@@ -99,8 +114,11 @@
             list_since_ns: now,
             learned_ns: None,
             started_ns: now,
-            module: Router::new(settings, seed, MEMORY_MB),
+            module,
             tells_module: shared.setup.module,
+            follows_list: shared.setup.list,
+            fleet,
+            shared: shared.settings.clone(),
             commands: Vec::new(),
         })
     }
@@ -122,20 +140,39 @@
 
     /// Where it takes datagrams, where it does.
     pub fn fleet_address(&self) -> Option<SocketAddr> {
-        None
+        self.fleet.as_ref().map(FleetSide::address)
     }
 
     /// Peers that it knows (count).
     pub fn peers(&self) -> u32 {
-        0
+        self.fleet.as_ref().map_or(0, FleetSide::peers)
     }
 
     /// Passes time.
     pub fn tick(&mut self, now: u64) {
-        self.stream.tick(now, &mut self.net);
+        if self.follows_list {
+            self.stream.tick(now, &mut self.net);
+        }
+        if let Some(fleet) = &mut self.fleet {
+            fleet.runtime().tick(now, &mut self.module);
+        }
         self.turn(now);
     }
 
+    /// Takes datagrams that have come; whether there are more to take.
+    pub fn ready_fleet(&mut self, now: u64) -> bool {
+        let Some(fleet) = &mut self.fleet else { return false };
+        fleet.runtime().ready(now, &mut self.module);
+        fleet.runtime().has_more()
+    }
+
+    /// Reads its file of keys again.
+    pub fn reload_keys(&mut self, now: u64) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.reload_keys(now, &self.shared.0, &self.shared.1, &mut self.module);
+        }
+    }
+
     /// Takes what has come in on a connection; whether there is more to take.
     pub fn ready(&mut self, now: u64, connection: u64) -> bool {
         let changes = self.stream.ready(now, &mut self.net, connection);
@@ -167,6 +204,7 @@
     /// What it knows.
     pub fn report(&self) -> RouterReport {
         let ((calls, turned_away), _) = self.stream.view();
+        let (fleet_datagrams, fleet_bytes) = self.fleet.as_ref().map_or((0, 0), FleetSide::sent);
         RouterReport {
             number: self.number,
             digest: self.list.digest(),
@@ -176,8 +214,8 @@
             calls,
             turned_away,
             peers: self.peers(),
-            fleet_datagrams: 0,
-            fleet_bytes: 0,
+            fleet_datagrams,
+            fleet_bytes,
         }
     }
 }
--- a/crates/rig/src/hollow/service.rs
+++ b/crates/rig/src/hollow/service.rs
@@ -26,6 +26,8 @@
 const MAX_WAIT: Duration = Duration::from_millis(20);
 /// Events kept for routers that come back behind one of them (count).
 const MAX_KEPT_EVENTS: usize = 4_096;
+/// Bytes that the machine holds for a connection, about.
+const SEND_BUFFER: usize = 64 << 10;
 /// Bytes of a call that are read at most.
 const MAX_CALL_BYTES: usize = 8 << 10;
 const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:hi\n\n";
@@ -252,6 +254,8 @@
     fn accept(&mut self, router: usize) {
         while let Ok((mut stream, _)) = self.listeners[router].accept() {
             let _ = stream.set_nodelay(true);
+            // Guards against a whole list that counts as written while it waits in the machine's buffers.
+            let _ = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER);
             let token = self.next_token;
             let interest = Interest::READABLE | Interest::WRITABLE;
             if self.away || self.registry.register(&mut stream, Token(token), interest).is_err() {
