--- a/crates/rig/src/hollow/fleet_side.rs
+++ b/crates/rig/src/hollow/fleet_side.rs
@@ -120,5 +120,6 @@
         limits: setup.limit_per_s.map(limit).into_iter().collect(),
         cold: false,
         health: setup.health.then_some(health),
+        list: None,
     }
 }
