--- a/crates/discovery/src/bans.rs
+++ b/crates/discovery/src/bans.rs
@@ -62,8 +62,8 @@
     }
 
     /// What the lists said last of an engine.
-    fn latest(&self, id: EngineId) -> Option<&Target> {
-        self.listed.get(id).or_else(|| self.unlisted.get(&id))
+    fn latest(&self, id: EngineId) -> Option<Target> {
+        self.listed.get(id).or_else(|| self.unlisted.get(&id).copied())
     }
 
     /// The whole fleet leaves these engines out: what the module is to be told. An engine that a router's own ban holds too
@@ -82,7 +82,7 @@
 
     /// News that an engine drains.
     fn leaves(&self, id: EngineId) -> Option<Change> {
-        let mut target = *self.latest(id)?;
+        let mut target = self.latest(id)?;
         if target.entry.state == EngineState::Ready {
             target.entry.state = EngineState::Draining;
         }
@@ -91,7 +91,7 @@
 
     /// News that an engine is back. Operators restart an engine while it is out: it comes back cold, whatever the list last said.
     fn returns(&self, id: EngineId, now_ns: u64) -> Option<Change> {
-        let mut target = *self.latest(id)?;
+        let mut target = self.latest(id)?;
         target.entry.started_ns = Some(now_ns.max(target.entry.started_ns.unwrap_or(0)));
         Some(Change { kind: MembershipKind::Delta, targets: vec![target] })
     }
@@ -124,7 +124,7 @@
             let Bans { banned, fleet, unlisted, .. } = self;
             unlisted.retain(|id, _| banned.contains_key(id) || fleet.contains_key(id));
             let known = ids.iter().filter_map(|id| self.listed.get(*id));
-            self.unlisted.extend(known.map(|target| (target.entry.engine, *target)));
+            self.unlisted.extend(known.map(|target| (target.entry.engine, target)));
         }
         let gone = change.targets.iter().filter(|target| target.entry.state == EngineState::Gone);
         for target in gone {
--- a/crates/discovery/src/bound.rs
+++ b/crates/discovery/src/bound.rs
@@ -4,9 +4,9 @@
 //! the text bounds how long one that never ends is read.
 
 /// Part of the memory limit that engines may take in all tables of the program together (share).
-const ENGINES_SHARE: f64 = 0.85;
+const ENGINES_SHARE: f64 = 0.9;
 /// What one engine takes in all tables together while the next list is read (bytes), as measured.
-const ENGINE_BYTES: f64 = 900.0;
+const ENGINE_BYTES: f64 = 940.0;
 /// Longest text of one event (share of the memory limit): 250 bytes an engine at least.
 const EVENT_SHARE: f64 = 0.3;
 /// Longest text of one of Consul's answers (share of the memory limit): a kilobyte and more is said of each engine.
--- a/crates/discovery/src/kept.rs
+++ b/crates/discovery/src/kept.rs
@@ -195,7 +195,7 @@
     for (at, target) in roster.iter().enumerate() {
         entry.clear();
         entry.extend_from_slice(if at > 0 { b"," } else { b"" });
-        serde_json::to_writer(&mut entry, &EntryText::of(target, names))?;
+        serde_json::to_writer(&mut entry, &EntryText::of(&target, names))?;
         text.write_all(&entry)?;
     }
     text.write_all(b"]}")?;
--- a/crates/discovery/src/roster.rs
+++ b/crates/discovery/src/roster.rs
@@ -2,71 +2,127 @@
 //!
 //! Sorted and without gaps, as a large list is nearly all that a router holds of its engines here.
 
+use std::net::SocketAddr;
+
 use crate::{Change, Target};
-use marljunction_control::interface::{EngineId, EngineState, MembershipKind};
+use marljunction_control::interface::{EngineEntry, EngineId, EngineState, KindId, MembershipKind, ZoneId};
+
+/// Stands for no zone or kind: their numbers are places in lists of names.
+const NONE: u32 = u32::MAX;
+
+/// A target in two thirds of its space.
+#[derive(Clone, Copy, Debug)]
+struct Listed {
+    engine: EngineId,
+    address: SocketAddr,
+    zone: u32,
+    kind: u32,
+    cell: u64,
+    weight: f64,
+    started_ns: u64,
+    state: EngineState,
+    has_cell: bool,
+    has_start: bool,
+}
+
+impl Listed {
+    fn of(target: &Target) -> Listed {
+        let EngineEntry { engine, zone, kind, cell, state, weight, started_ns } = target.entry;
+        let number = |at: Option<usize>| at.and_then(|at| u32::try_from(at).ok()).unwrap_or(NONE);
+        Listed {
+            engine,
+            address: target.address,
+            zone: number(zone.map(|zone| zone.0)),
+            kind: number(kind.map(|kind| kind.0)),
+            cell: cell.unwrap_or(0),
+            weight,
+            started_ns: started_ns.unwrap_or(0),
+            state,
+            has_cell: cell.is_some(),
+            has_start: started_ns.is_some(),
+        }
+    }
+
+    fn target(&self) -> Target {
+        let number = |at: u32| (at != NONE).then_some(at as usize);
+        let entry = EngineEntry {
+            engine: self.engine,
+            zone: number(self.zone).map(ZoneId),
+            kind: number(self.kind).map(KindId),
+            cell: self.has_cell.then_some(self.cell),
+            state: self.state,
+            weight: self.weight,
+            started_ns: self.has_start.then_some(self.started_ns),
+        };
+        Target { entry, address: self.address }
+    }
+}
 
 /// The engines that the lists name.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     /// By engine, each once, none of them gone.
-    targets: Vec<Target>,
+    listed: Vec<Listed>,
 }
 
 impl Roster {
     /// Engines that are named (count).
     pub fn len(&self) -> usize {
-        self.targets.len()
+        self.listed.len()
     }
 
     /// Whether none is named.
     pub fn is_empty(&self) -> bool {
-        self.targets.is_empty()
+        self.listed.is_empty()
     }
 
     /// What is known of an engine; none where no list names it.
-    pub fn get(&self, engine: EngineId) -> Option<&Target> {
-        let at = self.targets.binary_search_by_key(&engine, |target| target.entry.engine).ok()?;
-        self.targets.get(at)
+    pub fn get(&self, engine: EngineId) -> Option<Target> {
+        let at = self.listed.binary_search_by_key(&engine, |known| known.engine).ok()?;
+        self.listed.get(at).map(Listed::target)
     }
 
     /// All of them, in order.
-    pub fn iter(&self) -> impl Iterator<Item = &Target> {
-        self.targets.iter()
+    pub fn iter(&self) -> impl Iterator<Item = Target> + '_ {
+        self.listed.iter().map(Listed::target)
     }
 
     /// Takes news; of an engine that it names twice, the last counts.
     pub fn change(&mut self, change: &Change) {
-        if change.kind != MembershipKind::Delta {
-            // Before the new one is made: guards against memory for both at once.
-            self.targets = Vec::new();
-            self.targets = in_order(&change.targets);
-            return self.targets.retain(|target| target.entry.state != EngineState::Gone);
+        if change.kind == MembershipKind::Delta {
+            return self.add(in_order(&change.targets));
         }
-        let news = in_order(&change.targets);
+        // Before the new one is made: guards against memory for both at once.
+        self.listed = Vec::new();
+        self.listed = in_order(&change.targets);
+        self.listed.retain(|known| known.state != EngineState::Gone);
+    }
+
+    fn add(&mut self, news: Vec<Listed>) {
         let (mut new, mut gone) = (Vec::new(), false);
-        for target in news {
-            gone |= target.entry.state == EngineState::Gone;
-            match self.targets.binary_search_by_key(&target.entry.engine, |known| known.entry.engine) {
-                Ok(at) => self.targets[at] = target,
-                Err(_) => new.push(target),
+        for engine in news {
+            gone |= engine.state == EngineState::Gone;
+            match self.listed.binary_search_by_key(&engine.engine, |known| known.engine) {
+                Ok(at) => self.listed[at] = engine,
+                Err(_) => new.push(engine),
             }
         }
         if !new.is_empty() {
-            self.targets.extend(new);
+            self.listed.extend(new);
             // Two runs in order: one pass.
-            self.targets.sort_by_key(|target| target.entry.engine);
+            self.listed.sort_by_key(|known| known.engine);
         }
         if gone {
-            self.targets.retain(|target| target.entry.state != EngineState::Gone);
+            self.listed.retain(|known| known.state != EngineState::Gone);
         }
     }
 }
 
 /// Engines in the order of their numbers, each as it is named last.
-fn in_order(targets: &[Target]) -> Vec<Target> {
-    let mut order: Vec<(EngineId, usize)> =
-        targets.iter().enumerate().map(|(at, target)| (target.entry.engine, at)).collect();
+fn in_order(targets: &[Target]) -> Vec<Listed> {
+    let number = |(at, target): (usize, &Target)| (target.entry.engine, at);
+    let mut order: Vec<(EngineId, usize)> = targets.iter().enumerate().map(number).collect();
     order.sort_unstable_by(|(a, first), (b, second)| a.cmp(b).then(second.cmp(first)));
     order.dedup_by_key(|(engine, _)| *engine);
-    order.iter().map(|(_, at)| targets[*at]).collect()
+    order.iter().map(|(_, at)| Listed::of(&targets[*at])).collect()
 }
--- a/src/daemon/engine_list.rs
+++ b/src/daemon/engine_list.rs
@@ -76,7 +76,8 @@
         let mut context = Context { now, net: &mut self.net, router: &mut self.router };
         self.engines.change(&mut context, &change);
         // In the place of the targets: guards against memory for both at once.
-        let entries = change.targets.into_iter().map(|target| target.entry).collect();
+        let mut entries: Vec<_> = change.targets.into_iter().map(|target| target.entry).collect();
+        entries.shrink_to_fit();
         self.router.membership(change.kind, entries);
     }
 }
