Write docs/CAPACITY.md from measured costs: rows by role, ratios, and what is missing first

Need: figures for 3,200 routers before 30,000 engines, each from a measured slope, none typed by hand.

The capacity crate fits them, reckons the rows at the size, and renders the whole page.

--- a/crates/capacity/src/fit.rs
+++ b/crates/capacity/src/fit.rs
@@ -7,11 +7,14 @@
 
 /// Exponents this close to 1 count as 1: the model is a line.
 pub const LINEAR_BAND: f64 = 0.1;
-/// A line whose relative residual is at most this is kept whatever the exponent: measured processor time differs by as much
-/// between two runs.
-pub const LINE_RESIDUAL: f64 = 0.03;
+/// A line whose relative residual is at most this is kept whatever the exponent: no measurement here is better than
+/// that.
+pub const LINE_RESIDUAL: f64 = 0.01;
 /// A power of the count replaces a line only where its residual is at most this part of the line's.
 pub const POWER_GAIN: f64 = 0.5;
+/// Counts that an exponent is fitted to at least, and that a power is used from: one more than it has unknowns.
+const MIN_EXPONENT_COUNTS: usize = 3;
+const MIN_POWER_COUNTS: usize = 4;
 /// Exponents that are tried, and the step between two of them.
 const MIN_EXPONENT: f64 = 0.1;
 const MAX_EXPONENT: f64 = 3.0;
@@ -85,7 +88,8 @@
 }
 
 /// Fits a cost to its measured points. The model is a line where the best exponent is within [`LINEAR_BAND`] of 1, where the line's
-/// residual is at most [`LINE_RESIDUAL`], or where a power does not take it to [`POWER_GAIN`] of that.
+/// residual is at most [`LINE_RESIDUAL`], where a power does not take it to [`POWER_GAIN`] of that, or where fewer than four counts were
+/// measured.
 ///
 /// # Errors
 /// Where fewer than two counts differ, or a number is not finite and over zero.
@@ -101,7 +105,8 @@
     }
     let line = at_exponent(points, 1.0);
     let best = best_exponent(points, line);
-    let is_line = (best.exponent - 1.0).abs() <= LINEAR_BAND
+    let is_line = different_counts(points) < MIN_POWER_COUNTS
+        || (best.exponent - 1.0).abs() <= LINEAR_BAND
         || line.residual <= LINE_RESIDUAL
         || best.residual > POWER_GAIN * line.residual;
     let (model, used) = if is_line { (Model::Linear, line) } else { (Model::Power, best) };
@@ -125,12 +130,16 @@
     }
 }
 
-/// The exponent with the least residual; 1 where two counts only were measured, or no exponent does better than a line does.
-fn best_exponent(points: &[Point], line: Candidate) -> Candidate {
+fn different_counts(points: &[Point]) -> usize {
     let mut counts: Vec<f64> = points.iter().map(|p| p.count).collect();
     counts.sort_by(f64::total_cmp);
     counts.dedup();
-    if counts.len() < 3 {
+    counts.len()
+}
+
+/// The exponent with the least residual; 1 where too few counts were measured, or no exponent does better than a line does.
+fn best_exponent(points: &[Point], line: Candidate) -> Candidate {
+    if different_counts(points) < MIN_EXPONENT_COUNTS {
         return line;
     }
     let steps = ((MAX_EXPONENT - MIN_EXPONENT) / EXPONENT_STEP).round() as u32;
--- /dev/null
+++ b/crates/capacity/src/page.rs
@@ -0,0 +1,251 @@
+//! Renders `docs/CAPACITY.md` from the measured file: its words stand in a template, its tables and figures are computed.
+
+use std::fmt::Write;
+
+use crate::measured::{Measured, MissingCost, Series, MAX_PREDICTION_ERROR};
+use crate::rows::{rows, Ratio, Role, Row, Usage};
+use crate::rule::rank;
+use crate::size::{self, Constant};
+use crate::text::{number, plain};
+
+const TEMPLATE: &str = include_str!("page.md");
+
+/// One figure of the scale test's file: its key and value as text.
+pub type ScaleFigure = (String, String);
+
+/// The whole page. `scale` holds the scale test's figures, empty where it has not been run.
+///
+/// # Errors
+/// Where a row's cost was not measured.
+pub fn page(measured: &Measured, scale: &[ScaleFigure]) -> Result<String, MissingCost> {
+    let rows = rows(measured)?;
+    let parts = [
+        ("{{command}}", measured.command.clone()),
+        ("{{checksum}}", format!("{:016x}", measured.checksum())),
+        ("{{size}}", sizes()),
+        ("{{rows}}", roles(&rows)),
+        ("{{ratios}}", ratios(&rows)),
+        ("{{chosen}}", chosen(&rows)),
+        ("{{costs}}", costs(measured)),
+        ("{{wrong}}", wrong(measured)),
+        ("{{worked_out}}", worked_out(&rows)),
+        ("{{primary}}", primary()),
+        ("{{scale}}", scale_table(scale)),
+        ("{{error}}", share(MAX_PREDICTION_ERROR)),
+    ];
+    Ok(parts.iter().fold(TEMPLATE.to_owned(), |text, (mark, part)| text.replace(mark, part.trim_end())))
+}
+
+fn share(value: f64) -> String {
+    format!("{}%", number(value * 100.0))
+}
+
+fn exact(constant: &Constant) -> String {
+    let unit =
+        if constant.unit.starts_with('/') { constant.unit.into() } else { format!(" {}", constant.unit) };
+    format!("{}{}", plain(constant.value), unit.trim_end())
+}
+
+fn sizes() -> String {
+    let mut text = String::from("| what | | from |\n| --- | --- | --- |\n");
+    for constant in size::ALL {
+        let _ = writeln!(text, "| {} | {} | {} |", constant.name, exact(&constant), constant.source);
+    }
+    text
+}
+
+fn usage(usage: &Usage) -> String {
+    let said = |value: Option<f64>, unit: &str| value.map(|v| format!("{}{unit}", number(v)));
+    let parts = [
+        said(usage.messages_s, " messages/s"),
+        said(usage.bytes_s, " bytes/s"),
+        usage.cores.map(|c| format!("{} of a core", share(c))),
+        said(usage.memory_mb, " MB"),
+        said(usage.seconds, " s"),
+        said(usage.held, " held"),
+    ];
+    let parts: Vec<String> = parts.into_iter().flatten().collect();
+    if parts.is_empty() {
+        return "-".into();
+    }
+    parts.join("; ")
+}
+
+fn told(ratio: Option<Ratio>) -> String {
+    ratio.map_or("-".into(), |ratio| {
+        let when = if ratio.ordinary { "ordinary day" } else { "worst minute" };
+        format!("**{}** ({}, {when})", number(ratio.value), ratio.of)
+    })
+}
+
+fn roles(rows: &[Row]) -> String {
+    let mut text = String::new();
+    for role in Role::ALL {
+        let _ = writeln!(text, "### {}\n", role.name());
+        text.push_str(
+            "| activity | state held | ordinary day | worst minute | budget | ratio | carried by |\n",
+        );
+        text.push_str("| --- | --- | --- | --- | --- | --- | --- |\n");
+        for row in rows.iter().filter(|row| row.role == role) {
+            let worst = match row.worst_minute {
+                "" => usage(&row.worst),
+                when => format!("{when}: {}", usage(&row.worst)),
+            };
+            let _ = writeln!(
+                text,
+                "| {} (`{}`) | {} | {} | {worst} | {} | {} | {} |",
+                row.activity,
+                row.id,
+                row.state,
+                usage(&row.ordinary),
+                usage(&row.budget),
+                told(row.ratio()),
+                row.mechanism.unwrap_or("**none**"),
+            );
+        }
+        text.push('\n');
+    }
+    text
+}
+
+fn ratios(rows: &[Row]) -> String {
+    let mut text =
+        String::from("| row | ratio | of | rows that cannot work without it |\n| --- | --- | --- | --- |\n");
+    for (row, ratio) in rank(rows).sorted {
+        let when = if ratio.ordinary { "ordinary day" } else { "worst minute" };
+        let needed = match row.needed_by.is_empty() {
+            true => "-".to_owned(),
+            false => row.needed_by.join(", "),
+        };
+        let _ = writeln!(
+            text,
+            "| {}: {} (`{}`) | {} | {}, {when} | {needed} |",
+            row.role.name(),
+            row.activity,
+            row.id,
+            number(ratio.value),
+            ratio.of
+        );
+    }
+    text
+}
+
+fn chosen(rows: &[Row]) -> String {
+    let ranking = rank(rows);
+    let first: Vec<(&Row, Ratio)> = ranking.missing_first().take(3).collect();
+    let name = |(row, ratio): &(&Row, Ratio)| {
+        format!("`{}`, {} ({}: {})", row.id, number(ratio.value), row.role.name(), row.activity)
+    };
+    let Some((chosen, next)) = first.split_first() else {
+        return "No row that others need is over its budget.".into();
+    };
+    let next: Vec<String> = next.iter().map(name).collect();
+    format!("Chosen: {}.\n\nThe next two: {}.", name(chosen), next.join("; "))
+}
+
+fn costs(measured: &Measured) -> String {
+    let mut text = String::from(
+        "| cost | unit, by | measured | constant | slope | exponent | model | residual | spread | largest missed by |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for (name, series) in &measured.series {
+        let _ = writeln!(text, "{}", cost(name, series));
+    }
+    text
+}
+
+fn cost(name: &str, series: &Series) -> String {
+    let points: Vec<String> =
+        series.points().iter().map(|p| format!("{}: {}", plain(p.count), number(p.value))).collect();
+    let head =
+        format!("| `{name}`: {} | {}, {} | {}", series.what, series.unit, series.by, points.join("; "));
+    let repeats = series.samples.iter().map(|s| s.values.len()).max().unwrap_or(0);
+    let spread = if repeats > 1 { share(series.spread()) } else { "once".into() };
+    match series.fit() {
+        Ok(fit) => {
+            let model = match fit.model {
+                crate::Model::Linear => "line",
+                crate::Model::Power => "power",
+            };
+            format!(
+                "{head} | {} | {} | {:.2} | {model}, {} to {} | {} | {spread} | {} |",
+                number(fit.constant),
+                number(fit.slope),
+                fit.exponent,
+                plain(fit.from),
+                plain(fit.to),
+                share(fit.residual),
+                share(series.prediction_error()),
+            )
+        }
+        Err(fault) => format!("{head} | - | - | - | {fault} | - | {spread} | - |"),
+    }
+}
+
+/// Costs whose model misses the largest count by too much.
+fn wrong(measured: &Measured) -> String {
+    let misses = |series: &&Series| series.prediction_error() > MAX_PREDICTION_ERROR;
+    let names: Vec<String> = measured
+        .series
+        .iter()
+        .filter(|(_, series)| misses(series))
+        .map(|(name, series)| {
+            let largest = series.points().last().map_or(0.0, |p| p.count);
+            format!("- `{name}`: missed by {} at {}", share(series.prediction_error()), plain(largest))
+        })
+        .collect();
+    match names.is_empty() {
+        true => "None.".into(),
+        false => names.join("\n"),
+    }
+}
+
+fn worked_out(rows: &[Row]) -> String {
+    let lines = rows.iter().filter(|row| !row.worked_out.is_empty());
+    let lines = lines.map(|row| {
+        let costs: Vec<String> = row.costs.iter().map(|cost| format!("`{cost}`")).collect();
+        let from = if costs.is_empty() { "no measurement".into() } else { costs.join(", ") };
+        format!("| `{}` | {from} | {} |", row.id, row.worked_out)
+    });
+    let lines: Vec<String> = lines.collect();
+    format!("| row | measured costs | worked out |\n| --- | --- | --- |\n{}", lines.join("\n"))
+}
+
+fn primary() -> String {
+    let entries = size::PRIMARY_CHANGES.value * size::PRIMARY_ENTRIES;
+    format!(
+        "{} entries a day for {} changes, of {} entries a day in all",
+        number(entries),
+        plain(size::PRIMARY_CHANGES.value),
+        number(size::entries_a_second() * size::DAY_S)
+    )
+}
+
+/// Which row of the page a figure of the scale test backs.
+const BACKS: [(&str, &str); 13] = [
+    ("control_core_share", "`list-changes`, `membership`, `limits`, `verdicts`"),
+    ("control_mb", "`list-start`, `membership`"),
+    ("control_bytes_per_s", "`list-changes`, `membership`, `limits`, `verdicts`"),
+    ("worst_", "the same in the worst minute"),
+    ("list_learned_s", "`list-start`, `service-start`"),
+    ("list_bytes", "`list-start`, `service-start`"),
+    ("change_everywhere", "`list-changes`, `primary`"),
+    ("config_everywhere", "`configuration`, `tools-configuration`"),
+    ("decision_us", "`deciding`"),
+    ("largest_over_budget", "the rule"),
+    ("mechanism_", "the chosen row"),
+    ("prediction_error", "the model"),
+    ("", "-"),
+];
+
+fn scale_table(figures: &[ScaleFigure]) -> String {
+    if figures.is_empty() {
+        return "`docs/capacity/scale.json` is not there yet: `marljunction-lab scale --json docs/capacity/scale.json` writes it.".into();
+    }
+    let mut text = String::from("| figure | value | row that it backs |\n| --- | --- | --- |\n");
+    for (name, value) in figures {
+        let backs = BACKS.iter().find(|(prefix, _)| name.starts_with(prefix)).map_or("-", |(_, backs)| backs);
+        let _ = writeln!(text, "| `{name}` | {value} | {backs} |");
+    }
+    text
+}
--- /dev/null
+++ b/crates/capacity/src/size.rs
@@ -0,0 +1,207 @@
+//! The size to design for and the budgets at it, once, each with where it comes from.
+
+/// Where most of them come from.
+pub const LETTER: &str = "the operators' letter on the fleet ahead";
+
+/// A number of the size, with its source.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Constant {
+    /// What it is of.
+    pub name: &'static str,
+    /// Its value.
+    pub value: f64,
+    /// Its unit.
+    pub unit: &'static str,
+    /// Where it comes from.
+    pub source: &'static str,
+}
+
+const fn told(name: &'static str, value: f64, unit: &'static str) -> Constant {
+    Constant { name, value, unit, source: LETTER }
+}
+
+const fn assumed(name: &'static str, value: f64, unit: &'static str, source: &'static str) -> Constant {
+    Constant { name, value, unit, source }
+}
+
+/// Routers.
+pub const ROUTERS: Constant = told("routers", 3_200.0, "");
+/// Engines.
+pub const ENGINES: Constant = told("engines (databases)", 30_000.0, "");
+/// Machines set aside for control.
+pub const CONTROL_MACHINES: Constant = told("machines set aside for control", 39.0, "");
+/// Regions.
+pub const REGIONS: Constant = told("regions", 9.0, "");
+/// Zones.
+pub const ZONES: Constant = told("zones", 25.0, "");
+/// Client connections.
+pub const CONNECTIONS: Constant = told("client connections", 18e6, "");
+/// Statements.
+pub const STATEMENTS: Constant = told("statements", 3.5e6, "/s");
+/// Changes of primary.
+pub const PRIMARY_CHANGES: Constant = told("changes of primary", 26.0, "/day");
+/// Time for a change of primary.
+pub const PRIMARY_WITHIN: Constant = told("a change of primary is over within", 16.0, "s");
+/// Changes of configuration.
+pub const CONFIG_CHANGES: Constant = told("changes of configuration", 38_000.0, "/day");
+/// Time for a change of configuration.
+pub const CONFIG_WITHIN: Constant = told("a change of configuration is in force everywhere within", 5.0, "s");
+/// Machines restarted or replaced.
+pub const RESTARTS: Constant = told("machines restarted or replaced", 7_800.0, "/day");
+/// Machines that fail.
+pub const FAILURES: Constant = told("machines that fail", 62.0, "/day");
+/// Time for a restart.
+pub const READY_WITHIN: Constant = told("nine in ten restarted processes are ready within", 10.0, "s");
+/// Part of the routers that a release restarts.
+pub const RELEASE: Constant = told("part of the routers that a release restarts at once", 0.1, "");
+/// Processor time of a router for control.
+pub const CONTROL_CORE: Constant = told("processor time of a router for control", 0.012, "cores");
+/// Memory of a router for control.
+pub const CONTROL_MB: Constant = told("memory of a router for control", 32.0, "MB");
+/// Traffic of a router for control.
+pub const CONTROL_BYTES: Constant = told("traffic of a router for control", 3_000.0, "bytes/s");
+
+/// How late news may be told.
+pub const TOLD_WITHIN: Constant =
+    assumed("news of the list counts as told after", 7.0, "s", "the platform's page on its protocol");
+/// What one router's process can use.
+pub const ROUTER_CORES: Constant = assumed(
+    "processor time of a router for statements",
+    1.0,
+    "cores",
+    "one process, one thread: docs/architecture.md",
+);
+/// Memory of a router for clients.
+pub const ROUTER_MB: Constant = assumed(
+    "memory of a router for clients",
+    192.0,
+    "MB",
+    "the memory limit that the measured program had; the letter names none",
+);
+/// How long a region is away.
+pub const REGION_AWAY: Constant =
+    assumed("a region is away for", 300.0, "s", "the letter says minutes; five are assumed");
+/// What a list service can send.
+pub const SERVICE_BYTES: Constant = assumed(
+    "traffic of one machine of the list service or of control",
+    125e6,
+    "bytes/s",
+    "assumed: one gigabit a second; the letter names none",
+);
+/// Calls that the list service takes.
+pub const SERVICE_CALLS: Constant = assumed(
+    "calls that the list service takes",
+    200.0,
+    "/s",
+    "the default of `start.budget` in the operator's file",
+);
+/// Entries of the configuration.
+pub const CONFIG_ENTRIES: Constant = assumed(
+    "entries of the configuration",
+    30_000.0,
+    "",
+    "assumed: one for each engine; the letter names none",
+);
+/// Keys of limits that are wanted beyond shares.
+pub const LIMIT_KEYS: Constant = assumed(
+    "keys of shared limits that a tenth of the routers want beyond their own units",
+    16.0,
+    "",
+    "assumed; the letter names none",
+);
+/// How long an engine is cold.
+pub const COLD_FOR: Constant =
+    assumed("an engine is cold for", 15.0, "s", "the stand-ins' engines; the letter names none");
+/// Peers that membership keeps.
+pub const PEERS_BOUND: Constant =
+    assumed("peers that one router keeps", 2_000.0, "", "`PEERS_MOST` in crates/peers");
+
+/// Largest datagram.
+pub const DATAGRAM: Constant =
+    assumed("largest datagram between routers", 1_200.0, "bytes", "`DATAGRAM_MOST` in crates/peers");
+
+/// All of them, in the order of the page.
+pub const ALL: [Constant; 29] = [
+    ROUTERS,
+    ENGINES,
+    CONTROL_MACHINES,
+    REGIONS,
+    ZONES,
+    CONNECTIONS,
+    STATEMENTS,
+    PRIMARY_CHANGES,
+    PRIMARY_WITHIN,
+    CONFIG_CHANGES,
+    CONFIG_WITHIN,
+    RESTARTS,
+    FAILURES,
+    READY_WITHIN,
+    RELEASE,
+    CONTROL_CORE,
+    CONTROL_MB,
+    CONTROL_BYTES,
+    TOLD_WITHIN,
+    ROUTER_CORES,
+    ROUTER_MB,
+    REGION_AWAY,
+    SERVICE_BYTES,
+    SERVICE_CALLS,
+    CONFIG_ENTRIES,
+    LIMIT_KEYS,
+    COLD_FOR,
+    PEERS_BOUND,
+    DATAGRAM,
+];
+
+/// Seconds of a day.
+pub const DAY_S: f64 = 86_400.0;
+/// Seconds of the worst minute.
+pub const MINUTE_S: f64 = 60.0;
+/// Entries of the list by which a restart, a failure and a change of primary are told, by the states that the protocol has:
+/// `terminating`, `terminated`, `in_service`; `terminated`, `in_service`; the old primary and the new one.
+pub const RESTART_ENTRIES: f64 = 3.0;
+/// See [`RESTART_ENTRIES`].
+pub const FAILURE_ENTRIES: f64 = 2.0;
+/// See [`RESTART_ENTRIES`].
+pub const PRIMARY_ENTRIES: f64 = 2.0;
+
+/// Part of all machines that are engines.
+pub fn engine_part() -> f64 {
+    ENGINES.value / (ENGINES.value + ROUTERS.value + CONTROL_MACHINES.value)
+}
+
+/// Part of all machines that are routers.
+pub fn router_part() -> f64 {
+    ROUTERS.value / (ENGINES.value + ROUTERS.value + CONTROL_MACHINES.value)
+}
+
+/// Statements a second of one router.
+pub fn statements_of_a_router() -> f64 {
+    STATEMENTS.value / ROUTERS.value
+}
+
+/// Client connections of one router.
+pub fn connections_of_a_router() -> f64 {
+    CONNECTIONS.value / ROUTERS.value
+}
+
+/// Starts of one router's machine in a second.
+pub fn starts_of_a_router() -> f64 {
+    RESTARTS.value * router_part() / ROUTERS.value / DAY_S
+}
+
+/// Entries of the list that change in a second of an ordinary day.
+pub fn entries_a_second() -> f64 {
+    let of_engines = (RESTARTS.value * RESTART_ENTRIES + FAILURES.value * FAILURE_ENTRIES) * engine_part();
+    (of_engines + PRIMARY_CHANGES.value * PRIMARY_ENTRIES) / DAY_S
+}
+
+/// Engines of one zone.
+pub fn zone_engines() -> f64 {
+    ENGINES.value / ZONES.value
+}
+
+/// Entries a second in the minute in which a zone is lost and its engines are replaced.
+pub fn entries_of_a_lost_zone() -> f64 {
+    zone_engines() * FAILURE_ENTRIES / MINUTE_S
+}
--- /dev/null
+++ b/crates/lab/src/capacity/configuration.rs
@@ -0,0 +1,56 @@
+//! What it takes to read the operator's file, by its entries: a change is a whole file read anew.
+
+use marljunction_language::eval::Loader;
+use marljunction_language::read;
+
+use super::clock::timed;
+use super::{repeated, series, Figures};
+
+const ENTRIES: [usize; 4] = [30, 100, 300, 1_000];
+/// What an operator's file may say, as the program holds it against.
+const DEFINITIONS: &str = include_str!("../../../../src/definitions.conf");
+
+struct NoFiles;
+
+impl Loader for NoFiles {
+    fn load(&mut self, _from: &str, name: &str) -> Result<(String, String), String> {
+        Err(format!("no file {name}"))
+    }
+}
+
+/// A file with so many limits, as operators write them.
+fn file(entries: usize) -> String {
+    let limits =
+        (0..entries).map(|n| format!("    limit-{n:05}: {{ at_once: {}, by: \"all\" }}\n", n % 90 + 10));
+    let limits: String = limits.map(|line| line.replace("limit-", "limit_")).collect();
+    format!(
+        "fleet: {{\n  listen: \"127.0.0.1:0\"\n  key: \"key\"\n  seeds: []\n  routers: 3200\n  limits: {{\n{limits}  }}\n}}\n"
+    )
+}
+
+/// Bytes of the file, and processor time to read it (ms).
+fn cost(entries: usize) -> Result<[f64; 2], String> {
+    let text = file(entries);
+    let (ns, outcome) = timed(|| read("operator.conf", &text, &mut NoFiles, DEFINITIONS, "#Main"));
+    match outcome.faults.first() {
+        Some(fault) => Err(format!("the file of {entries} entries can't be read: {fault:?}")),
+        None => Ok([text.len() as f64, ns as f64 / 1e6]),
+    }
+}
+
+/// Measures it all.
+///
+/// # Errors
+/// Where a file can't be read.
+pub fn measure(figures: &mut Figures) -> Result<(), String> {
+    let costs = repeated(&ENTRIES, cost)?;
+    let names = [
+        ("configuration_bytes", "operator's file, bytes", "bytes"),
+        ("configuration_ms", "operator's file, processor time to read and check it", "ms"),
+    ];
+    for (at, (name, what, unit)) in names.into_iter().enumerate() {
+        let of = costs.iter().map(|(n, values)| (*n, values.iter().map(|v| v[at]).collect())).collect();
+        figures.insert(name.into(), series(what, unit, "entries", of));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/capacity/verdicts.rs
@@ -0,0 +1,112 @@
+//! What it costs a router to share what it believes of engines: at rest by routers, and by evidence that changes.
+
+use marljunction_rig::beliefs::{Fleet, MS, S};
+use marljunction_verdicts::witness::Went;
+
+use super::clock::thread_ns;
+use super::{series, Figures};
+
+const ROUTERS: [usize; 4] = [40, 100, 200, 400];
+/// Pieces of evidence that change in each second, over the whole fleet, and the fleet's size for that.
+const CHANGES: [f64; 5] = [0.5, 1.0, 2.0, 4.0, 8.0];
+/// Changes a second that fill all that a router says (count), and the sizes at which that is measured.
+const FULL: f64 = 100.0;
+const CHANGES_ROUTERS: usize = 100;
+const MEASURED_S: u64 = 4;
+/// Bytes of a sealed datagram beside its message: seal, sender (bytes); as [`super::limits`] seals one.
+const SEALED_BYTES: f64 = 70.0;
+
+fn each(n: u64, routers: usize) -> f64 {
+    n as f64 / MEASURED_S as f64 / routers as f64
+}
+
+/// Bytes and processor time (ms) a second of one router at rest, and the time until an operator's word is heard by all (s).
+fn rest(routers: usize) -> [f64; 3] {
+    let mut fleet = Fleet::new(routers, 1);
+    // What is said at a start has gone round.
+    fleet.run(15 * S);
+    let (before, cpu) = ((fleet.messages, fleet.bytes), thread_ns());
+    fleet.run(MEASURED_S * S);
+    let cpu = thread_ns() - cpu;
+    let bytes =
+        each(fleet.bytes - before.1, routers) + each(fleet.messages - before.0, routers) * SEALED_BYTES;
+    let now = fleet.now;
+    fleet.node(0).say(now, "e1", true);
+    let heard = fleet.until(20 * S, "heard", |f| f.all(|n| n.words().get("e1").is_some()));
+    [bytes, each(cpu, routers) / 1e6, heard as f64 / 1e9]
+}
+
+/// Bytes, messages and processor time (ms) a second of one router where so many pieces of evidence change in each second.
+fn changing(routers: usize, changes: f64) -> [f64; 3] {
+    const WARM_UP_NS: u64 = 4 * S;
+    let mut fleet = Fleet::new(routers, 1);
+    fleet.run(10 * S);
+    let (began, mut made) = (fleet.now, 0);
+    let mut before = ((0, 0), 0);
+    while fleet.now < began + WARM_UP_NS + MEASURED_S * S {
+        let passed = fleet.now - began;
+        if passed == WARM_UP_NS {
+            before = ((fleet.messages, fleet.bytes), thread_ns());
+        }
+        while (made as f64) < changes * passed as f64 / 1e9 {
+            // Each router in turn changes its mind of one engine.
+            let went = if made / routers % 2 == 0 { Went::Silent } else { Went::Served(MS) };
+            fleet.ended(made % routers, (made % 20) as u64, went);
+            made += 1;
+        }
+        fleet.run(100 * MS);
+    }
+    let cpu = thread_ns() - before.1;
+    let messages = each(fleet.messages - before.0 .0, routers);
+    let bytes = each(fleet.bytes - before.0 .1, routers) + messages * SEALED_BYTES;
+    [bytes, messages, each(cpu, routers) / 1e6]
+}
+
+/// Measures it all.
+pub fn measure(figures: &mut Figures) {
+    let mut add = |names: [(&str, &str, &str); 3], by: &str, of: Vec<(f64, [f64; 3])>| {
+        for (at, (name, what, unit)) in names.into_iter().enumerate() {
+            let values = of.iter().map(|(count, cost)| (*count, vec![cost[at]])).collect();
+            figures.insert(name.into(), series(what, unit, by, values));
+        }
+    };
+    let names = [
+        (
+            "verdicts_rest_bytes_s",
+            "verdicts, bytes a second of one router at rest, with the seal's part worked out",
+            "bytes/s",
+        ),
+        (
+            "verdicts_rest_ms_s",
+            "verdicts, processor time a second of one router at rest, without sockets",
+            "ms/s",
+        ),
+        ("verdicts_heard_s", "verdicts, time until an operator's word is heard by all", "s"),
+    ];
+    add(names, "routers", ROUTERS.iter().map(|n| (*n as f64, rest(*n))).collect());
+    let names = [
+        (
+            "verdicts_bytes_s",
+            "verdicts, bytes a second of one of 100 routers, with the seal's part worked out",
+            "bytes/s",
+        ),
+        ("verdicts_messages_s", "verdicts, messages a second of one of 100 routers", "1/s"),
+        ("verdicts_ms_s", "verdicts, processor time a second of one of 100 routers, without sockets", "ms/s"),
+    ];
+    let changing_by = CHANGES.iter().map(|n| (*n, changing(CHANGES_ROUTERS, *n))).collect();
+    add(names, "pieces of evidence that change a second", changing_by);
+    let names = [
+        (
+            "verdicts_full_bytes_s",
+            "verdicts, bytes a second of one router, 100 pieces of evidence change a second",
+            "bytes/s",
+        ),
+        ("verdicts_full_messages_s", "verdicts, messages a second of one router, the same", "1/s"),
+        (
+            "verdicts_full_ms_s",
+            "verdicts, processor time a second of one router, the same, without sockets",
+            "ms/s",
+        ),
+    ];
+    add(names, "routers", ROUTERS.iter().map(|n| (*n as f64, changing(*n, FULL))).collect());
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+mod capacity;
 mod cold;
 mod disciplines;
 mod door;
@@ -110,6 +111,24 @@
     /// Hollow routers, told what to do on standard input.
     #[command(hide = true)]
     HollowHost,
+    /// What the program costs by routers, engines, clients and statements, for docs/CAPACITY.md.
+    Capacity {
+        /// Measure; else the figures in the repository are read.
+        #[arg(long)]
+        measure: bool,
+        /// Write the figures, where measured, and the page.
+        #[arg(long)]
+        write: bool,
+        /// Fail where the page is not what the figures say.
+        #[arg(long)]
+        check: bool,
+        /// One part only: decision, list, members, limits, verdicts or configuration. Nothing is written then.
+        #[arg(long, value_name = "PART")]
+        only: Option<String>,
+        /// The router's program; the one beside this one, if not given.
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+    },
     /// Ways to pace a fleet's calls compared in stepped time, without any socket.
     Pacing {
         /// Where to write the figures.
@@ -174,6 +193,10 @@
         }
         Experiment::HollowService => hollow::service::run().map_err(|e| e.to_string()),
         Experiment::HollowHost => hollow::host::run().map_err(|e| e.to_string()),
+        Experiment::Capacity { measure, write, check, only, program } => {
+            let program = if measure { named_or_beside(program)? } else { PathBuf::new() };
+            capacity::run(&capacity::Run { program, measure, write, check, only })
+        }
         Experiment::Pacing { json } => write(json, &ways::run()),
         Experiment::Disciplines { json, seed } => write(json, &disciplines::run(seed)),
     }
