Measure the list by cells beside the whole one: hollow relays and routers of cells

Change: hollow relays read the list service and tell hollow routers of cells their parts over sealed datagrams, with the program's own runtime; the stand-in service says what each cell's part is to be. Datagrams count the bytes that they take.

--- a/crates/fleet/src/runtime.rs
+++ b/crates/fleet/src/runtime.rs
@@ -148,6 +148,11 @@
         self.members.sent().1
     }
 
+    /// Bytes received so far, in all datagrams.
+    pub fn received_bytes(&self) -> u64 {
+        self.datagrams.received_bytes
+    }
+
     /// Peers that can be reached.
     pub fn peers(&self) -> impl Iterator<Item = &Who> {
         self.members.up()
--- a/crates/lab/src/scale/faults.rs
+++ b/crates/lab/src/scale/faults.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use marljunction_rig::hollow::fleet::HollowFleet;
-use marljunction_rig::hollow::protocol::{ListDigest, ListedState, ServiceCommand};
+use marljunction_rig::hollow::protocol::{Expected, ListedState, ServiceCommand};
 use serde::Serialize;
 
 use super::engines_before;
@@ -109,8 +109,8 @@
     (0..all).filter(|number| number % count == of).collect()
 }
 
-fn await_all(fleet: &mut HollowFleet, digest: ListDigest) -> Result<(), ScaleError> {
-    let reached = fleet.await_list(digest, Duration::from_secs(LIMIT_S))?;
+fn await_all(fleet: &mut HollowFleet, list: &Expected) -> Result<(), ScaleError> {
+    let reached = fleet.await_list(list, Duration::from_secs(LIMIT_S))?;
     let routers = fleet.plan().routers;
     let late = ScaleError::Late { routers, what: "all know the list after a fault", seconds: LIMIT_S };
     reached.map(drop).ok_or(late)
@@ -124,13 +124,13 @@
     fleet.stop_routers(&routers)?;
     let told = fleet.change(engines.clone(), ListedState::Terminated)?;
     let since = Instant::now();
-    await_all(fleet, told.digest)?;
+    await_all(fleet, &told.list)?;
     let gone = watch.end(fleet, most, ("zone_gone", most.routers - routers.len() as u32, since))?;
     let watch = Watch::begin(fleet)?;
     let since = Instant::now();
     fleet.start_routers(&routers)?;
     let told = fleet.replace(engines)?;
-    await_all(fleet, told.digest)?;
+    await_all(fleet, &told.list)?;
     let back = watch.end(fleet, most, ("zone_back", routers.len() as u32, since))?;
     Ok([gone, back])
 }
@@ -140,22 +140,22 @@
     let routers = one_in(REGIONS, most.routers, 1);
     let watch = Watch::begin(fleet)?;
     fleet.fault(&ServiceCommand::Cut { routers: routers.clone(), cut: true })?;
-    let digest = change_some(fleet, most)?;
+    let list = change_some(fleet, most)?;
     std::thread::sleep(cut_for);
     fleet.fault(&ServiceCommand::Cut { routers: routers.clone(), cut: false })?;
     let since = Instant::now();
-    await_all(fleet, digest)?;
+    await_all(fleet, &list)?;
     watch.end(fleet, most, ("region_cut", routers.len() as u32, since))
 }
 
 /// A tenth of the routers starts anew, knowing nothing.
 fn restart(fleet: &mut HollowFleet, most: &Measured) -> Result<FaultCost, ScaleError> {
     let routers = one_in(RESTARTED, most.routers, 0);
-    let digest = fleet.counters()?.digest;
+    let list = fleet.counters()?.list;
     let watch = Watch::begin(fleet)?;
     let since = Instant::now();
     fleet.start_routers(&routers)?;
-    await_all(fleet, digest)?;
+    await_all(fleet, &list)?;
     watch.end(fleet, most, ("restart_a_tenth", routers.len() as u32, since))
 }
 
@@ -163,20 +163,20 @@
 fn service(fleet: &mut HollowFleet, most: &Measured, away_for: Duration) -> Result<FaultCost, ScaleError> {
     let watch = Watch::begin(fleet)?;
     fleet.fault(&ServiceCommand::Away(true))?;
-    let digest = change_some(fleet, most)?;
+    let list = change_some(fleet, most)?;
     std::thread::sleep(away_for);
     fleet.fault(&ServiceCommand::Away(false))?;
     let since = Instant::now();
-    await_all(fleet, digest)?;
+    await_all(fleet, &list)?;
     watch.end(fleet, most, ("list_service_away", most.routers, since))
 }
 
 /// Some engines are replaced; gives what the list is then.
-fn change_some(fleet: &mut HollowFleet, most: &Measured) -> Result<ListDigest, ScaleError> {
+fn change_some(fleet: &mut HollowFleet, most: &Measured) -> Result<Expected, ScaleError> {
     let engines = engines_before(most.routers);
-    let mut digest = ListDigest::default();
+    let mut list = Expected::default();
     for change in 0..UNHEARD_CHANGES {
-        digest = fleet.replace(vec![(change * 104_729 + 17) % engines])?.digest;
+        list = fleet.replace(vec![(change * 104_729 + 17) % engines])?.list;
     }
-    Ok(digest)
+    Ok(list)
 }
--- a/crates/lab/src/scale/figures.rs
+++ b/crates/lab/src/scale/figures.rs
@@ -3,6 +3,7 @@
 use marljunction_capacity::{prediction_error, Point};
 use serde_json::{json, Map, Value};
 
+use super::cells::CellsMeasured;
 use super::decide::Decisions;
 use super::faults::FaultCost;
 use super::peers::PeersMeasured;
@@ -28,6 +29,7 @@
     smaller: &[Measured],
     most: &Measured,
     faults: &[FaultCost],
+    cells: &CellsMeasured,
     peers: &[PeersMeasured],
     decisions: &Decisions,
 ) -> Value {
@@ -61,10 +63,10 @@
         "decision_us_30000": decisions.with_30000_us,
         "largest_over_budget": over.map(|(name, ratio)| json!({"row": name, "ratio": ratio})),
         "mechanism_before": most.list_bytes / READY_BYTES,
-        "mechanism_after": null,
-        "mechanism_after_reason": "routers learn only the whole list",
-        "processes": most.processes,
-        "memory_gib": most.memory_gib,
+        "mechanism_after": cells.list_bytes / READY_BYTES,
+        "mechanism_after_worst": cells.list_bytes_most as f64 / READY_BYTES,
+        "processes": most.processes.max(cells.processes),
+        "memory_gib": most.memory_gib.max(cells.memory_gib),
         "real_quiet_core_share": most.real.map(|real| real.quiet_core_share),
         "real_start_processor_ms": most.real.map(|real| real.start_processor_ms),
         "bytes_disagreement": most.bytes_disagreement,
@@ -75,6 +77,7 @@
         );
         all.insert("over_budget".into(), rows.iter().map(|(n, r)| ((*n).to_owned(), json!(r))).collect());
         all.insert("faults".into(), json!(faults));
+        all.insert("cells".into(), json!(cells));
         all.insert("peers".into(), json!(peers));
         let sizes: Vec<&Measured> = smaller.iter().chain([most]).collect();
         all.insert("sizes".into(), json!(sizes));
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -4,6 +4,7 @@
 //! largest, which then goes through faults. Invariants: processor time is read from the hosts' own clocks, bytes are counted by
 //! the list service as it writes and by the routers as they read, and a figure that was not measured is null, with its reason.
 
+mod cells;
 mod decide;
 mod faults;
 mod figures;
@@ -17,6 +18,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
+use cells::CellsMeasured;
 use peers::PeersMeasured;
 use size::Size;
 
@@ -39,9 +41,6 @@
     /// A real router.
     #[error("a real router: {0}")]
     Real(String),
-    /// The files of the fleet's keys.
-    #[error("the fleet's keys: {0}")]
-    Keys(std::io::Error),
     /// The lab does not know where its own program is.
     #[error("this program: {0}")]
     Program(std::io::Error),
@@ -95,11 +94,17 @@
     let faults = faults::run(&mut fleet, &most, quick)?;
     most.note_memory(&fleet);
     drop(fleet);
-    eprintln!("peers");
+    let cells = measure_cells(&run, largest)?;
     let peers = measure_peers(&run)?;
     eprintln!("decisions");
     let decisions = decide::run(quick)?;
-    Ok(figures::tell(&measured, &most, &faults, &peers, &decisions))
+    Ok(figures::tell(&measured, &most, &faults, &cells, &peers, &decisions))
+}
+
+/// The largest fleet with relays, each router with its cell's part only.
+fn measure_cells(run: &Run, routers: u32) -> Result<CellsMeasured, ScaleError> {
+    eprintln!("{routers} routers of cells, with relays");
+    cells::measure(run, routers)
 }
 
 /// What routers say to each other, at each size; in a full run the largest goes through faults.
--- a/crates/lab/src/scale/peers.rs
+++ b/crates/lab/src/scale/peers.rs
@@ -3,20 +3,18 @@
 //! The list is left out, so that each cost is its own. A size at which not all know all in time is told with the fewest peers that a
 //! router knew; its figures are of a fleet that still joins.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
-use marljunction_rig::fleet::KEY;
 use marljunction_rig::hollow::fleet::{FleetPlan, HollowFleet};
-use marljunction_rig::hollow::fleet_side::{key_file, REGIONS};
+use marljunction_rig::hollow::fleet_side::REGIONS;
+use marljunction_rig::hollow::key_files::KeyFiles;
 use marljunction_rig::hollow::protocol::FleetSetup;
 use serde::Serialize;
 
 use super::size::{hosts, module_settings};
 use super::{Run, ScaleError};
 
-/// Another key, for a region that is cut off.
-const OTHER_KEY: &str = "6f746865722d6b65792d6f662d612d726567696f6e2d7468617420776173206f";
 /// Units a second of the one limit.
 const LIMIT_PER_S: f64 = 50_000.0;
 /// Quiet time that is measured (full, quick).
@@ -56,41 +54,12 @@
     pub memory_gib: f64,
 }
 
-/// A folder of keys that goes with this value.
-struct Keys(PathBuf);
-
-impl Keys {
-    fn new(routers: u32) -> Result<Keys, ScaleError> {
-        let dir = std::env::temp_dir().join(format!("marljunction-keys-{}-{routers}", std::process::id()));
-        std::fs::create_dir_all(&dir).map_err(ScaleError::Keys)?;
-        let keys = Keys(dir);
-        for region in 0..REGIONS {
-            keys.write(region, KEY)?;
-        }
-        Ok(keys)
-    }
-
-    fn write(&self, region: u32, key: &str) -> Result<(), ScaleError> {
-        std::fs::write(key_file(&self.0, region), key).map_err(ScaleError::Keys)
-    }
-
-    fn path(&self) -> &Path {
-        &self.0
-    }
-}
-
-impl Drop for Keys {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 /// Measures a fleet of a size; with faults where asked for.
 ///
 /// # Errors
 /// Where a process can't be had or has ended.
 pub fn measure(run: &Run, routers: u32, with_faults: bool) -> Result<PeersMeasured, ScaleError> {
-    let keys = Keys::new(routers)?;
+    let keys = KeyFiles::new(&format!("peers-{routers}"))?;
     let mut fleet = HollowFleet::start(plan(run, routers, keys.path()))?;
     let mut measured = PeersMeasured { routers, ..PeersMeasured::default() };
     let limit = Duration::from_secs(JOIN_LIMIT_S[usize::from(run.quick)]);
@@ -118,6 +87,7 @@
         settings: module_settings(routers),
         module: false,
         list: false,
+        cells: None,
         fleet: Some(fleet),
         seed: run.seed,
     }
@@ -159,7 +129,12 @@
         Ok((processor_s / routers, bytes / routers))
     }
 
-    fn faults(&mut self, fleet: &mut HollowFleet, keys: &Keys, limit: Duration) -> Result<(), ScaleError> {
+    fn faults(
+        &mut self,
+        fleet: &mut HollowFleet,
+        keys: &KeyFiles,
+        limit: Duration,
+    ) -> Result<(), ScaleError> {
         let all: Vec<u32> = (0..self.routers).collect();
         let one_in = |count: u32, of: u32| -> Vec<u32> {
             all.iter().copied().filter(|number| number % count == of).collect()
@@ -173,10 +148,10 @@
         fleet.await_peers(self.routers - 1, limit)?;
 
         let region = one_in(REGIONS, 5);
-        keys.write(5, OTHER_KEY)?;
+        keys.set_cut(5, true)?;
         fleet.reload_keys(&region)?;
         std::thread::sleep(CUT);
-        keys.write(5, KEY)?;
+        keys.set_cut(5, false)?;
         fleet.reload_keys(&region)?;
         let since = Instant::now();
         let back = fleet.await_peers(self.routers - 1, limit)?;
--- a/crates/lab/src/scale/size.rs
+++ b/crates/lab/src/scale/size.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use marljunction_rig::fleet::classes;
+use marljunction_rig::hollow::engine_table::in_zones;
 use marljunction_rig::hollow::fleet::{FleetPlan, HollowFleet};
 use marljunction_rig::hollow::protocol::{ListedState, RouterReport};
 use marljunction_rig::stage::{settings, Site};
@@ -13,9 +14,9 @@
 use super::{engines_before, Run, ScaleError};
 
 /// Calls a second that the list service takes from the fleet.
-const CALLS_PER_S: f64 = 400.0;
+pub const CALLS_PER_S: f64 = 400.0;
 /// Whole lists that the service writes at a time: what is on its way is memory on both sides.
-const CONCURRENT_SNAPSHOTS: usize = 16;
+pub const CONCURRENT_SNAPSHOTS: usize = 16;
 /// Longest time for all routers to know the list after a start (s).
 const START_LIMIT_S: u64 = 180;
 /// Longest time for a change to be everywhere (s).
@@ -140,6 +141,7 @@
             settings: module_settings(self.routers),
             module: false,
             list: true,
+            cells: None,
             fleet: None,
             seed: run.seed,
         }
@@ -163,7 +165,7 @@
         me: 0,
         cold: false,
     };
-    settings(&site).to_string()
+    in_zones(settings(&site)).to_string()
 }
 
 impl Measured {
@@ -179,12 +181,12 @@
     fn start(&mut self, fleet: &mut ScaleFleet) -> Result<(), ScaleError> {
         let empty_kb = fleet.hollow.hosts_usage().resident_kb;
         let numbers: Vec<u32> = (0..self.routers).collect();
-        let digest = fleet.hollow.counters()?.digest;
+        let list = fleet.hollow.counters()?.list;
         let (began, used) = (Instant::now(), fleet.hollow.hosts_usage().processor_ns);
         fleet.hollow.start_routers(&numbers)?;
         fleet.real.start(&fleet.hollow)?;
         let limit = Duration::from_secs(START_LIMIT_S);
-        let reached = fleet.hollow.await_list(digest, limit)?;
+        let reached = fleet.hollow.await_list(&list, limit)?;
         reached.ok_or(self.late("all know the list after a start", START_LIMIT_S))?;
         self.start_all_s = began.elapsed().as_secs_f64();
         let used = fleet.hollow.hosts_usage().processor_ns - used;
@@ -199,7 +201,7 @@
         (self.list_learned_p50_s, self.list_learned_worst_s) = median_and_worst(&mut learned);
         let resident_kb = fleet.hollow.hosts_usage().resident_kb.saturating_sub(empty_kb);
         self.hollow_mb = resident_kb as f64 / 1024.0 / f64::from(self.routers);
-        fleet.real.await_list(digest.engines, &fleet.hollow)?;
+        fleet.real.await_list(list.whole.engines, &fleet.hollow)?;
         Ok(())
     }
 
@@ -227,7 +229,7 @@
                 0 => fleet.hollow.change(engine, ListedState::Terminating)?,
                 _ => fleet.hollow.replace(engine)?,
             };
-            let reached = fleet.hollow.await_list(told.digest, Duration::from_secs(CHANGE_LIMIT_S))?;
+            let reached = fleet.hollow.await_list(&told.list, Duration::from_secs(CHANGE_LIMIT_S))?;
             let reached = reached.ok_or(self.late("a change is everywhere", CHANGE_LIMIT_S))?;
             delays.extend(reached.iter().map(|(_, at)| at.saturating_sub(told.at_ns) as f64 / 1e9));
         }
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -6,8 +6,10 @@
 use std::time::{Duration, Instant};
 
 use marljunction_rig::fleet::classes;
-use marljunction_rig::hollow::fleet::{FleetPlan, HollowFleet};
-use marljunction_rig::hollow::protocol::{ListedState, ServiceCommand, ToldEvent};
+use marljunction_rig::hollow::engine_table::in_zones;
+use marljunction_rig::hollow::fleet::{CellsPlan, FleetPlan, HollowFleet};
+use marljunction_rig::hollow::key_files::KeyFiles;
+use marljunction_rig::hollow::protocol::{FleetSetup, ListedState, ServiceCommand, ToldEvent};
 use marljunction_rig::stage::{settings, Site};
 
 const ROUTERS: u32 = 40;
@@ -35,9 +37,10 @@
         hosts: 2,
         calls_per_s: 200.0,
         concurrent_snapshots: 8,
-        settings: settings(&site).to_string(),
+        settings: in_zones(settings(&site)).to_string(),
         module: true,
         list: true,
+        cells: None,
         fleet: None,
         seed: 1,
     }
@@ -47,22 +50,22 @@
 fn started() -> HollowFleet {
     let mut fleet = HollowFleet::start(plan()).unwrap();
     fleet.start_routers(&(0..ROUTERS).collect::<Vec<_>>()).unwrap();
-    let digest = fleet.counters().unwrap().digest;
-    assert_eq!(digest.engines, u64::from(ENGINES));
-    assert!(fleet.await_list(digest, LIMIT).unwrap().is_some(), "not all learned the list");
+    let list = fleet.counters().unwrap().list;
+    assert_eq!(list.whole.engines, u64::from(ENGINES));
+    assert!(fleet.await_list(&list, LIMIT).unwrap().is_some(), "not all learned the list");
     fleet
 }
 
 #[track_caller]
-fn assert_all_know(fleet: &mut HollowFleet, told: ToldEvent, what: &str) {
-    let reached = fleet.await_list(told.digest, LIMIT).unwrap();
+fn assert_all_know(fleet: &mut HollowFleet, told: &ToldEvent, what: &str) {
+    let reached = fleet.await_list(&told.list, LIMIT).unwrap();
     assert!(reached.is_some(), "{what}: not all know the list");
     // The digests as the routers report them, not only as the hosts compare them.
     let reports = fleet.reports().unwrap();
     assert_eq!(reports.len(), fleet.there().len(), "{what}");
-    let others: Vec<u32> = reports.iter().filter(|r| r.digest != told.digest).map(|r| r.number).collect();
+    let others: Vec<u32> = reports.iter().filter(|r| r.digest != told.list.whole).map(|r| r.number).collect();
     assert!(others.is_empty(), "{what}: {others:?} know another list");
-    assert_eq!(fleet.counters().unwrap().digest, told.digest, "{what}");
+    assert_eq!(fleet.counters().unwrap().list, told.list, "{what}");
 }
 
 fn every(count: u32, all: u32) -> Vec<u32> {
@@ -73,31 +76,31 @@
 fn all_hollow_routers_know_the_services_list_after_each_fault() {
     let mut fleet = started();
     let told = fleet.change(vec![7], ListedState::Terminating).unwrap();
-    assert_all_know(&mut fleet, told, "a drain");
+    assert_all_know(&mut fleet, &told, "a drain");
 
     let zone = every(25, ROUTERS);
     fleet.stop_routers(&zone).unwrap();
     let told = fleet.change(every(25, ENGINES), ListedState::Terminated).unwrap();
-    assert_eq!(told.digest.engines, u64::from(ENGINES - ENGINES / 25));
-    assert_all_know(&mut fleet, told, "a zone gone");
+    assert_eq!(told.list.whole.engines, u64::from(ENGINES - ENGINES / 25));
+    assert_all_know(&mut fleet, &told, "a zone gone");
     fleet.start_routers(&zone).unwrap();
     let told = fleet.replace(every(25, ENGINES)).unwrap();
-    assert_all_know(&mut fleet, told, "a zone back");
+    assert_all_know(&mut fleet, &told, "a zone back");
 
     let region = every(9, ROUTERS);
     fleet.fault(&ServiceCommand::Cut { routers: region.clone(), cut: true }).unwrap();
     let told = fleet.replace(vec![11, 12]).unwrap();
-    assert_eq!(fleet.await_list(told.digest, TOO_LONG).unwrap(), None, "a cut router was told");
+    assert_eq!(fleet.await_list(&told.list, TOO_LONG).unwrap(), None, "a cut router was told");
     fleet.fault(&ServiceCommand::Cut { routers: region, cut: false }).unwrap();
-    assert_all_know(&mut fleet, told, "a region back");
+    assert_all_know(&mut fleet, &told, "a region back");
 
     fleet.start_routers(&every(10, ROUTERS)).unwrap();
-    assert_all_know(&mut fleet, told, "a tenth restarted");
+    assert_all_know(&mut fleet, &told, "a tenth restarted");
 
     fleet.fault(&ServiceCommand::Away(true)).unwrap();
     let told = fleet.replace(vec![13]).unwrap();
     fleet.fault(&ServiceCommand::Away(false)).unwrap();
-    assert_all_know(&mut fleet, told, "the service back");
+    assert_all_know(&mut fleet, &told, "the service back");
 }
 
 #[test]
@@ -138,8 +141,45 @@
     let mut fleet = started();
     fleet.fault(&ServiceCommand::SkipNext { router: 5 }).unwrap();
     let told = fleet.change(vec![9], ListedState::Terminating).unwrap();
-    assert_eq!(fleet.await_list(told.digest, TOO_LONG).unwrap(), None, "nobody missed it");
+    assert_eq!(fleet.await_list(&told.list, TOO_LONG).unwrap(), None, "nobody missed it");
     let reports = fleet.reports().unwrap();
-    let others: Vec<u32> = reports.iter().filter(|r| r.digest != told.digest).map(|r| r.number).collect();
+    let others: Vec<u32> = reports.iter().filter(|r| r.digest != told.list.whole).map(|r| r.number).collect();
     assert_eq!(others, [5]);
 }
+
+#[test]
+fn routers_of_cells_know_their_parts_after_each_fault() {
+    let keys = KeyFiles::new("cells").unwrap();
+    let fleet =
+        FleetSetup { keys: keys.path().to_owned(), seeds: Vec::new(), limit_per_s: None, health: false };
+    let cells = CellsPlan { cells: 2, relays: 3, hosts: 1, ask_ns: 200_000_000 };
+    let mut fleet =
+        HollowFleet::start(FleetPlan { list: false, cells: Some(cells), fleet: Some(fleet), ..plan() })
+            .unwrap();
+    let list = fleet.counters().unwrap().list;
+    fleet.start_relays().unwrap();
+    fleet.start_routers(&(0..ROUTERS).collect::<Vec<_>>()).unwrap();
+    assert!(fleet.await_list(&list, LIMIT).unwrap().is_some(), "not all learned their parts");
+    let reports = fleet.reports().unwrap();
+    let (routers, relays) = reports.split_at(ROUTERS as usize);
+    assert!(relays.iter().all(|relay| relay.digest == list.whole), "{relays:?}");
+    // A zone has 16 engines here, and none of the parts may be all of them, or none would be a part.
+    assert!(routers.iter().all(|router| (1..16).contains(&router.digest.engines)), "{routers:?}");
+    // Of the list service they took nothing.
+    assert!(routers.iter().all(|router| router.received_bytes == 0), "{routers:?}");
+
+    let gone = fleet.plan().relays()[0];
+    fleet.stop_routers(&[gone]).unwrap();
+    let told = fleet.replace(every(7, ENGINES)).unwrap();
+    assert!(fleet.await_list(&told.list, LIMIT).unwrap().is_some(), "a relay gone");
+
+    fleet.fault(&ServiceCommand::Away(true)).unwrap();
+    let told = fleet.replace(every(11, ENGINES)).unwrap();
+    assert_eq!(fleet.await_list(&told.list, TOO_LONG).unwrap(), None, "nobody could know it");
+    fleet.fault(&ServiceCommand::Away(false)).unwrap();
+    assert!(fleet.await_list(&told.list, LIMIT).unwrap().is_some(), "the service back");
+
+    let restarted = every(10, ROUTERS);
+    fleet.start_routers(&restarted).unwrap();
+    assert!(fleet.await_list(&told.list, LIMIT).unwrap().is_some(), "a tenth restarted");
+}
--- a/crates/net/src/datagrams.rs
+++ b/crates/net/src/datagrams.rs
@@ -19,6 +19,8 @@
     pub more: bool,
     /// Datagrams that the machine had no room to send.
     pub unsent: u64,
+    /// Bytes of datagrams that were taken.
+    pub received_bytes: u64,
 }
 
 impl Datagrams {
@@ -29,7 +31,7 @@
     pub fn open(registry: &Registry, token: Token, at: SocketAddr) -> std::io::Result<Datagrams> {
         let mut socket = UdpSocket::bind(at)?;
         registry.register(&mut socket, token, Interest::READABLE)?;
-        Ok(Datagrams { socket, buffer: vec![0; DATAGRAM_MOST], more: false, unsent: 0 })
+        Ok(Datagrams { socket, buffer: vec![0; DATAGRAM_MOST], more: false, unsent: 0, received_bytes: 0 })
     }
 
     /// Where it is open.
@@ -45,7 +47,10 @@
         self.more = false;
         for _ in 0..ROUND_MOST {
             match self.socket.recv_from(&mut self.buffer) {
-                Ok((size, _)) => take(&self.buffer[..size]),
+                Ok((size, _)) => {
+                    self.received_bytes += size as u64;
+                    take(&self.buffer[..size]);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 // A peer that is not there answers so to what was sent to it before.
                 Err(_) => {}
--- a/crates/rig/src/hollow/engine_table.rs
+++ b/crates/rig/src/hollow/engine_table.rs
@@ -3,10 +3,14 @@
 use std::fmt::Write as _;
 use std::net::{Ipv4Addr, SocketAddr};
 
+use marljunction_cells::cell::cell_of;
+use marljunction_cells::{DivideBy, Engine, EngineState};
 use marljunction_discovery::engine_id;
 
+use serde_json::Value;
+
 use super::known_list::fingerprint;
-use super::protocol::{ListDigest, ListedState};
+use super::protocol::{Expected, ListedState};
 
 /// Zones that engines and routers are in (count).
 pub const ZONES: u32 = 25;
@@ -35,6 +39,13 @@
     format!("zone-{:02}", number % ZONES)
 }
 
+/// Settings with the names of all zones; their router is in the first.
+pub fn in_zones(mut settings: Value) -> Value {
+    settings["azs"] = (0..ZONES).map(zone_name).collect();
+    settings["zone"] = zone_name(0).into();
+    settings
+}
+
 impl EngineTable {
     /// So many engines, in service.
     pub fn new(engines: u32) -> EngineTable {
@@ -66,19 +77,22 @@
         self.targets((0..self.rows.len() as u32).filter(there))
     }
 
-    /// What sums the list up.
-    pub fn digest(&self) -> ListDigest {
-        let mut digest = ListDigest::default();
-        for (engine, row) in self.rows.iter().enumerate().filter(|(_, r)| r.state != ListedState::Terminated)
+    /// What the list is, and what the part of each of so many cells a zone is.
+    pub fn expected(&self, cells: u32) -> Expected {
+        let mut expected =
+            Expected { parts: vec![Default::default(); (ZONES * cells) as usize], ..Expected::default() };
+        for (number, row) in self.rows.iter().enumerate().filter(|(_, r)| r.state != ListedState::Terminated)
         {
-            let engine = engine as u32;
-            let id = engine_id(&name(engine, row.generation)).0;
-            let draining = row.state == ListedState::Terminating;
-            let one = fingerprint(id, address(engine), draining, boot_ms(engine, row.generation));
-            digest.engines += 1;
-            digest.sum = digest.sum.wrapping_add(one);
+            let engine = as_told(number as u32, *row);
+            let draining = engine.state == EngineState::Draining;
+            let one = fingerprint(engine.id, engine.address, draining, engine.started_ms);
+            expected.whole.add(one);
+            if cells > 0 {
+                let cell = cell_of(&engine, cells, DivideBy::Engine);
+                expected.parts[part_of(number as u32, cells, cell)].add(one);
+            }
         }
-        digest
+        expected
     }
 
     fn targets(&self, engines: impl Iterator<Item = u32>) -> String {
@@ -105,6 +119,26 @@
     }
 }
 
+/// The place of a cell's part among all parts, by the number of an engine or router of its zone.
+pub fn part_of(number: u32, cells: u32, cell: u32) -> usize {
+    (number % ZONES * cells + cell) as usize
+}
+
+/// An engine as relays are to tell of it.
+fn as_told(number: u32, row: Row) -> Engine {
+    let draining = row.state == ListedState::Terminating;
+    Engine {
+        id: engine_id(&name(number, row.generation)).0,
+        address: address(number),
+        zone: Some(zone_name(number).into()),
+        kind: Some("std".into()),
+        group: None,
+        state: if draining { EngineState::Draining } else { EngineState::Ready },
+        weight: 1.0,
+        started_ms: boot_ms(number, row.generation),
+    }
+}
+
 /// An event of the stream.
 pub fn event(index: u64, all: bool, targets: &str) -> Vec<u8> {
     format!(
--- a/crates/rig/src/hollow/fleet.rs
+++ b/crates/rig/src/hollow/fleet.rs
@@ -7,8 +7,8 @@
 
 use super::child::Obedient;
 use super::protocol::{
-    FleetSetup, HostCommand, HostReport, HostSetup, ListDigest, ListedState, PaceSetup, RouterReport,
-    RouterStart, ServiceCommand, ServiceCounters, ServiceReport, ServiceSetup, ToldEvent,
+    CellsSetup, Expected, FleetSetup, HostCommand, HostReport, HostSetup, ListSource, ListedState, PaceSetup,
+    RouterReport, RouterStart, ServiceCommand, ServiceCounters, ServiceReport, ServiceSetup, ToldEvent,
 };
 use super::usage::Usage;
 use super::HollowError;
@@ -39,14 +39,29 @@
     pub settings: String,
     /// Whether each router's module is told the list.
     pub module: bool,
-    /// Whether routers follow the list service.
+    /// Whether routers follow the list service, where no relays do.
     pub list: bool,
+    /// How the fleet is divided, with relays; each router reads the whole list if none.
+    pub cells: Option<CellsPlan>,
     /// What routers say to each other; nothing if none.
     pub fleet: Option<FleetSetup>,
     /// Seed of all draws.
     pub seed: u64,
 }
 
+/// Cells, and relays that tell them their parts.
+#[derive(Clone, Copy, Debug)]
+pub struct CellsPlan {
+    /// Cells of a zone (count).
+    pub cells: u32,
+    /// Relays (count), and hosts of them: others than the routers'.
+    pub relays: u32,
+    /// See `relays`.
+    pub hosts: u32,
+    /// Time between a router's asks (ns).
+    pub ask_ns: u64,
+}
+
 /// The argument that makes the lab a list service, and the one that makes it a host.
 pub const SERVICE: &str = "hollow-service";
 /// See [`SERVICE`].
@@ -58,7 +73,9 @@
 pub struct HollowFleet {
     plan: FleetPlan,
     service: Obedient<ServiceCommand, ServiceReport>,
+    /// Hosts of routers, then those of relays.
     hosts: Vec<Host>,
+    relays: Vec<SocketAddr>,
     lists: Vec<SocketAddr>,
     there: BTreeSet<u32>,
 }
@@ -71,8 +88,9 @@
     pub fn start(plan: FleetPlan) -> Result<HollowFleet, HollowError> {
         let mut service = Obedient::start(&plan.program, &[SERVICE], "the list service".to_owned())?;
         let setup = ServiceSetup {
-            routers: plan.routers + plan.real_routers,
+            routers: plan.listeners(),
             engines: plan.engines,
+            cells: plan.cells.map_or(0, |cells| cells.cells),
             calls_per_s: plan.calls_per_s,
             concurrent_snapshots: plan.concurrent_snapshots,
         };
@@ -80,10 +98,11 @@
             return Err(other(service.name(), "Started"));
         };
         let mut hosts = Vec::new();
-        for number in 0..plan.hosts {
+        for number in 0..plan.hosts + plan.cells.map_or(0, |cells| cells.hosts) {
             hosts.push(Host::start(&plan.program, &[HOST], format!("host {number}"))?);
         }
-        let mut fleet = HollowFleet { plan, service, hosts, lists, there: BTreeSet::new() };
+        let mut fleet =
+            HollowFleet { plan, service, hosts, relays: Vec::new(), lists, there: BTreeSet::new() };
         fleet.set_up_hosts()?;
         Ok(fleet)
     }
@@ -95,7 +114,7 @@
             pace: self.pace(),
             seed: self.plan.seed,
             module: self.plan.module,
-            list: self.plan.list,
+            list: self.list_source(),
             fleet: self.plan.fleet.clone(),
         };
         for host in &mut self.hosts {
@@ -139,7 +158,10 @@
         let of_host = self.by_host(numbers);
         for (host, numbers) in self.hosts.iter_mut().zip(&of_host) {
             let list = |number: &u32| self.lists.get(*number as usize).map(|list| (*number, *list));
-            let starts = numbers.iter().filter_map(list).map(|(number, list)| RouterStart { number, list });
+            let starts = numbers.iter().filter_map(list).map(|(number, list)| {
+                let relay = number >= self.plan.first_relay();
+                RouterStart { number, list, relay }
+            });
             host.tell(&HostCommand::Start(starts.collect()))?;
         }
         self.there.extend(numbers);
@@ -153,6 +175,27 @@
         Ok(started)
     }
 
+    /// Starts the relays, and tells the hosts where they are.
+    ///
+    /// # Errors
+    /// Where one gets no sockets.
+    pub fn start_relays(&mut self) -> Result<(), HollowError> {
+        // Those that start know where no relay is, and need not.
+        let started = self.start_routers(&self.plan.relays())?;
+        self.relays = started.into_iter().filter_map(|(_, address)| address).collect();
+        self.set_up_hosts()
+    }
+
+    fn list_source(&self) -> ListSource {
+        match self.plan.cells {
+            None if self.plan.list => ListSource::Service,
+            None => ListSource::Nowhere,
+            Some(CellsPlan { cells, ask_ns, .. }) => {
+                ListSource::Relays(CellsSetup { cells, ask_ns, relays: self.relays.clone() })
+            }
+        }
+    }
+
     /// Starts the routers that others join by, and tells the hosts where they are.
     ///
     /// # Errors
@@ -202,7 +245,11 @@
     fn by_host(&self, numbers: &[u32]) -> Vec<Vec<u32>> {
         let mut all = vec![Vec::new(); self.hosts.len()];
         for number in numbers {
-            all[*number as usize % self.hosts.len()].push(*number);
+            let host = match (number.checked_sub(self.plan.first_relay()), self.plan.cells) {
+                (Some(relay), Some(cells)) => self.plan.hosts + relay % cells.hosts,
+                _ => number % self.plan.hosts,
+            };
+            all[host as usize].push(*number);
         }
         all
     }
@@ -252,21 +299,21 @@
         }
     }
 
-    /// Waits until all hollow routers that are there have this list; gives when each came to it (Unix ns), or none where that took
+    /// Waits until all hollow routers that are there have this list, or their part of it; gives when each came to it (Unix ns), or none where that took
     /// longer than the limit.
     ///
     /// # Errors
     /// Where a host has ended.
     pub fn await_list(
         &mut self,
-        digest: ListDigest,
+        expected: &Expected,
         limit: Duration,
     ) -> Result<Option<Vec<(u32, u64)>>, HollowError> {
         let wanted = |report| match report {
-            HostReport::ListReached(reached, when) if reached == digest => Some(when),
+            HostReport::ListReached(reached, when) if reached == expected.whole => Some(when),
             _ => None,
         };
-        let all = self.await_all(&HostCommand::AwaitList(digest), limit, wanted)?;
+        let all = self.await_all(&HostCommand::AwaitList(expected.clone()), limit, wanted)?;
         Ok(all.map(|hosts| hosts.into_iter().flatten().collect()))
     }
 
@@ -322,13 +369,14 @@
         Ok(all)
     }
 
-    /// What the hosts used so far, together.
+    /// What the routers' hosts used so far, together.
     pub fn hosts_usage(&self) -> Usage {
-        self.hosts.iter().map(Obedient::usage).fold(Usage::default(), |sum, one| Usage {
-            processor_ns: sum.processor_ns + one.processor_ns,
-            resident_kb: sum.resident_kb + one.resident_kb,
-            peak_kb: sum.peak_kb + one.peak_kb,
-        })
+        sum_of(&self.hosts[..self.plan.hosts as usize])
+    }
+
+    /// What the relays' hosts used so far, together.
+    pub fn relays_usage(&self) -> Usage {
+        sum_of(&self.hosts[self.plan.hosts as usize..])
     }
 
     /// What the list service used so far.
@@ -347,6 +395,30 @@
     }
 }
 
+impl FleetPlan {
+    /// The number of the first relay: behind the hollow routers and the real ones.
+    pub fn first_relay(&self) -> u32 {
+        self.routers + self.real_routers
+    }
+
+    /// The relays' numbers.
+    pub fn relays(&self) -> Vec<u32> {
+        (self.first_relay()..self.listeners()).collect()
+    }
+
+    fn listeners(&self) -> u32 {
+        self.first_relay() + self.cells.map_or(0, |cells| cells.relays)
+    }
+}
+
+fn sum_of(hosts: &[Host]) -> Usage {
+    hosts.iter().map(Obedient::usage).fold(Usage::default(), |sum, one| Usage {
+        processor_ns: sum.processor_ns + one.processor_ns,
+        resident_kb: sum.resident_kb + one.resident_kb,
+        peak_kb: sum.peak_kb + one.peak_kb,
+    })
+}
+
 fn other(child: &str, wanted: &'static str) -> HollowError {
     HollowError::OtherAnswer { child: child.to_owned(), wanted }
 }
--- a/crates/rig/src/hollow/host.rs
+++ b/crates/rig/src/hollow/host.rs
@@ -9,7 +9,7 @@
 use marljunction_net::clock::Clock;
 use mio::{Events, Poll};
 
-use super::protocol::{HostCommand, HostReport, ListDigest, RouterStart};
+use super::protocol::{Expected, HostCommand, HostReport, RouterStart};
 use super::router::{HollowRouter, Shared, TOKEN_BITS};
 use super::{answer, io, read_commands, HollowError, COMMAND_TOKEN};
 
@@ -32,7 +32,7 @@
     /// Sockets with something to take, in turn, and the same as a set.
     pending: VecDeque<u64>,
     is_pending: BTreeSet<u64>,
-    awaited_list: Option<ListDigest>,
+    awaited_list: Option<Expected>,
     awaited_peers: Option<u32>,
     ticked_ns: u64,
 }
@@ -129,8 +129,8 @@
             HostCommand::Setup(setup) => self.shared = Some(Shared::new(*setup)?),
             HostCommand::Start(starts) => return self.start(&starts).map(Some),
             HostCommand::Stop(numbers) => numbers.iter().for_each(|number| self.stop(*number)),
-            HostCommand::AwaitList(digest) => {
-                self.awaited_list = Some(digest);
+            HostCommand::AwaitList(expected) => {
+                self.awaited_list = Some(expected);
                 return Ok(None);
             }
             HostCommand::AwaitPeers(peers) => {
@@ -180,8 +180,9 @@
 
     /// Answers what is waited for, once it is so.
     fn answer_awaited(&mut self) -> Result<(), HollowError> {
-        if let Some(digest) = self.awaited_list {
-            if self.routers.iter().flatten().all(|router| router.digest() == digest) {
+        if let Some(expected) = &self.awaited_list {
+            if self.routers.iter().flatten().all(|router| router.has(expected)) {
+                let digest = expected.whole;
                 self.awaited_list = None;
                 let routers = self.routers.iter().flatten();
                 let reached = routers.map(|router| (router.number(), router.list_since_ns())).collect();
--- a/crates/rig/src/hollow/known_list.rs
+++ b/crates/rig/src/hollow/known_list.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use marljunction_cells::{Engine, EngineState as CellEngineState, PartNews};
 use marljunction_control::interface::{EngineState, MembershipKind};
 use marljunction_discovery::{Change, Target};
 
@@ -19,12 +20,23 @@
 }
 
 impl KnownList {
-    /// Takes a change.
+    /// Takes a change that the list service told.
     pub fn apply(&mut self, change: &Change) {
         match change.kind {
-            MembershipKind::Full => self.replace(&change.targets),
+            MembershipKind::Full => self.replace(change.targets.iter().map(entry_of_target)),
             // Of a list that is not known to be whole nothing is taken away, and a call that failed names nothing.
-            _ => change.targets.iter().for_each(|target| self.put(target)),
+            _ => change.targets.iter().map(entry_of_target).for_each(|(id, entry)| self.put(id, entry)),
+        }
+    }
+
+    /// Takes news of a cell's part that a relay told.
+    pub fn apply_part(&mut self, news: &PartNews) {
+        match news {
+            PartNews::Whole(engines) => self.replace(engines.iter().map(entry_of_engine)),
+            PartNews::Changed(engines, gone) => {
+                engines.iter().map(entry_of_engine).for_each(|(id, entry)| self.put(id, entry));
+                gone.iter().for_each(|id| self.put(*id, None));
+            }
         }
     }
 
@@ -33,35 +45,37 @@
         ListDigest { engines: self.engines.len() as u64, sum: self.sum }
     }
 
-    fn replace(&mut self, targets: &[Target]) {
-        let there = targets.iter().filter(|target| target.entry.state != EngineState::Gone);
-        self.engines = there.map(|target| (target.entry.engine.0, fingerprint_of(target))).collect();
+    fn replace(&mut self, entries: impl Iterator<Item = (u64, Option<u64>)>) {
+        self.engines = entries.filter_map(|(id, entry)| Some((id, entry?))).collect();
         self.engines.sort_unstable();
         self.sum = self.engines.iter().fold(0, |sum, (_, fingerprint)| sum.wrapping_add(*fingerprint));
     }
 
-    fn put(&mut self, target: &Target) {
-        let (engine, gone) = (target.entry.engine.0, target.entry.state == EngineState::Gone);
-        let fingerprint = fingerprint_of(target);
-        match self.engines.binary_search_by_key(&engine, |(known, _)| *known) {
-            Ok(at) if gone => self.sum = self.sum.wrapping_sub(self.engines.remove(at).1),
-            Ok(at) => {
-                self.sum = self.sum.wrapping_sub(self.engines[at].1).wrapping_add(fingerprint);
-                self.engines[at].1 = fingerprint;
-            }
-            Err(_) if gone => {}
-            Err(at) => {
-                self.engines.insert(at, (engine, fingerprint));
-                self.sum = self.sum.wrapping_add(fingerprint);
-            }
+    /// An engine with its fingerprint; none for one that is gone.
+    fn put(&mut self, engine: u64, entry: Option<u64>) {
+        let at = self.engines.binary_search_by_key(&engine, |(known, _)| *known);
+        let before = at.ok().map_or(0, |at| self.engines[at].1);
+        self.sum = self.sum.wrapping_sub(before).wrapping_add(entry.unwrap_or(0));
+        match (at, entry) {
+            (Ok(at), Some(fingerprint)) => self.engines[at].1 = fingerprint,
+            (Ok(at), None) => drop(self.engines.remove(at)),
+            (Err(at), Some(fingerprint)) => self.engines.insert(at, (engine, fingerprint)),
+            (Err(_), None) => {}
         }
     }
 }
 
-fn fingerprint_of(target: &Target) -> u64 {
+fn entry_of_target(target: &Target) -> (u64, Option<u64>) {
     let entry = &target.entry;
-    let draining = entry.state == EngineState::Draining;
-    fingerprint(entry.engine.0, target.address, draining, entry.started_ns.unwrap_or(0) / 1_000_000)
+    let (id, draining) = (entry.engine.0, entry.state == EngineState::Draining);
+    let one = fingerprint(id, target.address, draining, entry.started_ns.unwrap_or(0) / 1_000_000);
+    (id, (entry.state != EngineState::Gone).then_some(one))
+}
+
+fn entry_of_engine(engine: &Engine) -> (u64, Option<u64>) {
+    let draining = engine.state == CellEngineState::Draining;
+    let one = fingerprint(engine.id, engine.address, draining, engine.started_ms);
+    (engine.id, (engine.state != CellEngineState::Gone).then_some(one))
 }
 
 /// A number that differs where an engine's name, address, state or start differs.
--- a/crates/rig/src/hollow/protocol.rs
+++ b/crates/rig/src/hollow/protocol.rs
@@ -14,6 +14,23 @@
     pub sum: u64,
 }
 
+impl ListDigest {
+    /// Adds an engine by its fingerprint.
+    pub fn add(&mut self, fingerprint: u64) {
+        self.engines += 1;
+        self.sum = self.sum.wrapping_add(fingerprint);
+    }
+}
+
+/// What lists are to be: the whole one, and the part of each cell.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Expected {
+    /// The whole list.
+    pub whole: ListDigest,
+    /// The parts, by zone and then by cell; none where the fleet is not divided.
+    pub parts: Vec<ListDigest>,
+}
+
 /// States of engines, as the list names them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListedState {
@@ -32,6 +49,8 @@
     pub routers: u32,
     /// Engines on the list (count).
     pub engines: u32,
+    /// Cells that the engines of a zone are divided into, where routers hold parts (count); 0 where they do not.
+    pub cells: u32,
     /// Calls a second that it takes.
     pub calls_per_s: f64,
     /// Whole lists that it writes at the same time at most (count); the next call's waits, kept up by comments.
@@ -87,14 +106,14 @@
 }
 
 /// A change that the service told.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ToldEvent {
     /// Number of the event.
     pub index: u64,
     /// When it was told (Unix ns).
     pub at_ns: u64,
-    /// What the list is by it.
-    pub digest: ListDigest,
+    /// What lists are by it.
+    pub list: Expected,
     /// Size of the event (bytes).
     pub bytes: u64,
 }
@@ -110,8 +129,8 @@
     pub taken: u64,
     /// See `taken`.
     pub turned_away: u64,
-    /// What the list is.
-    pub digest: ListDigest,
+    /// What lists are to be.
+    pub list: Expected,
     /// Size of the event that holds the whole list (bytes).
     pub snapshot_bytes: u64,
     /// Routers that follow.
@@ -131,6 +150,28 @@
     pub longest_ns: u64,
 }
 
+/// Where routers learn the list.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ListSource {
+    /// Nowhere.
+    Nowhere,
+    /// All of it, of the list service.
+    Service,
+    /// Their cell's part, of relays, which learn all of it of the list service.
+    Relays(CellsSetup),
+}
+
+/// How a fleet is divided into cells.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CellsSetup {
+    /// Cells of a zone (count).
+    pub cells: u32,
+    /// Time between a router's asks (ns).
+    pub ask_ns: u64,
+    /// Where relays take datagrams.
+    pub relays: Vec<SocketAddr>,
+}
+
 /// The fleet's side of hollow routers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct FleetSetup {
@@ -157,8 +198,8 @@
     pub seed: u64,
     /// Whether the decision module of each router is told the list.
     pub module: bool,
-    /// Whether routers follow the list service.
-    pub list: bool,
+    /// Where routers learn the list.
+    pub list: ListSource,
     /// Membership, limits and health; none where routers do not talk to each other.
     pub fleet: Option<FleetSetup>,
 }
@@ -170,6 +211,8 @@
     pub number: u32,
     /// Where it finds the list service.
     pub list: SocketAddr,
+    /// Whether it is a relay.
+    pub relay: bool,
 }
 
 /// What a host is told.
@@ -181,8 +224,8 @@
     Start(Vec<RouterStart>),
     /// Ends routers at once, without a word to anybody; answered by `Done`.
     Stop(Vec<u32>),
-    /// Answered by `ListReached` once all routers that are there have this list.
-    AwaitList(ListDigest),
+    /// Answered by `ListReached` once all routers that are there have this list, or their part of it.
+    AwaitList(Expected),
     /// Answered by `PeersReached` once all routers that are there know so many peers.
     AwaitPeers(u32),
     /// These routers read their files of keys again; answered by `Done`.
@@ -229,4 +272,6 @@
     pub fleet_datagrams: u64,
     /// See `fleet_datagrams`.
     pub fleet_bytes: u64,
+    /// Bytes of datagrams that came.
+    pub fleet_received_bytes: u64,
 }
--- a/crates/rig/src/hollow/router.rs
+++ b/crates/rig/src/hollow/router.rs
@@ -5,6 +5,7 @@
 
 use marljunction_control::interface::Settings;
 use marljunction_core::{Command, Router};
+use marljunction_discovery::bound::ListBound;
 use marljunction_discovery::stream::Stream;
 use marljunction_discovery::{Change, Pacing};
 use marljunction_net::{Net, Room};
@@ -12,9 +13,11 @@
 use marljunction_settings::{read_settings, Names};
 use mio::{Registry, Token};
 
-use super::fleet_side::FleetSide;
+use super::engine_table::part_of;
+use super::fleet_side::{FleetSide, ListRoleOf, SideStart};
 use super::known_list::KnownList;
-use super::protocol::{HostSetup, ListDigest, RouterReport, RouterStart};
+use super::protocol::{Expected, HostSetup, ListSource, RouterReport, RouterStart};
+use super::relay_feed::{membership_of, RelayFeed};
 use super::{io, HollowError};
 
 /// Part of a token that names the router; the rest numbers its connections.
@@ -57,6 +60,36 @@
     }
 }
 
+/// What a router does about the list.
+enum Role {
+    /// Nothing.
+    Idle,
+    /// It follows the list service.
+    Reader,
+    /// It follows the list service, and tells routers of cells their parts.
+    Relay(RelayFeed),
+    /// It learns the part of its cell, which has this place among all parts.
+    CellRouter(usize),
+}
+
+impl Role {
+    fn of(start: &RouterStart, list: &ListSource, cell: Option<u32>) -> Role {
+        match (list, cell) {
+            (ListSource::Nowhere, _) => Role::Idle,
+            (ListSource::Service, _) => Role::Reader,
+            (ListSource::Relays(_), _) if start.relay => Role::Relay(RelayFeed::default()),
+            (ListSource::Relays(setup), Some(cell)) => {
+                Role::CellRouter(part_of(start.number, setup.cells, cell))
+            }
+            (ListSource::Relays(_), None) => Role::Idle,
+        }
+    }
+
+    fn follows_service(&self) -> bool {
+        matches!(self, Role::Reader | Role::Relay(_))
+    }
+}
+
 /// One router.
 pub struct HollowRouter {
     number: u32,
@@ -69,7 +102,7 @@
     started_ns: u64,
     module: Router,
     tells_module: bool,
-    follows_list: bool,
+    role: Role,
     fleet: Option<FleetSide>,
     shared: Rc<(Settings, Names)>,
     commands: Vec<Command>,
@@ -100,23 +133,34 @@
         let mut module = Router::new(settings.clone(), seed, MEMORY_MB);
         let mut fleet = None;
         if let Some(setup) = &shared.setup.fleet {
-            let who = (start.number, shared.setup.fleet_routers, seed);
-            let socket = (registry, Token(slot));
-            let started = FleetSide::start(now, socket, setup, who, address, (&settings, names), module)?;
+            let side = SideStart {
+                setup,
+                list: ListRoleOf { source: &shared.setup.list, relay: start.relay },
+                number: start.number,
+                routers: shared.setup.fleet_routers,
+                seed,
+                address,
+                settings: &settings,
+                names,
+            };
+            let started = FleetSide::start(now, (registry, Token(slot)), side, module)?;
             module = started.1;
             fleet = Some(started.0);
         }
+        let cell = fleet.as_ref().and_then(FleetSide::cell);
+        let role = Role::of(&start, &shared.setup.list, cell);
         Ok(HollowRouter {
             number: start.number,
             net,
-            stream: Stream::new(now, start.list, names.clone(), 0, pacing),
+            stream: Stream::new(now, start.list, names.clone(), 0, pacing)
+                .with_bound(ListBound::of(MEMORY_MB)),
             list: KnownList::default(),
             list_since_ns: now,
             learned_ns: None,
             started_ns: now,
             module,
             tells_module: shared.setup.module,
-            follows_list: shared.setup.list,
+            role,
             fleet,
             shared: shared.settings.clone(),
             commands: Vec::new(),
@@ -128,9 +172,13 @@
         self.number
     }
 
-    /// What its list is.
-    pub fn digest(&self) -> ListDigest {
-        self.list.digest()
+    /// Whether it has the list that it should have: the whole one, or its cell's part.
+    pub fn has(&self, expected: &Expected) -> bool {
+        let wanted = match self.role {
+            Role::CellRouter(part) => expected.parts.get(part),
+            _ => Some(&expected.whole),
+        };
+        wanted == Some(&self.list.digest())
     }
 
     /// When its list last changed (ns).
@@ -150,20 +198,40 @@
 
     /// Passes time.
     pub fn tick(&mut self, now: u64) {
-        if self.follows_list {
+        if self.role.follows_service() {
             self.stream.tick(now, &mut self.net);
         }
         if let Some(fleet) = &mut self.fleet {
             fleet.runtime().tick(now, &mut self.module);
+            if let Role::Relay(feed) = &mut self.role {
+                feed.pass_time(now, &self.stream, fleet.runtime());
+            }
         }
+        self.follow_relays(now);
         self.turn(now);
     }
 
+    /// Takes what relays told of its cell's part.
+    fn follow_relays(&mut self, now: u64) {
+        let Some(fleet) = &mut self.fleet else { return };
+        for news in fleet.runtime().take_list_news() {
+            self.list.apply_part(&news);
+            if self.tells_module {
+                let (kind, entries) = membership_of(&news, &self.shared.1);
+                self.module.membership(kind, entries);
+            }
+            self.list_since_ns = now;
+            self.learned_ns = self.learned_ns.or(Some(now));
+        }
+    }
+
     /// Takes datagrams that have come; whether there are more to take.
     pub fn ready_fleet(&mut self, now: u64) -> bool {
         let Some(fleet) = &mut self.fleet else { return false };
         fleet.runtime().ready(now, &mut self.module);
-        fleet.runtime().has_more()
+        let has_more = fleet.runtime().has_more();
+        self.follow_relays(now);
+        has_more
     }
 
     /// Reads its file of keys again.
@@ -183,6 +251,9 @@
     }
 
     fn take(&mut self, now: u64, changes: Vec<Change>) {
+        if let (Role::Relay(feed), Some(fleet)) = (&mut self.role, &mut self.fleet) {
+            feed.tell(now, &self.stream, fleet.runtime(), &changes, &self.shared.1);
+        }
         for change in changes {
             self.list.apply(&change);
             if self.tells_module {
@@ -205,6 +276,7 @@
     pub fn report(&self) -> RouterReport {
         let ((calls, turned_away), _) = self.stream.view();
         let (fleet_datagrams, fleet_bytes) = self.fleet.as_ref().map_or((0, 0), FleetSide::sent);
+        let fleet_received_bytes = self.fleet.as_ref().map_or(0, FleetSide::received_bytes);
         RouterReport {
             number: self.number,
             digest: self.list.digest(),
@@ -216,6 +288,7 @@
             peers: self.peers(),
             fleet_datagrams,
             fleet_bytes,
+            fleet_received_bytes,
         }
     }
 }
--- a/crates/rig/src/hollow/service.rs
+++ b/crates/rig/src/hollow/service.rs
@@ -182,8 +182,8 @@
     fn report(&mut self) -> ServiceCounters {
         let followers = self.connections.values().filter(|c| c.phase == Phase::Following).count();
         let snapshot_bytes = self.snapshot_event().len() as u64;
-        let digest = self.table.digest();
-        ServiceCounters { followers: followers as u32, snapshot_bytes, digest, ..self.counters.clone() }
+        let list = self.table.expected(self.setup.cells);
+        ServiceCounters { followers: followers as u32, snapshot_bytes, list, ..self.counters.clone() }
     }
 
     /// Tells all who follow an event of these targets.
@@ -203,7 +203,8 @@
                 self.write(token);
             }
         }
-        ToldEvent { index: self.index, at_ns, digest: self.table.digest(), bytes: text.len() as u64 }
+        let list = self.table.expected(self.setup.cells);
+        ToldEvent { index: self.index, at_ns, list, bytes: text.len() as u64 }
     }
 
     fn snapshot_event(&mut self) -> Arc<[u8]> {
