Hold the kept list's refusal against the bound that follows from the memory limit

The test took a file of 5 MB for too large, which was the constant that has gone: the bound follows from the memory limit now (24.5 MB at the test fleet's 64 MB). The test computes it from the same limit, writes one byte more, and looks for the new words.

--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -38,6 +38,9 @@
 /// Longest advice to clients (ms).
 const LONGEST_MS: u64 = 1_000;
 
+/// Memory limit of each router (MB).
+pub const MEMORY_MB: u32 = 64;
+
 /// The counters of one router by name.
 pub type Counters = Vec<(String, u64)>;
 
@@ -396,7 +399,7 @@
         };
         let config = json!({
             "name": format!("r{name}"), "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "seed": format!("{seed:016x}"),
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 256},
             "coordinator": self.list.address(router).to_string(), "known": known, "settings": settings(&site),
         });
         let path = |name: &str| self.dir.join(format!("{name}-{router}"));
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use marljunction::config::StartFile;
+use marljunction_discovery::bound::ListBound;
 use marljunction_pacing::Pace;
 use marljunction_rig::audit::calls_within;
-use marljunction_rig::fleet::{Fleet, Setup};
+use marljunction_rig::fleet::{Fleet, Setup, MEMORY_MB};
 use marljunction_rig::list::Manner;
 use rand::SeedableRng;
 
@@ -301,12 +302,13 @@
     // One engine is gone by the next start, and some files are not what they were.
     fleet.lose(1);
     let whole = std::fs::read(fleet.own(0)).unwrap();
+    let too_large = ListBound::of(MEMORY_MB.into()).file_bytes + 1;
     let newer = String::from_utf8_lossy(&whole).replacen(" 1 ", " 2 ", 1);
     let spoilt: [(&[u8], &str); 4] = [
         (&whole[..whole.len() / 2], "torn"),
         (newer.as_bytes(), "version 2"),
         (b"", "no kept list"),
-        (&vec![b'x'; 5 << 20], "too large"),
+        (&vec![b'x'; too_large], "bytes are more than the"),
     ];
     for (router, (bytes, _)) in spoilt.iter().enumerate() {
         std::fs::write(fleet.own(router), bytes).unwrap();
