Pass a key's turn on only when the attempt before it is over

Seen, in logs of each attempt of a class in order (scratch copies): (1) a request's time ended, and the next of its key went out in the same millisecond, while the call that gives the attempt up was only being written; (2) an engine stood still, its query was called over 2.35 s after the last call for it, and the next of the key, sent then, broke the rule; (3) an engine crashed, its query's first connection had been closed for silence before, and the next of the key, 0.27 and 0.37 s later, broke the rule. Ruled out: refused attempts, results, errors and ends that the engine had confirmed; breaks whose first connection stood until the crash; the order in which requests are taken.

At fault: Router::time_out (crates/core/src/lib.rs) ended the attempt as it asked for its end; on_outcome (control.rs) freed the key with any outcome, though an ending by a break, by unreadable answers or by time proves no end.

Change: for classes in order the module hears Event::Expired, answers at once, and the turn passes with the attempt's own end; Outcome::over_by_ns keeps the key at rest until the time of an attempt in doubt is over.

The tests fail without the two guards (tried).

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -294,6 +294,7 @@
                     latency_ns,
                     concluded,
                     work_ns: (stats > 0).then_some((stats / 4096) * 1_000_000),
+                    over_by_ns: 0,
                     memory_mb: (stats > 0).then_some((stats % 4096) as f64 * 4.0),
                     report: f.report()?,
                 })
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -350,6 +350,7 @@
                 self.hear(now_ns, engine, report.filter(|_| status == Status::Done), None);
             }
             Event::Left(id) => self.on_left(now_ns, id, out),
+            Event::Expired(id) => self.give_up(id, 0.0, out),
             Event::Timer(TimerToken(SUBSCRIBE_TOKEN)) => out.push(Action::Subscribe),
             Event::Timer(TimerToken(token)) => {
                 let id = RequestId(token >> 8);
@@ -869,9 +870,12 @@
             self.dispatch(now, o.request, out);
         }
         let Some(key) = self.order_key(&request) else { return };
-        if matches!(o.status, Status::TimedOut | Status::Reset | Status::Cancelled) {
+        let unsure = matches!(o.status, Status::TimedOut | Status::Reset | Status::Cancelled);
+        if unsure || o.over_by_ns > now {
             // The attempt may still run: later requests of its key wait, its own next try need not.
-            self.turns.entry(key).or_default().1 = now + self.settings.order_pause_ns.unwrap_or(0);
+            let rests_until = now + self.settings.order_pause_ns.unwrap_or(0);
+            let turn = self.turns.entry(key).or_default();
+            turn.1 = rests_until.max(o.over_by_ns).max(turn.1);
         }
         self.advance(now, key, out);
     }
@@ -907,12 +911,14 @@
         self.settings.max_retry_after_ns.map(|longest| (wait_ns as u64).max(ADVICE_MIN_NS).min(longest))
     }
 
-    /// Final answer at once: a refusal where a retry does no harm, else a failure.
+    /// Final answer at once: a refusal where a retry does no harm, else a failure. Later ones of its key wait
+    /// for an attempt that is still out.
     fn give_up(&mut self, id: RequestId, wait_ns: f64, out: &mut Out) {
         let Some(p) = self.pending.remove(&id) else { return };
         let refuse = Action::Refuse { request: id, retry_after_ns: self.advice(wait_ns) };
-        let harmless = self.harmless(p.request.class, p.may_have_run.is_some());
+        let harmless = self.harmless(p.request.class, p.may_have_run.is_some() || p.out.is_some());
         out.push(if harmless { refuse } else { Action::Fail(id) });
+        self.pending.extend(p.out.map(|_| (id, Pending { concluded: true, ..p })));
     }
 
     // ---- Health ----------------------------------------------------------------------------------
@@ -970,12 +976,10 @@
             // Too late for another attempt: the final answer goes out at once, not with the outcome.
             let left = p.expires_ns.saturating_sub(now) as f64;
             let last = left < r.need_ns / r.threads || !self.may_send(now, p);
-            if let Some(p) = self.pending.get_mut(&id) {
-                (p.cancelled, p.concluded) = (true, last);
-            }
+            self.pending.entry(id).and_modify(|p| p.cancelled = true);
             out.push(Action::Cancel { request: id, attempt });
             if last {
-                out.push(Action::Refuse { request: id, retry_after_ns: self.advice(expected) });
+                self.give_up(id, expected, out);
             }
             return;
         }
--- a/crates/control/src/interface.rs
+++ b/crates/control/src/interface.rs
@@ -324,6 +324,8 @@
     pub memory_mb: Option<f64>,
     /// Load report of the engine, where one came.
     pub report: Option<LoadReport>,
+    /// Clock time until which it may still be running, as its engine did not say that it is over; 0 where it is.
+    pub over_by_ns: u64,
 }
 
 /// News of a running attempt.
@@ -375,6 +377,8 @@
     PeerMessage(u32, Vec<u8>),
     /// The client has left.
     Left(RequestId),
+    /// The request's time is over while an attempt is out whose outcome comes once it is over: its final answer is due.
+    Expired(RequestId),
     /// A timer is due.
     Timer(TimerToken),
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -53,6 +53,7 @@
         concluded: status == Status::Done,
         work_ns: None,
         memory_mb: None,
+        over_by_ns: 0,
         report: None,
     }
 }
--- a/crates/control/tests/rules.rs
+++ b/crates/control/tests/rules.rs
@@ -216,6 +216,42 @@
     assert!(sent(&w.at(1_100).on(Event::Timer(token))).is_some());
 }
 
+#[test]
+fn a_request_whose_time_is_over_is_answered_at_once_and_its_key_waits_for_its_attempt() {
+    for (effect, harmless) in [(Effect::Deduplicated, true), (Effect::AtMostOnce, false)] {
+        let mut s = serial();
+        s.classes[1].effect = effect;
+        let mut w = World::new(s, &[1, 2]);
+        let first = sent(&w.arrive(keyed(1, 5))).unwrap();
+        w.arrive(keyed(2, 5));
+        let actions = w.at(2_000).on(Event::Expired(RequestId(1)));
+        assert_eq!((refused(&actions), failed(&actions)), (harmless, !harmless));
+        assert_eq!(sent(&actions), None, "its attempt is out");
+        let ended = Outcome { concluded: true, ..outcome(1, 0, first, Status::Cancelled, 2_100) };
+        assert!(sent(&w.at(2_100).end(ended)).is_some());
+    }
+}
+
+#[test]
+fn a_key_rests_until_an_attempt_whose_end_is_not_known_must_be_over() {
+    // The request has no further attempt, or one that is served: the first one may still run.
+    for attempts in [1, 2] {
+        let mut w = World::new(Settings { max_attempts: Some(attempts), ..serial() }, &[1, 2]);
+        let first = sent(&w.arrive(keyed(1, 5))).unwrap();
+        w.arrive(keyed(2, 5));
+        let unknown = Outcome { over_by_ns: T0 + 1_500 * MS, ..outcome(1, 0, first, Status::Reset, 100) };
+        let mut actions = w.at(100).end(unknown);
+        if attempts == 2 {
+            let second = sent(&actions).expect("its own next attempt need not wait");
+            actions = w.at(500).end(outcome(1, 1, second, Status::Done, 400));
+        }
+        assert_eq!(sent(&actions), None);
+        let (after, token) = timers(&actions)[0];
+        assert_eq!(w.now + after, T0 + 1_500 * MS);
+        assert!(sent(&w.at(1_500).on(Event::Timer(token))).is_some());
+    }
+}
+
 #[test]
 fn a_waiting_request_is_refused_as_soon_as_its_need_no_longer_fits() {
     let mut w = World::new(serial(), &[1, 2]);
--- a/crates/core/src/ending.rs
+++ b/crates/core/src/ending.rs
@@ -33,6 +33,8 @@
     TimedOut,
     /// The attempt was given up.
     GivenUp,
+    /// The attempt was given up, and its engine could not be told.
+    Abandoned,
     /// The attempt was given up before its call was wholly written: it never ran.
     Withdrawn,
     /// The client closed its connection, or it broke.
@@ -72,7 +74,7 @@
 }
 
 /// All endings, for counters.
-pub const ENDINGS: [(Ending, &str); 20] = [
+pub const ENDINGS: [(Ending, &str); 21] = [
     (Ending::Served, "served"),
     (Ending::EngineError, "engine_error"),
     (Ending::Full, "full"),
@@ -87,6 +89,7 @@
     (Ending::Garbled, "garbled"),
     (Ending::TimedOut, "timed_out"),
     (Ending::GivenUp, "given_up"),
+    (Ending::Abandoned, "abandoned"),
     (Ending::Withdrawn, "withdrawn"),
     (Ending::ClientGone, "client_gone"),
     (Ending::Forgotten, "forgotten"),
@@ -110,7 +113,7 @@
             }
             Ending::Cut => Meaning::Outcome(Status::Reset),
             Ending::TimedOut => Meaning::Outcome(Status::TimedOut),
-            Ending::GivenUp | Ending::Withdrawn => Meaning::Outcome(Status::Cancelled),
+            Ending::GivenUp | Ending::Abandoned | Ending::Withdrawn => Meaning::Outcome(Status::Cancelled),
             Ending::ClientGone | Ending::Forgotten => Meaning::Left,
             Ending::Idle | Ending::Silent | Ending::Shutdown => Meaning::Nothing,
         }
@@ -133,6 +136,12 @@
         }
     }
 
+    /// Whether an attempt that ended so may still be running until its time is over: its engine did not say that it ended, and
+    /// one that stands still may go on with it later.
+    pub fn leaves_doubt(self) -> bool {
+        matches!(self, Ending::Cut | Ending::Garbled | Ending::TimedOut | Ending::Abandoned)
+    }
+
     /// The one place where an ending becomes evidence of its engine.
     pub fn sight(self) -> Sight {
         match self {
@@ -142,6 +151,7 @@
             | Ending::Cut
             | Ending::TimedOut
             | Ending::GivenUp
+            | Ending::Abandoned
             | Ending::Withdrawn => Sight::Silent,
             Ending::Garbled => Sight::Spoilt,
             // It answered, or was never reached for reasons of this router's own.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -574,8 +574,7 @@
                 }
                 let Some(open) = self.open.get(&id) else { return };
                 // Guards against a request that passes an earlier one of its key at the door: the module keeps their order.
-                let ordered = open.ask.order_key.is_some() && self.classes[open.ask.class.0].serial_by_key;
-                if self.door.is_none() || ordered {
+                if self.door.is_none() || self.takes_turns(&open.ask) {
                     return self.show(now, id, out);
                 }
                 let arrival = self.at_door(id, open);
@@ -680,6 +679,7 @@
             work_ns: None,
             memory_mb: None,
             report,
+            over_by_ns: if ending.leaves_doubt() { open.expires_ns } else { 0 },
         };
         debug!(
             "{} attempt {} on {:016x} ended {ending:?} after {} ms",
@@ -693,11 +693,25 @@
     }
 
     fn time_out(&mut self, now: u64, at: Attempt, out: &mut Vec<Command>) {
-        let current = self.open.get(&at.request).and_then(|o| o.out.as_ref());
-        if current.is_some_and(|c| c.number == at.number) {
+        let Some(open) = self.open.get(&at.request) else { return };
+        let Some(ran) = open.out.as_ref().filter(|ran| ran.number == at.number) else { return };
+        let (concluded, given_up) = (open.concluded, ran.given_up_ns.is_some());
+        if !self.takes_turns(&open.ask) {
             out.push(Command::GiveUp(at));
-            self.end_attempt(now, at, Ending::TimedOut, None, None, out);
+            return self.end_attempt(now, at, Ending::TimedOut, None, None, out);
         }
+        // Guards against the next request of the key running beside this attempt: it is out until its engine has been told.
+        if !concluded {
+            self.decide(now, Event::Expired(at.request), out);
+        }
+        if !given_up {
+            self.act(now, Action::Cancel { request: at.request, attempt: at.number }, out);
+        }
+    }
+
+    /// Whether a request takes turns with others of its key.
+    fn takes_turns(&self, ask: &Ask) -> bool {
+        ask.order_key.is_some() && self.classes[ask.class.0].serial_by_key
     }
 
     /// Guards against a request that nobody answers: its time is over, so it fails, or is refused where no
--- a/crates/core/tests/round.rs
+++ b/crates/core/tests/round.rs
@@ -92,3 +92,63 @@
     assert!(starts(&turn(&mut router, T0)).is_empty());
     assert_eq!((router.counters.left_unsent, router.counters.sent, router.owed()), (1, 0, 0));
 }
+
+/// Takes a request of a class in order, of the one key that there is.
+fn take_in_order(router: &mut Router, call: u64, time_left_ns: u64) -> RequestId {
+    let (name, work_estimate_ns) = (format!("{call:016x}"), Some(100 * MS));
+    let ask = Ask { name, order_key: Some(5), time_left_ns, work_estimate_ns, ..Ask::default() };
+    router.take(T0, Client { conn: 1, call }, ask)
+}
+
+fn in_order() -> Router {
+    router(ClassSettings { effect: Effect::AtMostOnce, serial_by_key: true, ..ClassSettings::default() })
+}
+
+#[test]
+fn a_request_whose_time_is_over_is_answered_then_and_the_next_of_its_key_waits_until_its_attempt_has_ended() {
+    let mut router = in_order();
+    let first = take_in_order(&mut router, 1, 1_000 * MS);
+    take_in_order(&mut router, 2, 8_000 * MS);
+    assert_eq!(starts(&turn(&mut router, T0)).len(), 1);
+    let commands = turn(&mut router, T0 + 1_000 * MS);
+    assert!(commands.iter().any(|c| matches!(c, Command::Answer(_, Answer::Failed(..)))), "{commands:?}");
+    assert!(commands.iter().any(|c| matches!(c, Command::GiveUp(_))), "{commands:?}");
+    assert!(starts(&commands).is_empty(), "its engine has not been told yet");
+    router.ended(Attempt { request: first, number: 0 }, Ending::GivenUp, None, None);
+    assert_eq!(starts(&turn(&mut router, T0 + 1_010 * MS)).len(), 1);
+    assert_eq!((router.counters.failed, router.owed()), (1, 1));
+}
+
+#[test]
+fn one_that_is_given_up_as_its_time_ends_keeps_its_key_too() {
+    let mut router = in_order();
+    let first = take_in_order(&mut router, 1, 1_000 * MS);
+    take_in_order(&mut router, 2, 8_000 * MS);
+    turn(&mut router, T0);
+    router.leave(first, Ending::ClientGone);
+    assert!(starts(&turn(&mut router, T0 + 900 * MS)).is_empty());
+    assert!(starts(&turn(&mut router, T0 + 1_100 * MS)).is_empty(), "its engine has not been told yet");
+    router.ended(Attempt { request: first, number: 0 }, Ending::GivenUp, None, None);
+    assert_eq!(starts(&turn(&mut router, T0 + 1_200 * MS)).len(), 1);
+}
+
+#[test]
+fn the_next_of_a_key_waits_until_an_attempt_whose_end_is_not_known_must_be_over() {
+    for (ending, waits) in [
+        (Ending::Cut, true),
+        (Ending::Garbled, true),
+        (Ending::Abandoned, true),
+        (Ending::EngineError, false),
+        (Ending::GivenUp, false),
+    ] {
+        let mut router = in_order();
+        let first = take_in_order(&mut router, 1, 1_000 * MS);
+        take_in_order(&mut router, 2, 8_000 * MS);
+        turn(&mut router, T0);
+        router.ended(Attempt { request: first, number: 0 }, ending, None, None);
+        let soon =
+            starts(&turn(&mut router, T0 + 100 * MS)).len() + starts(&turn(&mut router, T0 + 990 * MS)).len();
+        let later = starts(&turn(&mut router, T0 + 1_000 * MS)).len();
+        assert_eq!((soon, later), if waits { (0, 1) } else { (1, 0) }, "{ending:?}");
+    }
+}
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -321,9 +321,9 @@
         let found = self.line(cx, engine, Role::GiveUp(at), false);
         match found {
             Ok(conn) => self.tell_leaving_on(cx, at, conn),
-            Err(Ending::Refused) if !self.heard_on(at) => self.end(cx, at, Ending::GivenUp),
+            Err(Ending::Refused) if !self.heard_on(at) => self.end(cx, at, Ending::Abandoned),
             // A query that nobody asks for ends by itself.
-            Err(_) if cx.now >= asked_ns + FORGOTTEN_NS => self.end(cx, at, Ending::GivenUp),
+            Err(_) if cx.now >= asked_ns + FORGOTTEN_NS => self.end(cx, at, Ending::Abandoned),
             Err(_) => {
                 if let Some(leaving) = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut()) {
                     (leaving.conn, leaving.again_ns) = (None, cx.now + ASK_AGAIN_NS / 2);
@@ -492,11 +492,11 @@
             }
             Role::GiveUp(at) => {
                 if !up && ending == Ending::Refused && !self.heard_on(at) {
-                    return self.end(cx, at, Ending::GivenUp);
+                    return self.end(cx, at, Ending::Abandoned);
                 }
                 let asked_ns = self.runs.get(&at).map_or(0, |r| r.asked_ns);
                 if cx.now >= asked_ns + FORGOTTEN_NS {
-                    return self.end(cx, at, Ending::GivenUp);
+                    return self.end(cx, at, Ending::Abandoned);
                 }
                 if let Some(leaving) = self.runs.get_mut(&at).and_then(|r| r.leaving.as_mut()) {
                     (leaving.conn, leaving.again_ns) =
@@ -703,7 +703,7 @@
             let asked_ns = self.runs.get(&at).map_or(0, |r| r.asked_ns);
             match leaving {
                 false => self.ask(cx, at, None),
-                true if cx.now > asked_ns + FORGOTTEN_NS => self.end(cx, at, Ending::GivenUp),
+                true if cx.now > asked_ns + FORGOTTEN_NS => self.end(cx, at, Ending::Abandoned),
                 true => self.tell_leaving(cx, at),
             }
         }
--- a/crates/front/src/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -107,7 +107,7 @@
         (Some(Ending::Cut), _) => {
             ("08007".into(), "the engine was lost: the statement may have run".to_owned())
         }
-        (Some(Ending::GivenUp | Ending::Withdrawn), _) => {
+        (Some(Ending::GivenUp | Ending::Abandoned | Ending::Withdrawn), _) => {
             ("57014".into(), "the statement took too long and was given up".into())
         }
         (Some(Ending::EngineError), None) => ("58000".into(), "the engine reported an error".into()),
