--- a/crates/discovery/tests/large_consul.rs
+++ b/crates/discovery/tests/large_consul.rs
@@ -8,6 +8,7 @@
 
 use common::{answer, chunked, listen, names, pacing, said, Wire, MS, T0};
 use marljunction_control::interface::EngineState;
+use marljunction_discovery::answer::{Answer, AnswerReader, Asked};
 use marljunction_discovery::bound::ListBound;
 use marljunction_discovery::consul::Consul;
 use marljunction_discovery::refused::Reason;
@@ -224,3 +225,23 @@
     );
     bed.learn(30_000, false);
 }
+
+#[test]
+fn an_answer_that_is_no_list_or_not_whole_is_refused_wherever_it_is_cut() {
+    let read = |text: &str, piece: usize| {
+        let mut reader = AnswerReader::new(Asked::Health, ListBound::default());
+        text.as_bytes()
+            .chunks(piece)
+            .try_for_each(|part| reader.push(part, &names()))
+            .and_then(|()| reader.finish())
+    };
+    let whole = health(2);
+    for text in ["", "null", "{}", "[", "[]x", "[[]]", "[7]", "7", "[]]", "[{}]", &whole[..whole.len() - 1]] {
+        assert!((1..9).all(|piece| read(text, piece).is_err()), "{text}");
+    }
+    let states = |piece| match read(&whole, piece) {
+        Ok(Answer::Health(states)) => states.len(),
+        other => panic!("{other:?}"),
+    };
+    assert!((1..whole.len()).all(|piece| states(piece) == 2));
+}
