--- a/crates/discovery/src/kept.rs
+++ b/crates/discovery/src/cached_snapshot.rs
@@ -128,7 +128,7 @@
 
 /// When the list is to be written.
 #[derive(Clone, Debug, Default)]
-pub struct Kept {
+pub struct CachedSnapshot {
     bound: ListBound,
     changed: bool,
     written_ns: u64,
@@ -136,10 +136,10 @@
     told: [bool; 2],
 }
 
-impl Kept {
+impl CachedSnapshot {
     /// A list that is kept up to a bound.
-    pub fn new(bound: ListBound) -> Kept {
-        Kept { bound, ..Kept::default() }
+    pub fn new(bound: ListBound) -> CachedSnapshot {
+        CachedSnapshot { bound, ..CachedSnapshot::default() }
     }
 
     /// The list has changed.
--- a/crates/discovery/src/consul.rs
+++ b/crates/discovery/src/consul.rs
@@ -5,7 +5,7 @@
 
 use log::{info, warn};
 
-use super::age::Age;
+use super::staleness::Staleness;
 use super::{taken, Change, Fault, Pacing, Target, BYTE_NS};
 use crate::answer::{Answer, AnswerReader, Asked};
 use crate::bound::ListBound;
@@ -50,7 +50,7 @@
     catalog: Option<Vec<Target>>,
     /// By engine, in order.
     health: Option<Vec<(EngineId, EngineState)>>,
-    age: Age,
+    staleness: Staleness,
 }
 
 /// Each router is two callers.
@@ -185,8 +185,8 @@
             Watch::new(Asked::Catalog, bound, Pacer::new(catalog, pacing.seed, now)),
             Watch::new(Asked::Health, bound, Pacer::new(health, !pacing.seed, now)),
         ];
-        let age = Age::new(now, pacing.stale_ns + SILENT_NS);
-        Consul { address, service, names, bound, watches, catalog: None, health: None, age }
+        let staleness = Staleness::new(now, pacing.stale_ns + SILENT_NS);
+        Consul { address, service, names, bound, watches, catalog: None, health: None, staleness }
     }
 
     /// Watches that take answers up to a bound.
@@ -205,18 +205,18 @@
         for (watch, pace) in self.watches.iter_mut().zip(for_watches(pace)) {
             watch.pacer.set_pace(pace);
         }
-        self.age.set_stale(stale_ns + SILENT_NS);
+        self.staleness.set_stale(stale_ns + SILENT_NS);
     }
 
     /// How old the news is, to be told.
-    pub fn age_mut(&mut self) -> &mut Age {
-        &mut self.age
+    pub fn staleness_mut(&mut self) -> &mut Staleness {
+        &mut self.staleness
     }
 
     /// Calls made and turned away, and how old the news is.
-    pub fn view(&self) -> ((u64, u64), &Age) {
+    pub fn view(&self) -> ((u64, u64), &Staleness) {
         let [a, b] = [0, 1].map(|i| self.watches[i].pacer.calls());
-        ((a.0 + b.0, a.1 + b.1), &self.age)
+        ((a.0 + b.0, a.1 + b.1), &self.staleness)
     }
 
     /// Asks where nothing is being asked and a query is due; gives up a query that is silent for too long.
@@ -236,7 +236,7 @@
                 Err(_) => watch.pacer.failed(now, Failure::Away),
             }
         }
-        self.age.tick(now);
+        self.staleness.tick(now);
     }
 
     /// Asks at another address. Its indexes are its own: both watches start anew there.
@@ -293,7 +293,7 @@
         }
         // One answer that is not taken leaves what is known as old as it is.
         if !self.watches.iter().any(|watch| watch.refused.is_too_large()) {
-            self.age.heard(now);
+            self.staleness.heard(now);
         }
         self.tick(now, net);
         self.list()
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -2,16 +2,16 @@
 
 #![forbid(unsafe_code)]
 
-pub mod age;
 pub mod answer;
 pub mod bans;
 pub mod bound;
+pub mod cached_snapshot;
 pub mod consul;
 pub mod event;
-pub mod kept;
 pub mod refused;
 pub mod roster;
 pub mod split;
+pub mod staleness;
 pub mod stream;
 pub mod update;
 
@@ -34,7 +34,7 @@
     pub pace: Pace,
     /// Seed of this router's draws: no other router's.
     pub seed: u64,
-    /// Age from which news counts as too old (ns).
+    /// Staleness from which news counts as too old (ns).
     pub stale_ns: u64,
 }
 
@@ -66,8 +66,8 @@
     /// What is known was last right then (ns), as of a list that was kept.
     pub fn set_heard(&mut self, heard_ns: u64) {
         match self {
-            Source::Stream(stream) => stream.age_mut().set_heard(heard_ns),
-            Source::Consul(consul) => consul.age_mut().set_heard(heard_ns),
+            Source::Stream(stream) => stream.staleness_mut().set_heard(heard_ns),
+            Source::Consul(consul) => consul.staleness_mut().set_heard(heard_ns),
         }
     }
 
@@ -94,7 +94,7 @@
 
     /// What calls for news came to, and how old the news is, as counters.
     pub fn line(&self, now: u64) -> String {
-        let ((calls, turned_away), age) = match self {
+        let ((calls, turned_away), staleness) = match self {
             Source::Stream(stream) => stream.view(),
             Source::Consul(consul) => consul.view(),
         };
@@ -105,9 +105,9 @@
         let ms = |ns: u64| ns / 1_000_000;
         format!(
             "list_calls={calls} list_turned_away={turned_away} list_age_ms={} list_age_most_ms={} list_stale={} {refused}",
-            ms(age.age_ns(now)),
-            ms(age.longest_ns),
-            age.times
+            ms(staleness.age_ns(now)),
+            ms(staleness.longest_ns),
+            staleness.times
         )
     }
 
--- a/crates/discovery/src/age.rs
+++ b/crates/discovery/src/staleness.rs
@@ -1,10 +1,10 @@
-//! How old the news of the engines is: pure, times are passed in.
+//! Staleness of the news of the engines: pure, times are passed in.
 
 use log::{info, warn};
 
 /// Says when news got too old and when it is fresh again, once each.
 #[derive(Clone, Debug)]
-pub struct Age {
+pub struct Staleness {
     stale_ns: u64,
     heard_ns: u64,
     told: bool,
@@ -14,10 +14,10 @@
     pub longest_ns: u64,
 }
 
-impl Age {
+impl Staleness {
     /// News that is fresh now, and counts as too old `stale_ns` after it was last heard.
-    pub fn new(now: u64, stale_ns: u64) -> Age {
-        Age { stale_ns, heard_ns: now, told: false, times: 0, longest_ns: 0 }
+    pub fn new(now: u64, stale_ns: u64) -> Staleness {
+        Staleness { stale_ns, heard_ns: now, told: false, times: 0, longest_ns: 0 }
     }
 
     /// What is known was last right then (ns), as of a list that was kept.
--- a/crates/discovery/src/stream.rs
+++ b/crates/discovery/src/stream.rs
@@ -4,7 +4,7 @@
 
 use log::{debug, info, warn};
 
-use super::age::Age;
+use super::staleness::Staleness;
 use super::{taken, Change, Fault, Pacing, BYTE_NS};
 use crate::bound::ListBound;
 use crate::event::{Event, EventReader};
@@ -36,7 +36,7 @@
     /// No event has come on this connection yet.
     fresh: bool,
     pacer: Pacer,
-    age: Age,
+    staleness: Staleness,
     refused: Refused,
 }
 
@@ -55,7 +55,7 @@
             spoilt: None,
             fresh: true,
             pacer: Pacer::new(pacing.pace, pacing.seed, now),
-            age: Age::new(now, pacing.stale_ns),
+            staleness: Staleness::new(now, pacing.stale_ns),
             refused: Refused::default(),
         }
     }
@@ -67,8 +67,8 @@
     }
 
     /// Calls made and turned away, and how old the news is.
-    pub fn view(&self) -> ((u64, u64), &Age) {
-        (self.pacer.calls(), &self.age)
+    pub fn view(&self) -> ((u64, u64), &Staleness) {
+        (self.pacer.calls(), &self.staleness)
     }
 
     /// What of the news was refused.
@@ -84,12 +84,12 @@
     /// Paces calls so from the next one on.
     pub fn set_pace(&mut self, pace: Pace, stale_ns: u64) {
         self.pacer.set_pace(pace);
-        self.age.set_stale(stale_ns);
+        self.staleness.set_stale(stale_ns);
     }
 
     /// How old the news is, to be told.
-    pub fn age_mut(&mut self) -> &mut Age {
-        &mut self.age
+    pub fn staleness_mut(&mut self) -> &mut Staleness {
+        &mut self.staleness
     }
 
     /// Opens the stream where it is closed and a call is due, and closes it where it is silent.
@@ -105,7 +105,7 @@
             },
             _ => {}
         }
-        self.age.tick(now);
+        self.staleness.tick(now);
     }
 
     /// When the stream is taken for dead. Guards against an event that never comes to its end, a byte at a time, and keeps those
@@ -222,7 +222,7 @@
         }
         // A list that is not taken leaves what is known as old as it is.
         if !silent && !self.refused.is_too_large() {
-            self.age.heard(now);
+            self.staleness.heard(now);
         }
         let (mut events, Some(reader)) = (Vec::new(), &mut self.reader) else { return Ok(()) };
         let taken = reader.take(net.input(conn), &self.names, &mut events);
@@ -269,7 +269,7 @@
         }
         self.last = index;
         self.refused.taken();
-        self.age.heard(now);
+        self.staleness.heard(now);
         Ok(Some(update.change))
     }
 }
--- a/crates/discovery/tests/kept.rs
+++ b/crates/discovery/tests/cached_snapshot.rs
@@ -2,7 +2,7 @@
 
 use marljunction_control::interface::*;
 use marljunction_discovery::bound::ListBound;
-use marljunction_discovery::kept::{self, Kept, Refusal};
+use marljunction_discovery::cached_snapshot::{self, CachedSnapshot, Refusal};
 use marljunction_discovery::roster::Roster;
 use marljunction_discovery::{Change, Target};
 use marljunction_settings::Names;
@@ -32,12 +32,12 @@
 }
 
 fn decode(bytes: &[u8], names: &Names, now: u64, most_ns: u64) -> Result<(Change, u64), Refusal> {
-    kept::decode(bytes, names, now, most_ns, &ListBound::default())
+    cached_snapshot::decode(bytes, names, now, most_ns, &ListBound::default())
 }
 
 fn encode(roster: &Roster) -> String {
     let mut out = std::io::Cursor::new(Vec::new());
-    kept::write(&mut out, roster, &names(), NOW).unwrap();
+    cached_snapshot::write(&mut out, roster, &names(), NOW).unwrap();
     String::from_utf8(out.into_inner()).unwrap()
 }
 
@@ -118,13 +118,13 @@
 #[test]
 fn a_list_over_the_bound_is_not_written_and_one_within_it_again() {
     let bound = ListBound::of(1.0);
-    let mut kept = Kept::new(bound);
+    let mut kept = CachedSnapshot::new(bound);
     assert!(!kept.due(NOW, bound.engines + 1) && kept.due(NOW + 10 * S, bound.engines));
 }
 
 #[test]
 fn a_list_is_written_a_second_after_it_changed_at_most_and_again_as_it_ages() {
-    let mut kept = Kept::new(ListBound::default());
+    let mut kept = CachedSnapshot::new(ListBound::default());
     assert!(!kept.due(NOW, 0), "nothing to write yet");
     kept.changed();
     assert!(kept.due(NOW, 1) && !kept.due(NOW + 9 * S, 1) && kept.due(NOW + 10 * S, 1));
--- a/src/daemon/snapshot.rs
+++ b/src/daemon/snapshot.rs
@@ -6,7 +6,7 @@
 
 use log::{info, warn};
 use marljunction_discovery::bound::ListBound;
-use marljunction_discovery::kept::{self, Kept};
+use marljunction_discovery::cached_snapshot::{self, CachedSnapshot};
 use marljunction_discovery::Change;
 use marljunction_settings::atomic_file::write_atomically_by;
 
@@ -14,7 +14,7 @@
 
 /// When the list is written, and the file that it is kept in.
 pub(super) struct Snapshot {
-    pub(super) list: Kept,
+    pub(super) list: CachedSnapshot,
     bound: ListBound,
     /// None where it is not kept.
     path: Option<PathBuf>,
@@ -23,7 +23,7 @@
 impl Snapshot {
     /// One that is kept in this file, up to a bound.
     pub(super) fn in_file(path: Option<PathBuf>, bound: ListBound) -> Snapshot {
-        Snapshot { list: Kept::new(bound), bound, path }
+        Snapshot { list: CachedSnapshot::new(bound), bound, path }
     }
 }
 
@@ -62,11 +62,12 @@
         let bound = &self.engine_list.snapshot.bound;
         let most = bound.file_bytes as u64;
         if size > most {
-            return Err(SnapshotError::Rejected(kept::Refusal::Huge(size, most)));
+            return Err(SnapshotError::Rejected(cached_snapshot::Refusal::Huge(size, most)));
         }
         let bytes = std::fs::read(path)?;
         let names = self.config.directory.names();
-        kept::decode(&bytes, names, self.clock.now_ns(), max_age_ns, bound).map_err(SnapshotError::Rejected)
+        cached_snapshot::decode(&bytes, names, self.clock.now_ns(), max_age_ns, bound)
+            .map_err(SnapshotError::Rejected)
     }
 
     /// Writes the list, where that is due.
@@ -79,7 +80,7 @@
         let Snapshot { list, path, .. } = &mut self.engine_list.snapshot;
         let Some(path) = path.as_ref().filter(|_| list.due(now, roster.len())) else { return };
         let names = self.config.directory.names();
-        let written = write_atomically_by(path, |file| kept::write(file, roster, names, heard_ns));
+        let written = write_atomically_by(path, |file| cached_snapshot::write(file, roster, names, heard_ns));
         list.written(path, written);
     }
 }
@@ -92,5 +93,5 @@
     Unreadable(#[from] std::io::Error),
     /// What it holds can't be believed.
     #[error("{0}")]
-    Rejected(kept::Refusal),
+    Rejected(cached_snapshot::Refusal),
 }
