Ask each relay once when one is silent; don't take what waited for fresh before the first word

Cause: with 38 of 39 relays gone a cold router spent three asks on each.

Change: after three silent asks each other relay is asked once, quickly until each had its turn; a relay in doubt counts nothing as heard, also at its start.

--- a/crates/cells/src/asking.rs
+++ b/crates/cells/src/asking.rs
@@ -6,7 +6,7 @@
 use crate::digest::Digest;
 
 /// Asks whose answers are still taken (count).
-const MAX_OPEN: usize = 16;
+const MAX_OPEN: usize = 64;
 
 /// An ask whose answer is still taken.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +27,8 @@
     pub due_ns: u64,
     /// Asks in a row without an answer (count).
     pub unanswered: u32,
+    /// Asks in a row without an answer of any relay (count).
+    pub silent: u32,
     /// Answers in a row that were old (count), and the last ask that one was to.
     pub old: u32,
     pub old_sequence: u64,
--- a/crates/cells/src/bound.rs
+++ b/crates/cells/src/bound.rs
@@ -5,7 +5,7 @@
 
 use crate::relay::RelaySettings;
 use crate::schedule::at_most;
-use crate::subscriber::{MAX_UNANSWERED, REPEAT_PART, SOON_PART};
+use crate::subscriber::{quick_asks, MAX_UNANSWERED, REPEAT_PART, SOON_PART};
 
 /// What bounds are computed from.
 #[derive(Clone, Debug, PartialEq)]
@@ -138,8 +138,8 @@
 
     fn lossy_ns(&self) -> u64 {
         let rounds = self.rounds();
-        // Once all relays were left, they are asked at the interval of asks.
-        let quick = rounds.min(u64::from(MAX_UNANSWERED) * u64::from(self.relays));
+        // Past these, asks are paced as if nothing was wrong.
+        let quick = rounds.min(u64::from(quick_asks(self.relays as usize)));
         self.ask_at_most_ns() + quick * self.repeat_at_most_ns() + (rounds - quick) * self.ask_at_most_ns()
     }
 
@@ -172,8 +172,9 @@
         Fault::AllCold => terms.spread_ns() + whole,
         Fault::AllColdOneRelay => {
             let all = u64::from(terms.routers);
-            let relays = u64::from(terms.relays);
-            terms.spread_ns() + relays * ask + terms.answered_ns(all, terms.pieces)
+            // The first that is asked is missed several times, and each other once.
+            let asks = u64::from(MAX_UNANSWERED + terms.relays);
+            terms.spread_ns() + asks * terms.repeat_at_most_ns() + terms.answered_ns(all, terms.pieces)
         }
     }
 }
--- a/crates/cells/src/order.rs
+++ b/crates/cells/src/order.rs
@@ -58,11 +58,6 @@
         first.is_some()
     }
 
-    /// Whether the current relay is one that is left alone: no other can be asked.
-    pub(crate) fn is_avoided(&self, now: u64) -> bool {
-        self.relays.get(self.current).is_some_and(|relay| relay.avoid_until_ns > now)
-    }
-
     fn avoid(&mut self, now: u64, at: usize) {
         let ask_ns = self.ask_ns;
         if let Some(relay) = self.relays.get_mut(at) {
--- a/crates/cells/src/relay.rs
+++ b/crates/cells/src/relay.rs
@@ -225,14 +225,14 @@
     /// The service was heard so long ago (ns).
     pub fn heard(&mut self, now: u64, age_ns: u64) {
         self.wake(now);
-        let at = now.saturating_sub(age_ns);
-        let doubted = now < self.hearing.doubt_until_ns && self.hearing.heard_ns.is_some();
-        if !doubted {
-            self.hearing.heard_ns = self.hearing.heard_ns.max(Some(at));
+        // In doubt also before it was ever heard: what waited tells nothing of now.
+        if now >= self.hearing.doubt_until_ns {
+            self.hearing.heard_ns = self.hearing.heard_ns.max(Some(now.saturating_sub(age_ns)));
         }
     }
 
-    /// Guards against old news that waited while the process stood still: what comes first as it wakes is not fresh.
+    /// Guards against old news that waited while the process stood still: what comes first as it wakes is not fresh. All that
+    /// waited is taken to be read within the silence bound.
     fn wake(&mut self, now: u64) {
         if now.saturating_sub(self.hearing.ticked_ns) >= STOOD_STILL_NS {
             self.hearing.doubt_until_ns = now + self.settings.silence_ns;
--- a/crates/cells/src/subscriber.rs
+++ b/crates/cells/src/subscriber.rs
@@ -28,6 +28,8 @@
 pub const MAX_UNANSWERED: u32 = 3;
 /// An ask without an answer is repeated after this part of the interval.
 pub(crate) const REPEAT_PART: u64 = 4;
+/// Asks in a row without any answer that are repeated soon, besides one to each relay (count).
+const QUICK_ASKS: u32 = 12;
 /// The least time between asks is this part of the interval.
 pub(crate) const SOON_PART: u64 = 10;
 /// Answers in a row that are old, after which a relay is left (count): one may be an event behind for a moment.
@@ -165,8 +167,8 @@
         if now < self.asking.due_ns {
             return Vec::new();
         }
-        // Where all were left, each is asked once in turn: any of them may be back.
-        let most = if self.order.is_avoided(now) { 1 } else { MAX_UNANSWERED };
+        // Once one was left for its silence, each other is asked once in turn: any of them may be there.
+        let most = if self.asking.silent >= MAX_UNANSWERED { 1 } else { MAX_UNANSWERED };
         if self.asking.unanswered >= most {
             self.leave(now);
         }
@@ -178,14 +180,15 @@
             out.push((relay, self.ask(now, relay)));
         }
         self.asking.unanswered += 1;
+        self.asking.silent += 1;
         self.asking.sent_ns = now;
-        self.asking.due_ns = now + self.wait_ns(now);
+        self.asking.due_ns = now + self.wait_ns();
         out
     }
 
-    /// Time until the next ask, where no answer comes (ns): soon while this relay may only have been missed, or pieces miss.
-    fn wait_ns(&mut self, now: u64) -> u64 {
-        let part = if self.order.is_avoided(now) { 1 } else { REPEAT_PART };
+    /// Time until the next ask, where no answer comes (ns): soon, until each relay was asked.
+    fn wait_ns(&mut self) -> u64 {
+        let part = if self.asking.silent < quick_asks(self.order.len()) { REPEAT_PART } else { 1 };
         self.draws.about(self.settings.ask_ns / part)
     }
 
@@ -298,6 +301,7 @@
 
     /// The relay that is asked now has said something.
     fn heard(&mut self, from: SocketAddr) {
+        self.asking.silent = 0;
         if self.order.current() == Some(from) && self.asking.unanswered > 0 {
             self.asking.unanswered = 0;
             self.asking.due_ns = self.asking.sent_ns + self.draws.about(self.settings.ask_ns);
@@ -493,6 +497,11 @@
     }
 }
 
+/// Asks in a row without any answer that are repeated soon, with so many relays (count).
+pub(crate) fn quick_asks(relays: usize) -> u32 {
+    QUICK_ASKS.saturating_add(relays as u32)
+}
+
 /// The age that an answer tells (ns).
 fn age_ns(answer: &Answer) -> u64 {
     answer.heard_age_ms.saturating_mul(1_000_000)
