--- a/crates/cells/tests/subscriber.rs
+++ b/crates/cells/tests/subscriber.rs
@@ -485,7 +485,7 @@
 fn what_a_relay_sends_is_bounded_by_its_budget_and_what_it_keeps_by_its_routers() {
     let few = terms();
     let mut relay = Relay::new(S, relay_settings(&few));
-    relay.learn(5, true, (0..4_000).map(engine).collect());
+    relay.learn(5, true, (0..12_000).map(engine).collect());
     relay.heard(S, 0);
     let budget = relay_settings(&few).budget_per_s() as usize;
     let (mut now, mut sent, mut sequence) = (S, 0, 0);
@@ -496,7 +496,9 @@
         for router in 0..100 {
             relay.hear(now, address(2, router), ask(sequence, by_engine(0, 1)));
         }
-        sent += relay.tick(now).len();
+        let told = relay.tick(now).len();
+        assert!(told <= budget / 20 + 1, "{told} datagrams at once");
+        sent += told;
     }
     assert!(sent <= 10 * budget + budget / 10, "{sent} datagrams in 10 s");
     assert!(sent >= 9 * budget, "{sent} datagrams in 10 s");
--- a/crates/fleet/src/list.rs
+++ b/crates/fleet/src/list.rs
@@ -100,7 +100,14 @@
     /// What follows, as lines for operators.
     pub(crate) fn bounds(&self, routers: u32) -> Vec<String> {
         match self.terms(routers) {
-            Some(terms) => told(&terms),
+            Some(terms) => {
+                let ranks =
+                    "two routers of one cell with one rank use the same part of cold engines' budgets";
+                told(&terms)
+                    .into_iter()
+                    .chain([format!("  {ranks}: numbers, or 'rank', keep them apart")])
+                    .collect()
+            }
             None => {
                 let budget = self.relay_settings(routers).budget_per_s();
                 vec![format!(
