--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 
 use crate::measured::{Measured, MissingCost, Series, MAX_PREDICTION_ERROR};
+use crate::rows::cells::with_cells;
 use crate::rows::{rows, Ratio, Role, Row, Usage};
 use crate::rule::rank;
 use crate::size::{self, Constant};
@@ -19,16 +20,19 @@
 /// Where a row's cost was not measured.
 pub fn page(measured: &Measured, scale: &[ScaleFigure]) -> Result<String, MissingCost> {
     let rows = rows(measured)?;
+    let cells = with_cells(measured, &rows)?;
     let parts = [
         ("{{command}}", measured.command.clone()),
         ("{{checksum}}", format!("{:016x}", measured.checksum())),
         ("{{size}}", sizes()),
         ("{{rows}}", roles(&rows)),
-        ("{{ratios}}", ratios(&rows)),
+        ("{{cells}}", cells.as_ref().map_or("Not measured yet.".into(), |cells| changed(&rows, cells))),
+        ("{{ratios}}", ratios(&rows, cells.as_deref())),
         ("{{chosen}}", chosen(&rows)),
         ("{{costs}}", costs(measured)),
         ("{{wrong}}", wrong(measured)),
-        ("{{worked_out}}", worked_out(&rows)),
+        ("{{after}}", cells.as_ref().map_or(String::new(), |cells| after(&rows, cells))),
+        ("{{worked_out}}", worked_out(&rows, cells.as_deref())),
         ("{{primary}}", primary()),
         ("{{scale}}", scale_table(scale)),
         ("{{error}}", share(MAX_PREDICTION_ERROR)),
@@ -81,12 +85,16 @@
 fn roles(rows: &[Row]) -> String {
     let mut text = String::new();
     for role in Role::ALL {
+        let of_role: Vec<&Row> = rows.iter().filter(|row| row.role == role).collect();
+        if of_role.is_empty() {
+            continue;
+        }
         let _ = writeln!(text, "### {}\n", role.name());
         text.push_str(
             "| activity | state held | ordinary day | worst minute | budget | ratio | carried by |\n",
         );
         text.push_str("| --- | --- | --- | --- | --- | --- | --- |\n");
-        for row in rows.iter().filter(|row| row.role == role) {
+        for row in of_role {
             let worst = match row.worst_minute {
                 "" => usage(&row.worst),
                 when => format!("{when}: {}", usage(&row.worst)),
@@ -108,28 +116,64 @@
     text
 }
 
-fn ratios(rows: &[Row]) -> String {
-    let mut text =
-        String::from("| row | ratio | of | rows that cannot work without it |\n| --- | --- | --- | --- |\n");
-    for (row, ratio) in rank(rows).sorted {
+/// The rows that are others, or new, with cells and relays.
+fn changed(rows: &[Row], cells: &[Row]) -> String {
+    let others: Vec<Row> = cells.iter().filter(|row| !rows.contains(row)).cloned().collect();
+    roles(&others)
+}
+
+/// The ratio of a row of this name, as text.
+fn ratio_of(rows: &[Row], id: &str) -> String {
+    let row = rows.iter().find(|row| row.id == id);
+    row.and_then(Row::ratio).map_or("-".into(), |ratio| number(ratio.value))
+}
+
+fn ratios(rows: &[Row], cells: Option<&[Row]>) -> String {
+    let mut text = String::from(
+        "| row | whole list | of | cells and relays | rows that cannot work without it |\n| --- | --- | --- | --- | --- |\n",
+    );
+    let new: Vec<Row> =
+        cells.into_iter().flatten().filter(|row| !rows.iter().any(|r| r.id == row.id)).cloned().collect();
+    let sorted = rank(rows).sorted.into_iter().map(|(row, ratio)| (row, ratio, number(ratio.value)));
+    let added = rank(&new).sorted.into_iter().map(|(row, ratio)| (row, ratio, "-".to_owned()));
+    for (row, ratio, whole) in sorted.chain(added) {
         let when = if ratio.ordinary { "ordinary day" } else { "worst minute" };
         let needed = match row.needed_by.is_empty() {
             true => "-".to_owned(),
             false => row.needed_by.join(", "),
         };
+        let with = cells.map_or("-".into(), |cells| ratio_of(cells, row.id));
         let _ = writeln!(
             text,
-            "| {}: {} (`{}`) | {} | {}, {when} | {needed} |",
+            "| {}: {} (`{}`) | {whole} | {}, {when} | {with} | {needed} |",
             row.role.name(),
             row.activity,
             row.id,
-            number(ratio.value),
             ratio.of
         );
     }
     text
 }
 
+/// What the chosen row comes to with cells and relays, and what is missing first then.
+fn after(rows: &[Row], cells: &[Row]) -> String {
+    let Some((chosen, ratio)) = rank(rows).missing_first().next() else { return String::new() };
+    let next: Vec<String> = rank(cells)
+        .missing_first()
+        .take(2)
+        .map(|(row, ratio)| {
+            format!("`{}`, {} ({}: {})", row.id, number(ratio.value), row.role.name(), row.activity)
+        })
+        .collect();
+    format!(
+        "With cells and relays `{}` comes to {} in place of {}. What is missing first then: {}.",
+        chosen.id,
+        ratio_of(cells, chosen.id),
+        number(ratio.value),
+        next.join("; ")
+    )
+}
+
 fn chosen(rows: &[Row]) -> String {
     let ranking = rank(rows);
     let first: Vec<(&Row, Ratio)> = ranking.missing_first().take(3).collect();
@@ -200,12 +244,14 @@
     }
 }
 
-fn worked_out(rows: &[Row]) -> String {
-    let lines = rows.iter().filter(|row| !row.worked_out.is_empty());
+fn worked_out(rows: &[Row], cells: Option<&[Row]>) -> String {
+    let others = cells.into_iter().flatten().filter(|row| !rows.contains(row));
+    let lines = rows.iter().chain(others).filter(|row| !row.worked_out.is_empty());
     let lines = lines.map(|row| {
         let costs: Vec<String> = row.costs.iter().map(|cost| format!("`{cost}`")).collect();
         let from = if costs.is_empty() { "no measurement".into() } else { costs.join(", ") };
-        format!("| `{}` | {from} | {} |", row.id, row.worked_out)
+        let state = if rows.contains(row) { "" } else { ", with cells" };
+        format!("| `{}`{state} | {from} | {} |", row.id, row.worked_out)
     });
     let lines: Vec<String> = lines.collect();
     format!("| row | measured costs | worked out |\n| --- | --- | --- |\n{}", lines.join("\n"))
--- a/crates/capacity/src/rows.rs
+++ b/crates/capacity/src/rows.rs
@@ -3,6 +3,7 @@
 use crate::measured::{Measured, MissingCost};
 use crate::size;
 
+pub mod cells;
 mod router;
 mod services;
 
@@ -134,7 +135,7 @@
     }
 }
 
-/// All rows as the program stands.
+/// All rows with the whole list at each router.
 ///
 /// # Errors
 /// Where a cost was not measured.
--- a/crates/capacity/src/rows/router.rs
+++ b/crates/capacity/src/rows/router.rs
@@ -180,6 +180,7 @@
 fn membership(m: &Measured) -> Result<Row, MissingCost> {
     let routers = ROUTERS.value;
     let memory_mb = m.at("members_held_kb", routers)? / 1e3;
+    let kept = m.at("members_max_peers", routers)?;
     let usage = |bytes: f64, cores: f64, messages: f64| Usage {
         messages_s: Some(messages),
         bytes_s: Some(bytes),
@@ -198,11 +199,11 @@
         id: "membership",
         role: Role::Router,
         activity: "fleet membership (SWIM)",
-        state: format!("{} peers; {} are kept", plain(routers), plain(PEERS_BOUND.value)),
+        state: format!("{} peers; {} are kept", plain(routers), plain(kept)),
         ordinary: usage(bytes, cores, messages),
         worst: Usage { seconds: Some(m.at("members_join_s", routers)?), ..worst },
         worst_minute: "a release restarts a tenth of the routers; time: all cold, until all know all",
-        budget: Usage { seconds: Some(READY_WITHIN.value), held: Some(PEERS_BOUND.value), ..control() },
+        budget: Usage { seconds: Some(READY_WITHIN.value), held: Some(kept), ..control() },
         mechanism: Some("`peers::Members`: each router knows every other"),
         needed_by: &["limits", "verdicts", "cold", "words"],
         costs: &[
@@ -213,6 +214,7 @@
             "members_restart_datagrams_s",
             "members_join_s",
             "members_held_kb",
+            "members_max_peers",
         ],
         worked_out: "in the worst minute: no more than full datagrams; processor time as on the ordinary day, by bytes",
     })
--- a/crates/capacity/src/size.rs
+++ b/crates/capacity/src/size.rs
@@ -112,9 +112,8 @@
 /// How long an engine is cold.
 pub const COLD_FOR: Constant =
     assumed("an engine is cold for", 15.0, "s", "the stand-ins' engines; the letter names none");
-/// Peers that membership keeps.
-pub const PEERS_BOUND: Constant =
-    assumed("peers that one router keeps", 2_000.0, "", "`PEERS_MOST` in crates/peers");
+/// Cells of a zone.
+pub const CELLS: Constant = assumed("cells of a zone, where there are cells", 10.0, "", "deploy/cells.conf");
 
 /// Largest datagram.
 pub const DATAGRAM: Constant =
@@ -149,7 +148,7 @@
     CONFIG_ENTRIES,
     LIMIT_KEYS,
     COLD_FOR,
-    PEERS_BOUND,
+    CELLS,
     DATAGRAM,
 ];
 
@@ -175,6 +174,16 @@
     ROUTERS.value / (ENGINES.value + ROUTERS.value + CONTROL_MACHINES.value)
 }
 
+/// Engines of one cell.
+pub fn cell_engines() -> f64 {
+    zone_engines() / CELLS.value
+}
+
+/// Routers that ask one relay.
+pub fn routers_of_a_relay() -> f64 {
+    (ROUTERS.value / CONTROL_MACHINES.value).round()
+}
+
 /// Statements a second of one router.
 pub fn statements_of_a_router() -> f64 {
     STATEMENTS.value / ROUTERS.value
--- a/crates/capacity/tests/page.rs
+++ b/crates/capacity/tests/page.rs
@@ -5,6 +5,7 @@
 
 use marljunction_capacity::measured::{Series, MAX_PREDICTION_ERROR};
 use marljunction_capacity::page::page;
+use marljunction_capacity::rows::cells::with_cells;
 use marljunction_capacity::rows::{rows, Usage};
 use marljunction_capacity::rule::rank;
 use marljunction_capacity::{size, Measured, Model};
@@ -110,7 +111,12 @@
 #[test]
 fn bytes_are_counted_on_both_sides() {
     let measured = measured();
-    for (sent, read) in [("list_bytes", "list_bytes_read"), ("members_bytes_s", "members_bytes_read_s")] {
+    let pairs = [
+        ("list_bytes", "list_bytes_read"),
+        ("members_bytes_s", "members_bytes_read_s"),
+        ("cells_start_bytes", "cells_start_bytes_read"),
+    ];
+    for (sent, read) in pairs {
         let pairs = measured.series[sent].samples.iter().zip(&measured.series[read].samples);
         for (by_sender, by_reader) in pairs {
             assert_eq!(by_sender.count, by_reader.count);
@@ -133,7 +139,13 @@
 fn rows_name_rows_and_costs_that_there_are() {
     let measured = measured();
     let rows = rows(&measured).unwrap();
-    for row in &rows {
+    let cells = with_cells(&measured, &rows).unwrap();
+    [Some(&rows), cells.as_ref()].into_iter().flatten().for_each(|rows| names_hold(&measured, rows));
+}
+
+#[track_caller]
+fn names_hold(measured: &Measured, rows: &[marljunction_capacity::rows::Row]) {
+    for row in rows {
         assert_eq!(rows.iter().filter(|other| other.id == row.id).count(), 1, "{}", row.id);
         for other in row.needed_by {
             assert!(rows.iter().any(|row| row.id == *other), "{} is needed by {other}", row.id);
--- a/crates/lab/src/capacity/list.rs
+++ b/crates/lab/src/capacity/list.rs
@@ -7,6 +7,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use marljunction_discovery::bound::ListBound;
 use marljunction_discovery::stream::Stream;
 use marljunction_discovery::{Change, Pacing};
 use marljunction_net::clock::Clock;
@@ -25,6 +26,8 @@
 /// Longest wait for a list.
 const LIMIT: Duration = Duration::from_secs(5);
 const FIRST_CONN: u64 = 1_000;
+/// Memory limit of the program that reads them (MB).
+pub const MEMORY_MB: f64 = 192.0;
 const STALE_NS: u64 = 7_000_000_000;
 
 /// The whole list as an event, as the coordinator writes it.
@@ -82,6 +85,18 @@
         Ok(Service { address, written, passed })
     }
 
+    /// The same, once the service has counted all that was read: it counts behind its writing.
+    fn counted(&self) -> Result<(u64, u64), String> {
+        let began = Instant::now();
+        loop {
+            match self.bytes() {
+                (written, passed) if written >= passed => return Ok((written, passed)),
+                _ if began.elapsed() > LIMIT => return Err("the list service lost count".into()),
+                _ => std::thread::yield_now(),
+            }
+        }
+    }
+
     /// Bytes written by the service, and read by the relay.
     pub fn bytes(&self) -> (u64, u64) {
         (self.written.load(Ordering::Relaxed), self.passed.load(Ordering::Relaxed))
@@ -146,7 +161,7 @@
     let fault = |e: std::io::Error| format!("sockets: {e}");
     let mut poll = Poll::new().map_err(fault)?;
     let registry = poll.registry().try_clone().map_err(fault)?;
-    let mut net = Net::new(registry, FIRST_CONN, Room::of(1_024, 192.0));
+    let mut net = Net::new(registry, FIRST_CONN, Room::of(1_024, MEMORY_MB));
     let clock = Clock::start();
     let names = Names {
         classes: Vec::new(),
@@ -155,7 +170,8 @@
         kinds: vec!["std".into()],
     };
     let pacing = Pacing { pace: Pace { spread_ns: 1, ..Pace::default() }, seed: 1, stale_ns: STALE_NS };
-    let mut stream = Stream::new(clock.now_ns(), service.address, names, 0, pacing);
+    let mut stream =
+        Stream::new(clock.now_ns(), service.address, names, 0, pacing).with_bound(ListBound::of(MEMORY_MB));
     let mut events = Events::with_capacity(16);
     let (began, before) = (Instant::now(), thread_ns());
     let mut changes: Vec<Change> = Vec::new();
@@ -182,7 +198,7 @@
 fn cost(engines: usize) -> Result<Cost, String> {
     let service = Service::start(whole_list(engines))?;
     let learned = learn(&service, engines)?;
-    let (written, passed) = service.bytes();
+    let (written, passed) = service.counted()?;
     let held = HEAP.current_usage();
     drop(learned.changes);
     let held = held.saturating_sub(HEAP.current_usage());
--- a/crates/lab/src/capacity/members.rs
+++ b/crates/lab/src/capacity/members.rs
@@ -232,6 +232,12 @@
         }),
         ("members_held_kb", "membership, heap of one router", "KB", |c| c.held_kb),
     ];
+    let kept = [800, 1_600, 3_200, 6_400].map(|routers: u32| {
+        let settings = Settings { routers, ..Settings::default() };
+        (f64::from(routers), vec![settings.max_peers() as f64])
+    });
+    let what = "membership, peers that one router keeps at most, by its settings";
+    figures.insert("members_max_peers".into(), series(what, "count", "routers", kept.to_vec()));
     for (name, what, unit, part) in parts {
         let values = of.iter().map(|(n, cost)| (*n as f64, vec![part(cost)])).collect();
         figures.insert(name.into(), series(what, unit, "routers", values));
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -3,6 +3,7 @@
 //! Each cost is measured at three counts or more, by the program's own modules with their real encoding, and processor time by the
 //! clock of the thread or process that did the work. Figures are kept as measured; fits and rows are the capacity crate's.
 
+mod cells;
 mod clock;
 mod configuration;
 mod decision;
@@ -103,6 +104,10 @@
         verdicts::measure(&mut figures);
         told("verdicts");
     }
+    if wanted("cells") {
+        cells::measure(&mut figures)?;
+        told("cells");
+    }
     if wanted("configuration") {
         configuration::measure(&mut figures)?;
         told("configuration");
--- a/crates/lab/src/capacity/process.rs
+++ b/crates/lab/src/capacity/process.rs
@@ -11,7 +11,7 @@
 use marljunction_rig::stage::{settings, Site};
 use serde_json::json;
 
-use super::list::{whole_list, Service};
+use super::list::{whole_list, Service, MEMORY_MB};
 use super::{repeated_times, series, Figures, Repeated};
 
 /// Connections of clients that did one call and then nothing.
@@ -26,9 +26,8 @@
 /// Longest wait for something that must happen, and how long a program that does nothing more is watched.
 const LIMIT: Duration = Duration::from_secs(15);
 const QUIET: Duration = Duration::from_millis(400);
-/// What the machine gives a program: descriptors and memory.
+/// Descriptors that the machine gives a program.
 const SOCKETS: usize = 16_384;
-const MEMORY_MB: f64 = 192.0;
 
 /// A program with a folder of its own.
 struct Lone {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -122,7 +122,7 @@
         /// Fail where the page is not what the figures say.
         #[arg(long)]
         check: bool,
-        /// One part only: decision, list, members, limits, verdicts or configuration. Nothing is written then.
+        /// One part only: decision, list, members, limits, verdicts, cells or configuration. Nothing is written then.
         #[arg(long, value_name = "PART")]
         only: Option<String>,
         /// The router's program; the one beside this one, if not given.
