--- a/tests/common/stand_in.rs
+++ b/tests/common/stand_in.rs
@@ -351,15 +351,17 @@
             ["await", count] => {
                 let (key, value) = count.split_once('=').unwrap();
                 let wanted = format!(" {key}={value} ");
-                self.until(count, |s| {
-                    s.signal("-USR1");
-                    let mut line = String::new();
+                let since = Instant::now();
+                let mut line = String::new();
+                while !line.contains(&wanted) {
+                    assert!(since.elapsed() < PATIENCE, "waited in vain for {count}: {line}");
+                    self.signal("-USR1");
+                    line.clear();
                     while !line.contains(" rejected=") {
                         line.clear();
-                        assert!(s.log.read_line(&mut line).unwrap() > 0, "the program ended");
+                        assert!(self.log.read_line(&mut line).unwrap() > 0, "the program ended");
                     }
-                    line.contains(&wanted)
-                });
+                }
             }
             ["never", ..] => self.never.push(line.split_once(' ').unwrap().1.as_bytes().to_vec()),
             // The operator's file says something else; SIGHUP.
