--- a/crates/core/src/ending.rs
+++ b/crates/core/src/ending.rs
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Whether an attempt that ended so may still be running until its time is over: its engine did not say that it ended, and
+    /// Whether an attempt that ended so may still be running until its class's time is over: its engine did not say that it ended, and
     /// one that stands still may go on with it later.
     pub fn leaves_doubt(self) -> bool {
         matches!(self, Ending::Cut | Ending::Garbled | Ending::TimedOut | Ending::Abandoned)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,10 @@
 /// Time past a request's own within which its answer must have been given, or the core gives it (ns).
 const FINAL_GRACE_NS: u64 = 5_000_000;
 
+/// Time past its class's whole one by which an attempt whose end is not known must be over (ns): its engine counts from when the
+/// call came, and sockets are allowed 50 ms.
+const DOUBT_GRACE_NS: u64 = 250_000_000;
+
 /// Requests that may be open in all (count), and the bytes of their statements (share of the memory limit).
 const OPEN_MOST: usize = 1_000;
 const HELD_MOST: f64 = 0.15;
@@ -669,6 +673,8 @@
                 door.over(now, at.request.0, Some(true));
             }
         }
+        let longest_ns = self.classes[open.ask.class.0].deadline_ns.saturating_add(DOUBT_GRACE_NS);
+        let over_by_ns = if ending.leaves_doubt() { ran.sent_ns.saturating_add(longest_ns) } else { 0 };
         let outcome = Outcome {
             request: at.request,
             attempt: at.number,
@@ -679,7 +685,7 @@
             work_ns: None,
             memory_mb: None,
             report,
-            over_by_ns: if ending.leaves_doubt() { open.expires_ns } else { 0 },
+            over_by_ns,
         };
         debug!(
             "{} attempt {} on {:016x} ended {ending:?} after {} ms",
--- a/crates/core/tests/round.rs
+++ b/crates/core/tests/round.rs
@@ -95,9 +95,13 @@
 
 /// Takes a request of a class in order, of the one key that there is.
 fn take_in_order(router: &mut Router, call: u64, time_left_ns: u64) -> RequestId {
+    take_in_order_at(router, T0, call, time_left_ns)
+}
+
+fn take_in_order_at(router: &mut Router, now: u64, call: u64, time_left_ns: u64) -> RequestId {
     let (name, work_estimate_ns) = (format!("{call:016x}"), Some(100 * MS));
     let ask = Ask { name, order_key: Some(5), time_left_ns, work_estimate_ns, ..Ask::default() };
-    router.take(T0, Client { conn: 1, call }, ask)
+    router.take(now, Client { conn: 1, call }, ask)
 }
 
 fn in_order() -> Router {
@@ -143,12 +147,13 @@
     ] {
         let mut router = in_order();
         let first = take_in_order(&mut router, 1, 1_000 * MS);
-        take_in_order(&mut router, 2, 8_000 * MS);
         turn(&mut router, T0);
         router.ended(Attempt { request: first, number: 0 }, ending, None, None);
-        let soon =
-            starts(&turn(&mut router, T0 + 100 * MS)).len() + starts(&turn(&mut router, T0 + 990 * MS)).len();
-        let later = starts(&turn(&mut router, T0 + 1_000 * MS)).len();
+        turn(&mut router, T0 + 100 * MS);
+        take_in_order_at(&mut router, T0 + 5_000 * MS, 2, 8_000 * MS);
+        let mut started = |ms: u64| starts(&turn(&mut router, T0 + ms * MS)).len();
+        // All of the class's time from when it was sent, and a little more.
+        let (soon, later) = (started(5_000) + started(9_000) + started(9_240), started(9_250));
         assert_eq!((soon, later), if waits { (0, 1) } else { (1, 0) }, "{ending:?}");
     }
 }
