--- a/crates/cells/tests/messages.rs
+++ b/crates/cells/tests/messages.rs
@@ -93,7 +93,9 @@
     let piece = Piece { answer: answer(), digest: Digest(1, 2), at: 0, of: 1, table };
     let whole = Message::Piece(piece).encode();
     assert!((0..whole.len()).all(|cut| Message::decode(&whole[..cut]).is_err()), "a cut message was read");
-    assert!(Message::decode(&vec![0x91; MAX_MESSAGE + 1]).is_err());
+    let cell = CellId { zone: Some("z".repeat(2 * MAX_MESSAGE)), cells: 1, cell: 0, by: DivideBy::Engine };
+    let long = Ask { life: 1, sequence: 1, cell, have: None, least: None, missing: None };
+    assert!(Message::decode(&Message::Ask(long).encode()).is_err(), "a message of any length was read");
     assert!(Message::decode(&vec![0x91; MAX_MESSAGE]).is_err());
     for _ in 0..20_000 {
         let mut bytes = whole.clone();
--- a/crates/cells/tests/subscriber.rs
+++ b/crates/cells/tests/subscriber.rs
@@ -481,6 +481,21 @@
     assert!(relay.tick(S + 2 * MS).is_empty());
 }
 
+#[test]
+fn a_change_that_fits_no_datagram_is_told_as_the_whole_part() {
+    let (mut relay, router) = relay(S);
+    let all = engines(100);
+    relay.learn(5, true, all.clone());
+    relay.heard(S, 0);
+    relay.hear(S, router, ask(1, by_engine(0, 2)));
+    relay.tick(S);
+    let heavier = all.into_iter().map(|engine| Engine { weight: 2.0, ..engine });
+    relay.learn(6, false, heavier.collect());
+    let sent = relay.tick(S + MS);
+    assert!(sent.len() > 1, "{} datagrams", sent.len());
+    assert!(sent.iter().all(|(_, message)| matches!(message, Message::Piece(_))));
+}
+
 #[test]
 fn what_a_relay_sends_is_bounded_by_its_budget_and_what_it_keeps_by_its_routers() {
     let few = terms();
