--- a/crates/lab/src/scale/cells.rs
+++ b/crates/lab/src/scale/cells.rs
@@ -51,10 +51,14 @@
     pub list_learned_p50_s: f64,
     /// See `list_learned_p50_s`.
     pub list_learned_worst_s: f64,
-    /// Bytes that a router took until all knew their parts: mean and most.
+    /// Bytes that a router took until it knew its part: mean and most.
     pub list_bytes: f64,
     /// See `list_bytes`.
     pub list_bytes_most: u64,
+    /// Bytes that a router took until all knew their parts, its asks for what is new included: mean and most.
+    pub start_bytes: f64,
+    /// See `start_bytes`.
+    pub start_bytes_most: u64,
     /// Bytes that routers did not take of those that relays sent (share).
     pub bytes_lost: f64,
     /// Processor time of a start (ms).
@@ -153,10 +157,12 @@
         self.engines = list.whole.engines;
         self.part_engines = mean(routers, |report| report.digest.engines);
         self.part_engines_most = most(routers, |report| report.digest.engines);
-        self.list_bytes = mean(routers, |report| report.fleet_received_bytes);
-        self.list_bytes_most = most(routers, |report| report.fleet_received_bytes);
+        self.list_bytes = mean(routers, |report| report.fleet_learned_bytes);
+        self.list_bytes_most = most(routers, |report| report.fleet_learned_bytes);
+        self.start_bytes = mean(routers, |report| report.fleet_received_bytes);
+        self.start_bytes_most = most(routers, |report| report.fleet_received_bytes);
         let sent = relays.iter().map(|report| report.fleet_bytes).sum::<u64>() as f64;
-        self.bytes_lost = 1.0 - self.list_bytes * f64::from(self.routers) / sent.max(1.0);
+        self.bytes_lost = 1.0 - self.start_bytes * f64::from(self.routers) / sent.max(1.0);
         let learned = |r: &RouterReport| Some(r.learned_ns?.saturating_sub(r.started_ns) as f64 / 1e9);
         let mut learned: Vec<f64> = routers.iter().filter_map(learned).collect();
         (self.list_learned_p50_s, self.list_learned_worst_s) = median_and_worst(&mut learned);
--- a/crates/lab/src/scale/figures.rs
+++ b/crates/lab/src/scale/figures.rs
@@ -79,6 +79,7 @@
         "largest_over_budget": over.map(|(name, ratio)| json!({"row": name, "ratio": ratio})),
         "mechanism_before": most.list_bytes / READY_BYTES,
         "mechanism_after": cells.list_bytes / READY_BYTES,
+        "mechanism_after_until_all_know": cells.start_bytes / READY_BYTES,
         "mechanism_after_worst": cells.list_bytes_most as f64 / READY_BYTES,
         "processes": most.processes.max(cells.processes),
         "memory_gib": most.memory_gib.max(cells.memory_gib),
--- a/crates/rig/src/hollow/protocol.rs
+++ b/crates/rig/src/hollow/protocol.rs
@@ -272,6 +272,8 @@
     pub fleet_datagrams: u64,
     /// See `fleet_datagrams`.
     pub fleet_bytes: u64,
-    /// Bytes of datagrams that came.
+    /// Bytes of datagrams that came, and those that had come when it first knew its list.
     pub fleet_received_bytes: u64,
+    /// See `fleet_received_bytes`.
+    pub fleet_learned_bytes: u64,
 }
--- a/crates/rig/src/hollow/router.rs
+++ b/crates/rig/src/hollow/router.rs
@@ -99,6 +99,8 @@
     /// When its list last changed (ns).
     list_since_ns: u64,
     learned_ns: Option<u64>,
+    /// Bytes of datagrams that had come then.
+    fleet_learned_bytes: u64,
     started_ns: u64,
     module: Router,
     tells_module: bool,
@@ -157,6 +159,7 @@
             list: KnownList::default(),
             list_since_ns: now,
             learned_ns: None,
+            fleet_learned_bytes: 0,
             started_ns: now,
             module,
             tells_module: shared.setup.module,
@@ -221,7 +224,10 @@
                 self.module.membership(kind, entries);
             }
             self.list_since_ns = now;
-            self.learned_ns = self.learned_ns.or(Some(now));
+            if self.learned_ns.is_none() {
+                self.learned_ns = Some(now);
+                self.fleet_learned_bytes = fleet.received_bytes();
+            }
         }
     }
 
@@ -289,6 +295,7 @@
             fleet_datagrams,
             fleet_bytes,
             fleet_received_bytes,
+            fleet_learned_bytes: self.fleet_learned_bytes,
         }
     }
 }
