Reckon what leases of shared limits take in one place of the capacity rows

The usage by keys stood three times, the seconds of a cost and the count of an engine's budgets twice, in the rows of a router and of a cell's router. One function and one constant in rows.rs serve all. The rest of the workspace was not run again: nothing of the crate's interface changed.

--- a/crates/capacity/src/rows.rs
+++ b/crates/capacity/src/rows.rs
@@ -125,6 +125,24 @@
     }
 }
 
+/// Budgets of an engine that are shared: for light classes and for heavy ones (count).
+const BUDGETS_OF_AN_ENGINE: f64 = 2.0;
+
+/// Seconds from milliseconds.
+fn per_second(ms: f64) -> f64 {
+    ms / 1e3
+}
+
+/// What leases of so many keys of shared limits take in a steady state.
+fn limit_keys(m: &Measured, keys: f64) -> Result<Usage, MissingCost> {
+    Ok(Usage {
+        messages_s: Some(m.at("limits_keys_messages_s", keys)?),
+        bytes_s: Some(m.at("limits_keys_bytes_s", keys)?),
+        cores: Some(per_second(m.at("limits_keys_ms_s", keys)?)),
+        ..Usage::default()
+    })
+}
+
 /// What a router may take for control.
 fn control() -> Usage {
     Usage {
--- a/crates/capacity/src/rows/cells.rs
+++ b/crates/capacity/src/rows/cells.rs
@@ -1,6 +1,6 @@
 //! Rows that cells and relays change: a router holds and learns its cell's part only, relays read the whole list.
 
-use super::{control, Role, Row, Usage};
+use super::{control, limit_keys, per_second, Role, Row, Usage, BUDGETS_OF_AN_ENGINE};
 use crate::measured::{Measured, MissingCost};
 use crate::size::*;
 use crate::text::plain;
@@ -9,10 +9,6 @@
 /// Cost whose presence says that cells were measured.
 const MARK: &str = "cells_start_bytes";
 
-fn per_second(ms: f64) -> f64 {
-    ms / 1e3
-}
-
 /// The rows with cells and relays in place of the whole list at each router; none where they were not measured.
 ///
 /// # Errors
@@ -132,23 +128,14 @@
 }
 
 fn cold(m: &Measured, before: &Row) -> Result<Row, MissingCost> {
-    const LANES: f64 = 2.0;
     let cells = ZONES.value * CELLS.value;
     let renewed_s = (RESTARTS.value + FAILURES.value) * engine_part() / DAY_S;
-    let ordinary = renewed_s * COLD_FOR.value * LANES / cells;
-    let worst = cell_engines() / MINUTE_S * COLD_FOR.value * LANES;
-    let at = |keys: f64| -> Result<Usage, MissingCost> {
-        Ok(Usage {
-            messages_s: Some(m.at("limits_keys_messages_s", keys)?),
-            bytes_s: Some(m.at("limits_keys_bytes_s", keys)?),
-            cores: Some(per_second(m.at("limits_keys_ms_s", keys)?)),
-            ..Usage::default()
-        })
-    };
+    let ordinary = renewed_s * COLD_FOR.value * BUDGETS_OF_AN_ENGINE / cells;
+    let worst = cell_engines() / MINUTE_S * COLD_FOR.value * BUDGETS_OF_AN_ENGINE;
     Ok(Row {
         state: format!("{ordinary:.2} keys, {worst:.0} in the worst minute"),
-        ordinary: at(ordinary)?,
-        worst: at(worst)?,
+        ordinary: limit_keys(m, ordinary)?,
+        worst: limit_keys(m, worst)?,
         worst_minute: "its zone lost, its cell's engines replaced within the minute",
         mechanism: Some("a shared limit for each cold engine of the cell and kind of class"),
         worked_out: "cold engines of a cell at once: renewed engines times how long one is cold; a key costs what it does among 50 routers",
--- a/crates/capacity/src/rows/router.rs
+++ b/crates/capacity/src/rows/router.rs
@@ -1,6 +1,6 @@
 //! Rows of a router.
 
-use super::{control, Role, Row, Usage};
+use super::{control, limit_keys, per_second, Role, Row, Usage, BUDGETS_OF_AN_ENGINE};
 use crate::measured::{Measured, MissingCost};
 use crate::size::*;
 use crate::text::plain;
@@ -12,10 +12,6 @@
 const NEED_LIST: &[&str] =
     &["list-break", "list-changes", "primary", "deciding", "verdicts", "cold", "busy", "words"];
 
-fn per_second(ms: f64) -> f64 {
-    ms / 1e3
-}
-
 /// Learning the list, following it, and configuration.
 pub fn learning(m: &Measured) -> Result<Vec<Row>, MissingCost> {
     Ok(vec![list_start(m)?, list_break(m)?, list_changes(m)?, primary(m)?, configuration(m)?])
@@ -226,19 +222,13 @@
     let start_bytes = m.at("limits_start_bytes", routers)? / 2.0;
     let start_messages = m.at("limits_start_messages", routers)? / 2.0;
     let start_s = per_second(m.at("limits_start_ms", routers)?);
-    let steady = Usage {
-        messages_s: Some(m.at("limits_keys_messages_s", keys)?),
-        bytes_s: Some(m.at("limits_keys_bytes_s", keys)?),
-        cores: Some(per_second(m.at("limits_keys_ms_s", keys)?)),
-        ..Usage::default()
-    };
     let cold = |part: f64| 2.0 * part / READY_WITHIN.value;
     Ok(Row {
         id: "limits",
         role: Role::Router,
         activity: "shared limits",
         state: format!("{keys:.0} keys wanted beyond shares, loans of each"),
-        ordinary: steady,
+        ordinary: limit_keys(m, keys)?,
         worst: Usage {
             messages_s: Some(cold(start_messages)),
             bytes_s: Some(cold(start_bytes)),
@@ -307,26 +297,16 @@
 }
 
 fn cold(m: &Measured) -> Result<Row, MissingCost> {
-    /// Budgets of an engine that are shared: for light classes and for heavy ones.
-    const LANES: f64 = 2.0;
     let renewed_s = (RESTARTS.value + FAILURES.value) * engine_part() / DAY_S;
-    let ordinary = renewed_s * COLD_FOR.value * LANES;
-    let worst = zone_engines() / MINUTE_S * COLD_FOR.value * LANES;
-    let at = |keys: f64| -> Result<Usage, MissingCost> {
-        Ok(Usage {
-            messages_s: Some(m.at("limits_keys_messages_s", keys)?),
-            bytes_s: Some(m.at("limits_keys_bytes_s", keys)?),
-            cores: Some(per_second(m.at("limits_keys_ms_s", keys)?)),
-            ..Usage::default()
-        })
-    };
+    let ordinary = renewed_s * COLD_FOR.value * BUDGETS_OF_AN_ENGINE;
+    let worst = zone_engines() / MINUTE_S * COLD_FOR.value * BUDGETS_OF_AN_ENGINE;
     Ok(Row {
         id: "cold",
         role: Role::Router,
         activity: "cold engines' budgets",
         state: format!("{ordinary:.1} keys, {worst:.0} in the worst minute"),
-        ordinary: at(ordinary)?,
-        worst: at(worst)?,
+        ordinary: limit_keys(m, ordinary)?,
+        worst: limit_keys(m, worst)?,
         worst_minute: "a zone lost, its engines replaced within the minute",
         budget: control(),
         mechanism: Some("a shared limit for each cold engine and kind of class, of all routers"),
