--- a/review/stand-ins/order.rs
+++ b/review/stand-ins/order.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client::{admin, Client};
-use crate::engine::Engine;
+use crate::engine::{Engine, SeenKeys};
 use crate::list::{entry, event, Coordinator};
 use crate::record::Record;
 use crate::router::{Folder, Router};
@@ -26,8 +26,10 @@
 pub fn run(record: &Arc<Record>, trouble: bool) -> Result<Outcome, String> {
     let text = |e: std::io::Error| e.to_string();
     let folder = Folder::create().map_err(text)?;
+    // All engines drop a repeat of a key.
+    let seen = SeenKeys::default();
     let engines: Vec<Engine> = (1..=ENGINES)
-        .map(|n| Engine::start(&format!("e{n}"), record))
+        .map(|n| Engine::start_in_group(&format!("e{n}"), seen.clone(), record))
         .collect::<Result<_, _>>()
         .map_err(text)?;
     let entries: Vec<String> = engines.iter().map(|e| entry(e.name(), e.address, 1, "in_service")).collect();
