End the routers of a review script that is interrupted

Cause: a script that was ended by a signal left its case's routers running, and their folder.

Change: the script is the parent of the case; once it has ended, the case ends its routers, removes the folder and exits. Process groups were tried first: the shell has no job control without a terminal, and three processes were left.

--- a/review/more.sh
+++ b/review/more.sh
@@ -3,4 +3,6 @@
 # `review/build.sh` has to run before. TROUBLE=0 leaves the disruption out. Exits as the cases do.
 cd "$(dirname "$0")/.." || exit 2
 mkdir -p review/more
-exec review/bin/case "$1" "review/more/$1-record.txt"
+# Not by exec: the check ends all that it started once this script has ended.
+review/bin/case "$1" "review/more/$1-record.txt"
+exit $?
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -18,6 +18,7 @@
 mod second_attempt;
 mod settings;
 
+use std::os::unix::process::parent_id;
 use std::process::exit;
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,7 +64,14 @@
     let (case, of_case) = (*case, record.clone());
     let running = std::thread::spawn(move || case(&of_case, trouble));
     let mut waited = Duration::ZERO;
+    let script = parent_id();
     while !running.is_finished() && waited < LIMIT {
+        if parent_id() != script {
+            // The script was interrupted.
+            router::kill_all();
+            router::remove_folder();
+            exit(2);
+        }
         std::thread::sleep(Duration::from_millis(50));
         waited += Duration::from_millis(50);
     }
--- a/review/stand-ins/router.rs
+++ b/review/stand-ins/router.rs
@@ -23,13 +23,23 @@
     }
 }
 
+/// Path of the temporary folder of this process.
+fn folder_path() -> PathBuf {
+    std::env::temp_dir().join(format!("marljunction-review-{}", std::process::id()))
+}
+
+/// Removes the temporary folder, for the end of a case that is interrupted.
+pub fn remove_folder() {
+    let _ = std::fs::remove_dir_all(folder_path());
+}
+
 /// A temporary folder, removed at the end.
 pub struct Folder(PathBuf);
 
 impl Folder {
     /// Creates a folder.
     pub fn create() -> std::io::Result<Folder> {
-        let path = std::env::temp_dir().join(format!("marljunction-review-{}", std::process::id()));
+        let path = folder_path();
         std::fs::create_dir_all(&path)?;
         Ok(Folder(path))
     }
