Keep loads of one key in order over both processes of an upgrade

Cause: the turns of keys (key_queues in crates/control/src/control.rs) and their pauses are in the memory of one process. Both processes of an upgrade accept from the same socket, and neither knew of the other's requests. Ruled out: that the old process loses its own order at SIGTERM (its second load waited for its first), and that only the hand-over matters (a load at the old process also ran beside one of the new process, without a signal).

A request reaches the module once it is in the list, with its turn; the module holds it until Event::TurnGranted. A process holds a lock on a file of its own, so that a killed one is known at once: its first request of a key holds the key for 2.35 s more.

Why it works: each process appends its request before it reads its turn, under one lock, so the later of two requests always sees the earlier one.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -348,6 +348,7 @@
         tenant,
         time_left_ns,
         key,
+        turn: KeyTurn::default(),
         data_set,
         work_estimate_ns: work.filter(|w| *w > 0 && flags & 1 == 1),
         memory_estimate_mb: memory_mb.filter(|m| *m > 0.0),
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -374,6 +374,7 @@
                 self.engines.entry(engine).and_modify(|e| e.cold_shares = Some(shares));
             }
             Event::VerdictChanged(engine, verdict) => self.on_verdict(engine, verdict),
+            Event::TurnGranted(id, resume_ns) => self.on_turn_granted(now_ns, id, resume_ns, out),
             Event::Progress(..) | Event::PeerMessage(..) => {}
             Event::Outcome(outcome) => self.on_outcome(now_ns, outcome, out),
             Event::Probed(engine, status, report) => {
@@ -455,6 +456,9 @@
         self.pending.insert(request.id, pending);
         self.probe_one(now, out);
         if let Some(key) = self.order_key(&request) {
+            if let KeyTurn::From(resume_ns) = request.turn {
+                self.pause_key(key, resume_ns);
+            }
             self.key_queues.entry(key).or_default().0.push_back(request.id);
             return self.on_turn_timer(now, request.id, out);
         }
@@ -475,6 +479,26 @@
         }
     }
 
+    /// Applies the end of all earlier requests of a key at another process of this router.
+    fn on_turn_granted(&mut self, now: u64, id: RequestId, resume_ns: u64, out: &mut Actions) {
+        let Some(p) = self.pending.get_mut(&id) else { return };
+        p.request.turn = KeyTurn::From(resume_ns);
+        let request = p.request;
+        let Some(key) = self.order_key(&request) else { return };
+        self.pause_key(key, resume_ns);
+        self.advance(now, key, out);
+    }
+
+    fn pause_key(&mut self, key: u64, until_ns: u64) {
+        let key_queue = self.key_queues.entry(key).or_default();
+        key_queue.1 = until_ns.max(key_queue.1);
+    }
+
+    /// Clock time until which a key is paused after an attempt that may still run; 0 if it is not.
+    pub fn key_paused_until_ns(&self, key: u64) -> u64 {
+        self.key_queues.get(&key).map_or(0, |key_queue| key_queue.1)
+    }
+
     /// Dispatches an ordered request if it is its turn, or refuses it once its need exceeds its
     /// remaining time.
     fn on_turn_timer(&mut self, now: u64, id: RequestId, out: &mut Actions) {
@@ -500,6 +524,7 @@
             match self.pending.get(&first) {
                 None => drop(queue.pop_front()),
                 Some(p) if p.running_on.is_some() || p.concluded => return,
+                Some(p) if p.request.turn == KeyTurn::Waiting => return,
                 Some(_) if *resume_ns > now => {
                     let token = TimerToken(first.0 << 8 | TURN_MARKER);
                     out.push(Action::SetTimer { after_ns: *resume_ns - now, token });
@@ -968,8 +993,7 @@
         if may_still_run || o.may_run_until_ns > now {
             // The attempt may still run: later requests of its key wait, its own retry does not.
             let paused_until_ns = now + self.settings.order_pause_ns.unwrap_or(0);
-            let key_queue = self.key_queues.entry(key).or_default();
-            key_queue.1 = paused_until_ns.max(o.may_run_until_ns).max(key_queue.1);
+            self.pause_key(key, paused_until_ns.max(o.may_run_until_ns));
         }
         self.advance(now, key, out);
     }
--- a/crates/control/src/interface.rs
+++ b/crates/control/src/interface.rs
@@ -53,6 +53,21 @@
     Cell,
 }
 
+/// Turn of a serial request, as far as the other processes of an upgrade are concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyTurn {
+    /// No earlier request of its key is unfinished there. It may be sent from this clock time.
+    From(u64),
+    /// An earlier request of its key is unfinished there. [`Event::TurnGranted`] follows.
+    Waiting,
+}
+
+impl Default for KeyTurn {
+    fn default() -> KeyTurn {
+        KeyTurn::From(0)
+    }
+}
+
 /// Settings of one request class.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ClassSettings {
@@ -272,6 +287,8 @@
     pub waited_ns: u64,
     /// Its order key, if any.
     pub key: Option<u64>,
+    /// Its turn among the requests of its key at other processes of this router.
+    pub turn: KeyTurn,
     /// The data set that it accesses.
     pub data_set: Option<u64>,
     /// Estimated work in core-nanoseconds.
@@ -373,6 +390,9 @@
     ColdShares(EngineId, [f64; 2]),
     /// The shared verdict on an engine has changed.
     VerdictChanged(EngineId, Verdict),
+    /// The requests of its key that a request waits for at another process are finished. It may be
+    /// sent from this clock time.
+    TurnGranted(RequestId, u64),
     /// A peer has sent a message.
     PeerMessage(u32, Vec<u8>),
     /// The client has disconnected.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod end_reason;
 pub mod health;
 pub mod limits;
+pub mod serial;
 pub mod statement;
 
 use std::cmp::Reverse;
@@ -29,6 +30,7 @@
 use marljunction_control::Controller;
 use marljunction_fair_queue::{Arrival, FairQueue, QueueAction, RetryAfter};
 use marljunction_limits::node::Permit;
+use serial::SerialChange;
 use statement::Statement;
 
 /// Time after a request's deadline at which the core answers it if nothing else did (ns).
@@ -235,6 +237,18 @@
     expires_ns: u64,
     /// Units held under fleet-wide limits.
     permit: Option<Permit>,
+    shared_order: SharedOrderState,
+}
+
+/// How far a request is in the order that the processes of an upgrade share.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum SharedOrderState {
+    /// Not part of it.
+    Absent,
+    /// The other processes are told of it; its turn is not known yet.
+    Announced,
+    /// The decision module has the request.
+    Submitted,
 }
 
 enum InboundEvent {
@@ -244,6 +258,7 @@
     AttemptUpdate(Attempt, AttemptUpdate),
     Ended(Attempt, EndReason, Option<Rows>, Option<LoadReport>),
     Membership(MembershipKind, Vec<EngineEntry>),
+    Turn(RequestId, KeyTurn),
 }
 
 impl InboundEvent {
@@ -256,7 +271,10 @@
             InboundEvent::Membership(..) => 1,
             InboundEvent::Ended(_, EndReason::Served, ..) => 2,
             InboundEvent::ClientCancelled(_) => 3,
-            InboundEvent::Arrival(_) | InboundEvent::AttemptUpdate(..) | InboundEvent::Ended(..) => 4,
+            InboundEvent::Arrival(_)
+            | InboundEvent::AttemptUpdate(..)
+            | InboundEvent::Ended(..)
+            | InboundEvent::Turn(..) => 4,
         }
     }
 }
@@ -285,6 +303,8 @@
     max_statement_bytes: usize,
     /// Names of the open requests.
     open_names: HashSet<String>,
+    /// Changes that other processes of this router are to be told of; `None` if there can be none.
+    serial_changes: Option<Vec<SerialChange>>,
     /// The counters.
     pub counters: Counters,
 }
@@ -306,6 +326,7 @@
             statement_bytes: 0,
             max_statement_bytes: (memory_mb * MAX_STATEMENT_MEMORY_SHARE * 1e6) as usize,
             open_names: HashSet::new(),
+            serial_changes: None,
             counters: Counters::default(),
         }
     }
@@ -322,6 +343,13 @@
         self
     }
 
+    /// Shares the order of serial requests with other processes of this router: each is submitted to
+    /// the decision module once [`Router::set_turn`] has told its turn.
+    pub fn with_shared_order(mut self, shared: bool) -> Self {
+        self.serial_changes = shared.then(Vec::new);
+        self
+    }
+
     /// Adds engine health shared by the fleet.
     pub fn with_health(mut self, health: Option<FleetHealth>) -> Self {
         self.health = health;
@@ -369,6 +397,7 @@
             received_ns: now_ns,
             expires_ns,
             permit: None,
+            shared_order: SharedOrderState::Absent,
         };
         self.open.insert(id, open);
         self.counters.taken += 1;
@@ -416,6 +445,16 @@
         self.batch.push(InboundEvent::Membership(kind, entries));
     }
 
+    /// Returns the changes since the last call that other processes of this router are to be told of.
+    pub fn take_serial_changes(&mut self) -> Vec<SerialChange> {
+        self.serial_changes.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    /// Reports the turn of a serial request among those of its key at other processes.
+    pub fn set_turn(&mut self, request: RequestId, turn: KeyTurn) {
+        self.batch.push(InboundEvent::Turn(request, turn));
+    }
+
     /// Whether another request may be accepted.
     pub fn has_capacity(&self) -> bool {
         // The fair queue bounds and evicts its own requests.
@@ -499,7 +538,7 @@
         while let Some(queue_action) = self.fair_queue.as_mut().and_then(|queue| queue.next_action(now)) {
             match queue_action {
                 QueueAction::Submit(id) => {
-                    self.submit_to_controller(now, RequestId(id), commands);
+                    self.submit_to_controller(now, RequestId(id), KeyTurn::default(), commands);
                     if let Some(fair_queue) = &mut self.fair_queue {
                         fair_queue.accepted(now, id);
                     }
@@ -539,7 +578,7 @@
     }
 
     /// Submits a request to the decision module.
-    fn submit_to_controller(&mut self, now: u64, id: RequestId, commands: &mut Vec<Command>) {
+    fn submit_to_controller(&mut self, now: u64, id: RequestId, turn: KeyTurn, commands: &mut Vec<Command>) {
         let Some(open) = self.open.get(&id) else { return };
         let client_request = &open.client_request;
         self.limits.iter_mut().for_each(|limits| limits.record_demand(now, client_request.class));
@@ -547,6 +586,7 @@
             id,
             class: client_request.class,
             key: client_request.order_key,
+            turn,
             tenant: client_request.tenant,
             time_left_ns: open.expires_ns.saturating_sub(now),
             waited_ns: now.saturating_sub(open.received_ns),
@@ -601,8 +641,12 @@
                 let Some(open) = self.open.get(&id) else { return };
                 // Serial requests bypass the queue, where a later one could overtake: the module
                 // keeps their order.
-                if self.fair_queue.is_none() || self.runs_serially(&open.client_request) {
-                    return self.submit_to_controller(now, id, commands);
+                let serial = self.runs_serially(&open.client_request);
+                if serial && self.serial_changes.is_some() {
+                    return self.announce_serial(id);
+                }
+                if serial || self.fair_queue.is_none() {
+                    return self.submit_to_controller(now, id, KeyTurn::default(), commands);
                 }
                 let arrival = self.fair_queue_arrival(id, open);
                 if let Some(fair_queue) = &mut self.fair_queue {
@@ -632,6 +676,7 @@
                     self.decide(now, Event::Progress(at.request, at.number, update), commands);
                 }
             }
+            InboundEvent::Turn(id, turn) => self.handle_turn(now, id, turn, commands),
             InboundEvent::Ended(at, end_reason, rows, report) => {
                 self.end_attempt(now, at, end_reason, rows, report, commands)
             }
@@ -652,6 +697,32 @@
         }
     }
 
+    /// Tells the other processes of this router of a serial request.
+    fn announce_serial(&mut self, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let (Some(changes), Some(key)) = (&mut self.serial_changes, open.client_request.order_key) else {
+            return;
+        };
+        let max_attempt_ns =
+            self.classes[open.client_request.class.0].deadline_ns.saturating_add(UNCONFIRMED_END_GRACE_NS);
+        open.shared_order = SharedOrderState::Announced;
+        let over_by_ns = open.expires_ns.saturating_add(max_attempt_ns);
+        changes.push(SerialChange::Taken { request: id, key, over_by_ns });
+    }
+
+    /// Submits a serial request with its first turn; a later one ends its wait for other processes.
+    fn handle_turn(&mut self, now: u64, id: RequestId, turn: KeyTurn, commands: &mut Vec<Command>) {
+        let Some(open) = self.open.get_mut(&id).filter(|open| !open.concluded) else { return };
+        let state = std::mem::replace(&mut open.shared_order, SharedOrderState::Submitted);
+        match (state, turn) {
+            (SharedOrderState::Submitted, KeyTurn::From(resume_ns)) => {
+                self.decide(now, Event::TurnGranted(id, resume_ns), commands)
+            }
+            (SharedOrderState::Submitted, KeyTurn::Waiting) => {}
+            _ => self.submit_to_controller(now, id, turn, commands),
+        }
+    }
+
     /// Removes a request whose client left from the fair queue, or notifies the decision
     /// module.
     fn handle_client_left(&mut self, now: u64, id: RequestId, commands: &mut Vec<Command>) {
@@ -808,9 +879,19 @@
             if let (Some(limits), Some(permit)) = (&mut self.limits, open.permit) {
                 limits.release(permit);
             }
+            if open.shared_order != SharedOrderState::Absent {
+                self.finish_serial(id, open.client_request.order_key);
+            }
         }
     }
 
+    /// Tells the other processes of this router of the end of a serial request.
+    fn finish_serial(&mut self, request: RequestId, key: Option<u64>) {
+        let (Some(changes), Some(key)) = (&mut self.serial_changes, key) else { return };
+        let paused_until_ns = self.control.key_paused_until_ns(key);
+        changes.push(SerialChange::Finished { request, key, paused_until_ns });
+    }
+
     /// Passes one event to the decision module and executes its actions.
     fn decide(&mut self, now: u64, event: Event, commands: &mut Vec<Command>) {
         let mut actions = std::mem::take(&mut self.actions);
--- /dev/null
+++ b/crates/handover/src/table.rs
@@ -0,0 +1,137 @@
+//! The list of unfinished serial requests of all processes of a router. No I/O, no clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use marljunction_control::interface::{KeyTurn, RequestId};
+use serde::{Deserialize, Serialize};
+
+/// Format of the list.
+pub(crate) const VERSION: u32 = 1;
+
+/// How long an attempt of a process that ended may continue (ns): engines end a query that nobody
+/// has polled for 2 s, and learn of the last poll late.
+pub const ORPHANED_ATTEMPT_NS: u64 = 2_350_000_000;
+
+/// Identifies a process, also after its process id is used again. Times are of the machine's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ProcessId {
+    /// The system's id of the process.
+    pub pid: u32,
+    /// Its start (ns).
+    pub started_ns: u64,
+}
+
+impl fmt::Display for ProcessId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.pid, self.started_ns)
+    }
+}
+
+/// A serial request that is not finished.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TakenRequest {
+    /// The process that took it.
+    pub process: ProcessId,
+    /// Its id in that process.
+    pub request: u64,
+    /// Its order key.
+    pub key: u64,
+    /// Time by which its last attempt must be over (ns).
+    pub over_by_ns: u64,
+}
+
+/// The shared list. Times are of the machine's clock.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Table {
+    pub(crate) version: u32,
+    /// The run of the machine that the times belong to.
+    pub(crate) boot: String,
+    processes: BTreeSet<ProcessId>,
+    /// In the order in which they were taken.
+    requests: Vec<TakenRequest>,
+    /// Time until which no request of a key may be sent (ns), by key.
+    pauses: BTreeMap<u64, u64>,
+}
+
+impl Table {
+    /// An empty list of a run of the machine.
+    pub fn new(boot: String) -> Table {
+        Table {
+            version: VERSION,
+            boot,
+            processes: BTreeSet::new(),
+            requests: Vec::new(),
+            pauses: BTreeMap::new(),
+        }
+    }
+
+    /// The processes that use the list.
+    pub fn processes(&self) -> impl Iterator<Item = ProcessId> + '_ {
+        self.processes.iter().copied()
+    }
+
+    /// Whether a process other than `process` uses the list.
+    pub fn has_others(&self, process: ProcessId) -> bool {
+        self.processes.iter().any(|known| *known != process)
+    }
+
+    /// Replaces what a process has told: its unfinished requests, in the order in which it took
+    /// them, and its pauses. Requests that are in the list already keep their place.
+    pub fn update(&mut self, process: ProcessId, open: &[TakenRequest], pauses: &BTreeMap<u64, u64>) {
+        self.processes.insert(process);
+        let is_open: BTreeSet<u64> = open.iter().map(|taken| taken.request).collect();
+        self.requests.retain(|taken| taken.process != process || is_open.contains(&taken.request));
+        let own = self.requests.iter().filter(|taken| taken.process == process);
+        let known: BTreeSet<u64> = own.map(|taken| taken.request).collect();
+        self.requests.extend(open.iter().filter(|taken| !known.contains(&taken.request)));
+        for (key, until_ns) in pauses {
+            self.pause(*key, *until_ns);
+        }
+    }
+
+    /// Removes processes that ended, with their requests. The first request of a key may be running
+    /// on its engine still, and pauses the key; later ones never ran.
+    pub fn remove_processes(&mut self, now: u64, ended: &[ProcessId]) {
+        let mut keys = BTreeSet::new();
+        let first_of_keys: Vec<TakenRequest> =
+            self.requests.iter().filter(|taken| keys.insert(taken.key)).copied().collect();
+        for first in first_of_keys.iter().filter(|first| ended.contains(&first.process)) {
+            let orphan_over_ns = now.saturating_add(ORPHANED_ATTEMPT_NS);
+            self.pause(first.key, orphan_over_ns.min(first.over_by_ns));
+        }
+        self.requests.retain(|taken| !ended.contains(&taken.process));
+        self.processes.retain(|process| !ended.contains(process));
+    }
+
+    /// Removes requests that must be over, so that a suspended process does not block a key forever,
+    /// and pauses that have passed.
+    pub fn remove_expired(&mut self, now: u64) {
+        self.requests.retain(|taken| taken.over_by_ns > now);
+        self.pauses.retain(|_, until_ns| *until_ns > now);
+    }
+
+    /// Returns the turn of each request of a process.
+    pub fn turns(&self, process: ProcessId) -> Vec<(RequestId, KeyTurn)> {
+        let mut held_by_others = BTreeSet::new();
+        let mut turns = Vec::new();
+        for taken in &self.requests {
+            if taken.process != process {
+                held_by_others.insert(taken.key);
+                continue;
+            }
+            let paused_until_ns = self.pauses.get(&taken.key).copied().unwrap_or(0);
+            let turn = match held_by_others.contains(&taken.key) {
+                true => KeyTurn::Waiting,
+                false => KeyTurn::From(paused_until_ns),
+            };
+            turns.push((RequestId(taken.request), turn));
+        }
+        turns
+    }
+
+    fn pause(&mut self, key: u64, until_ns: u64) {
+        let paused = self.pauses.entry(key).or_default();
+        *paused = until_ns.max(*paused);
+    }
+}
--- a/src/daemon/iteration.rs
+++ b/src/daemon/iteration.rs
@@ -201,12 +201,23 @@
                 self.execute(now, command);
             }
             self.event_loop.commands = commands;
+            self.exchange_with_other_process(now);
             if !self.router.has_pending_events() {
                 return;
             }
         }
     }
 
+    /// Tells the other process of an upgrade of changes of serial requests, and applies the turns that
+    /// follow.
+    fn exchange_with_other_process(&mut self, now: u64) {
+        let Some(handover) = &mut self.handover else { return };
+        let changes = self.router.take_serial_changes();
+        for (request, turn) in handover.exchange(now, changes) {
+            self.router.set_turn(request, turn);
+        }
+    }
+
     /// Executes one command of the decision module.
     pub(super) fn execute(&mut self, now: u64, command: Command) {
         let mut context = Context { now, net: &mut self.net, router: &mut self.router };
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -28,6 +28,7 @@
 use marljunction_front::msgpack::MsgpackFront;
 use marljunction_front::postgres::PostgresFront;
 use marljunction_front::Directory;
+use marljunction_handover::SharedState;
 use marljunction_language::value::Value;
 use marljunction_net::clock::Clock;
 use marljunction_net::Net;
@@ -99,6 +100,8 @@
     engines: Box<dyn Backend>,
     engine_list: EngineList,
     admin: Admin,
+    /// The order of serial requests, shared with the other process of an upgrade.
+    handover: Option<SharedState>,
     /// Communication with the other routers; `None` outside of a fleet.
     fleet: Option<FleetRuntime>,
 }
--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -22,6 +22,7 @@
 use marljunction_front::msgpack::MsgpackFront;
 use marljunction_front::postgres::{PostgresFront, PostgresSetup};
 use marljunction_front::Directory;
+use marljunction_handover::{Machine, SharedState};
 use marljunction_net::clock::Clock;
 use marljunction_net::{ConnectionLimits, Net};
 use mio::Registry;
@@ -78,7 +79,9 @@
         let engines = build_engines(&config, &start, postgres.as_ref(), pacing);
         let fronts = build_fronts(&config, postgres, &directory)?;
         let (fleet, fleet_state) = start_fleet(now, &registry, fleet, identity, &config, &files)?;
-        let router = build_router(&config, pacing.seed, fair_queue, fleet_state);
+        let handover = build_shared_state(clock.now_ns(), &files, &config, &listeners)?;
+        let router =
+            build_router(&config, pacing.seed, fair_queue, fleet_state).with_shared_order(handover.is_some());
         let net = build_net(registry, &config);
         let snapshot = Snapshot::in_file(start.snapshot_path.clone(), ListBound::of(config.limits.memory_mb));
         let exclusions = Exclusions::in_directory(files.state_dir.as_deref());
@@ -96,6 +99,7 @@
             engines,
             engine_list: EngineList { source, snapshot, exclusions, relay_stream: RelayStream::default() },
             admin,
+            handover,
             fleet,
         };
         daemon.load_engines(known, start.max_snapshot_age_ns);
@@ -248,6 +252,23 @@
         .with_health(health)
 }
 
+/// Shares the order of serial requests with processes that accept from the same socket; not if no
+/// class is serial, or there is no directory to share.
+fn build_shared_state(
+    now: u64,
+    files: &ConfigFiles,
+    config: &Config,
+    listeners: &Listeners,
+) -> Result<Option<SharedState>, DaemonError> {
+    let is_serial = config.settings.classes.iter().any(|class| class.serial_by_key);
+    let (Some(directory), Some(listener), true) = (&files.state_dir, &listeners.msgpack, is_serial) else {
+        return Ok(None);
+    };
+    let address = listener.local_addr().map_err(DaemonError::io("listen"))?;
+    let machine = Machine::at(now);
+    Ok(Some(SharedState::in_directory(directory, address, std::process::id(), now, machine)))
+}
+
 fn build_net(registry: Registry, config: &Config) -> Net {
     let descriptors = config.limits.sockets.max(MIN_DESCRIPTORS);
     let mut net =
--- /dev/null
+++ b/tests/handover_order.rs
@@ -0,0 +1,162 @@
+//! The processes of an upgrade are one router: requests of a serial class with the same key run one
+//! at a time, in the order in which the processes took them.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+#[allow(dead_code)]
+#[path = "common/upgrade.rs"]
+mod upgrade;
+
+use upgrade::{assert_well, client, write_config, Engine, Process};
+
+/// Time after its last poll at which an engine ends a query.
+const UNPOLLED_LIMIT: Duration = Duration::from_secs(2);
+
+/// An engine and the socket that the processes of an upgrade share.
+struct Upgrade {
+    engine: Engine,
+    socket: TcpListener,
+    dir: PathBuf,
+}
+
+impl Upgrade {
+    /// Loads are serial by key, without a pause between them.
+    fn new(name: &str) -> Upgrade {
+        let engine = Engine::start();
+        let dir = write_config(name, engine.address(), |config| {
+            config["settings"]["request_classes"][2]["serial_by_key"] = json!(true);
+            config["settings"]["guarantees"]["order_pause_ns"] = json!(0);
+        });
+        Upgrade { engine, socket: TcpListener::bind("127.0.0.1:0").unwrap(), dir }
+    }
+
+    fn start(&self) -> Process {
+        Process::start(&self.dir, &self.socket)
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.socket.local_addr().unwrap()
+    }
+
+    /// Waits until both processes have read all input so far, and checks that no query arrived.
+    fn assert_none_runs(&self, clients: &mut [&mut TcpStream], why: &str) {
+        for client in clients {
+            assert_well(client, why);
+        }
+        let early = self.engine.waiting_query().map(|query| query.id);
+        assert_eq!(early, None, "{why}");
+    }
+}
+
+impl Drop for Upgrade {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Sends a load whose request id ends with `number`, with the same key as all others.
+fn send_load(client: &mut TcpStream, number: u8) {
+    let mut call = vec![0x94, 0x00, 0x10 + number];
+    call.extend(b"\xacservice-load\x92\x84\xa3rid\xb09b1f03aa5c7e2d4");
+    call.push(b'0' + number);
+    call.extend(b"\xa6budget\xa45000\xa3obj\xb0000be944cd8a5991\xa4acct\xb2gulf-coast-comfort");
+    call.extend(b"\xc4\x1dselect * from sales_17.orders");
+    client.write_all(&call).unwrap();
+}
+
+/// Reads the answer to the load with this number, which was served.
+fn assert_served(client: &mut TcpStream, number: u8) {
+    let mut response = vec![0; 13];
+    client.read_exact(&mut response).unwrap();
+    let mut expected = vec![0x94, 0x01, 0x10 + number];
+    expected.extend(b"\xc0\x92\xc4\x06a\tb\tc\n");
+    expected.truncate(13);
+    assert_eq!(response, expected);
+    client.read_exact(&mut [0; 1]).unwrap();
+}
+
+fn request_id(number: u8) -> String {
+    format!("9b1f03aa5c7e2d4{number}")
+}
+
+/// Guards against loads of one key that run at once during an upgrade: those that the new process
+/// took wait for those that the old one took before.
+#[test]
+fn a_load_at_the_new_process_waits_for_earlier_ones_of_its_key_at_the_old_one() {
+    let upgrade = Upgrade::new("order-new");
+    let mut old = upgrade.start();
+    let mut old_client = client(upgrade.address());
+    send_load(&mut old_client, 1);
+    let first = upgrade.engine.next_query();
+    send_load(&mut old_client, 2);
+    let _new = upgrade.start();
+    old.begin_stop();
+    let mut new_client = client(upgrade.address());
+    send_load(&mut new_client, 3);
+    upgrade.assert_none_runs(&mut [&mut new_client], "the first load runs");
+    first.complete();
+    let second = upgrade.engine.next_query();
+    assert_eq!(second.id, request_id(2), "the load that was taken second runs next");
+    upgrade.assert_none_runs(&mut [&mut new_client], "the second load runs");
+    second.complete();
+    assert_served(&mut old_client, 1);
+    assert_served(&mut old_client, 2);
+    let third = upgrade.engine.next_query();
+    assert_eq!(third.id, request_id(3));
+    third.complete();
+    assert_served(&mut new_client, 3);
+}
+
+/// Guards against the reverse: the old process still takes loads on open connections, and they wait
+/// for those that the new process took before.
+#[test]
+fn a_load_at_the_old_process_waits_for_earlier_ones_of_its_key_at_the_new_one() {
+    let upgrade = Upgrade::new("order-old");
+    let old = upgrade.start();
+    let mut old_client = client(upgrade.address());
+    assert_well(&mut old_client, "the old process accepts");
+    let _new = upgrade.start();
+    // Only the new process can accept meanwhile.
+    old.suspend();
+    let mut new_client = client(upgrade.address());
+    send_load(&mut new_client, 1);
+    let first = upgrade.engine.next_query();
+    old.signal("-CONT");
+    send_load(&mut old_client, 2);
+    upgrade.assert_none_runs(&mut [&mut old_client], "the first load runs");
+    first.complete();
+    assert_served(&mut new_client, 1);
+    let second = upgrade.engine.next_query();
+    assert_eq!(second.id, request_id(2));
+    second.complete();
+    assert_served(&mut old_client, 2);
+}
+
+/// Guards against a load that runs beside one of a killed process, which its engine ends only once
+/// nobody has polled it for 2 s; and against one that waits for a load which never ran.
+#[test]
+fn a_load_waits_until_an_engine_has_ended_the_one_of_a_killed_process() {
+    let upgrade = Upgrade::new("order-killed");
+    let mut old = upgrade.start();
+    let mut old_client = client(upgrade.address());
+    send_load(&mut old_client, 1);
+    let _first = upgrade.engine.next_query();
+    send_load(&mut old_client, 2);
+    assert_well(&mut old_client, "the old process took both loads");
+    let _new = upgrade.start();
+    let killed = Instant::now();
+    old.child.kill().unwrap();
+    old.child.wait().unwrap();
+    let mut new_client = client(upgrade.address());
+    send_load(&mut new_client, 3);
+    let third = upgrade.engine.next_query();
+    assert_eq!(third.id, request_id(3));
+    assert!(third.arrived - killed >= UNPOLLED_LIMIT, "{:?} after the kill", third.arrived - killed);
+    third.complete();
+    assert_served(&mut new_client, 3);
+}
