Match no unknown cell or zone when a deduplicated request is repeated

Cause: Controller::may_repeat compared the optional cells and zones of two engines, and two unknown ones are equal. For Consul the cell was always unknown, as its reader took no group from the metadata (CatalogEntry::target). Ruled out: the window (2.1 s of 12 s had passed) and the scope itself (with known cells the request is not repeated).

Change: an unknown cell or zone matches nothing. Consul's metadata key pod_group is read, so that repeats within a known group work there too.

Why it works: a repeat now needs proof that both engines share the group, whichever source the list has; reading Consul's group alone would have left the fault for engines without it.

Before the change deduplicated_request_is_not_retried_on_an_engine_of_an_ unknown_group failed ("Cell false false: left: Some(1), right: None"), as did consul_unknown_group.txt and consul_other_group.txt ("sent: left 2, right 1").

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -317,6 +317,16 @@
     Some((usize::from(lane), budget, needs.fold(1.0, f64::max)))
 }
 
+/// Whether `to` drops repeats of what `first` has run. An unknown zone or cell matches nothing: two
+/// engines of which it is unknown need not share it.
+fn is_in_dedup_scope(scope: DedupScope, first: &EngineEntry, to: &EngineEntry) -> bool {
+    match scope {
+        DedupScope::All => true,
+        DedupScope::Zone => first.zone.is_some() && first.zone == to.zone,
+        DedupScope::Cell => first.cell.is_some() && first.cell == to.cell,
+    }
+}
+
 fn review_token(id: RequestId, attempt: u32) -> TimerToken {
     TimerToken(id.0 << 8 | u64::from(attempt.min(254)))
 }
@@ -1136,11 +1146,7 @@
             (Effect::AtMostOnce, Some(_)) => return false,
             (Effect::Deduplicated, Some(first)) => first,
         };
-        let in_scope = to.is_none_or(|to| match class.dedup_scope {
-            DedupScope::All => true,
-            DedupScope::Zone => at.zone == to.zone,
-            DedupScope::Cell => at.cell == to.cell,
-        });
+        let in_scope = to.is_none_or(|to| is_in_dedup_scope(class.dedup_scope, &at, to));
         in_scope && class.dedup_window_ns.is_some_and(|w| now < sent.saturating_add(w))
     }
 
--- a/crates/control/src/interface.rs
+++ b/crates/control/src/interface.rs
@@ -249,7 +249,7 @@
     pub zone: Option<ZoneId>,
     /// Its machine kind; absent if unknown.
     pub kind: Option<KindId>,
-    /// Its cell.
+    /// Its cell; absent if unknown.
     pub cell: Option<u64>,
     /// Its state.
     pub state: EngineState,
--- a/crates/control/tests/rules.rs
+++ b/crates/control/tests/rules.rs
@@ -66,6 +66,29 @@
     }
 }
 
+/// Guards against a load that runs on engines of two groups because the groups of both are unknown.
+#[test]
+fn deduplicated_request_is_not_retried_on_an_engine_of_an_unknown_group() {
+    for scope in [DedupScope::Cell, DedupScope::Zone] {
+        for (known_first, known_second) in [(false, false), (true, false), (false, true)] {
+            let mut s = settings();
+            s.classes[0].effect = Effect::Deduplicated;
+            s.classes[0].dedup_scope = scope;
+            s.classes[0].dedup_window_ns = Some(S);
+            let group = |known: bool| (known.then_some(0), known.then_some(ZoneId(0)));
+            let at = |id, known| {
+                let (cell, zone) = group(known);
+                EngineEntry { cell, zone, ..entry(id) }
+            };
+            let mut w = Harness::with(s, vec![at(1, known_first), at(2, known_second)]);
+            let engine = sent_to(&w.send_request(request(1, 0, 100))).unwrap();
+            let actions = w.at(5).finish(outcome(1, 0, engine, Status::Error, 5));
+            assert_eq!(sent_to(&actions), None, "{scope:?} {known_first} {known_second}");
+            assert!(failed(&actions), "a refusal promises that a retry is safe");
+        }
+    }
+}
+
 #[test]
 fn draining_and_removed_engines_receive_nothing() {
     for state in [EngineState::Draining, EngineState::Gone] {
--- a/crates/discovery/src/consul_response.rs
+++ b/crates/discovery/src/consul_response.rs
@@ -73,6 +73,8 @@
     #[serde(borrow)]
     model: Option<Text<'a>>,
     #[serde(borrow)]
+    pod_group: Option<Text<'a>>,
+    #[serde(borrow)]
     boot_ms: Option<Text<'a>>,
 }
 
@@ -90,7 +92,7 @@
             engine: engine_id(&self.service_id),
             zone: meta.az.as_ref().and_then(|z| index_of(&names.zones, z)).map(ZoneId),
             kind: meta.model.as_ref().and_then(|k| index_of(&names.kinds, k)).map(KindId),
-            cell: None,
+            cell: meta.pod_group.as_ref().and_then(|group| group.parse().ok()),
             state: EngineState::Gone,
             weight: 1.0,
             started_ns: started_ms.map(|ms| ms.saturating_mul(1_000_000)),
--- a/tests/common/harness.rs
+++ b/tests/common/harness.rs
@@ -202,6 +202,9 @@
             let class = &mut config["settings"]["request_classes"][0];
             (class["effect"], class["dedup_scope"]) = (json!("deduplicated"), json!("all"));
             class["dedup_window_ns"] = json!(5_000_000_000_u64);
+            if has_option("cell scope") {
+                class["dedup_scope"] = json!("cell");
+            }
         }
         if has_option("serial key") {
             config["settings"]["request_classes"][2]["serial_by_key"] = json!(true);
