Repeat a deduplicated request in the group that its engine had when it was sent

A request whose repeats only one group drops could be repeated in another group, if the list moved its engine while the attempt ran.

Cause: on_outcome took the engine's entry, with its zone and cell, from the list as it was when the attempt ended, not when it was sent.

Change: a running attempt holds the entry that its engine had at its send, and may_have_run takes it from there.

deduplicated_request_is_retried_in_the_group_that_its_engine_had_when_it_ was_sent failed before: "left: Some(3), right: Some(1)", where engine 3 is in the group that the first engine was moved to.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -185,6 +185,8 @@
     progress: Option<(u64, f64)>,
     priority: u8,
     grant_mb: u64,
+    /// The engine as listed when the attempt was sent.
+    entry: EngineEntry,
 }
 
 /// State of an engine as observed by this router.
@@ -235,8 +237,7 @@
     cancelled: bool,
     concluded: bool,
     failed_engine: Option<EngineId>,
-    /// Send time and engine of the first attempt that may have run; the engine may have been
-    /// removed since.
+    /// Send time of the first attempt that may have run, and its engine as listed then.
     may_have_run: Option<(u64, EngineEntry)>,
 }
 
@@ -862,9 +863,11 @@
         let expected_ns = alone * admission.threads_per_core.max(1.0);
         let at = e.running.partition_point(|q| (q.due_ns, q.request) < (due_ns, id));
         let (request, sent_ns, need_ns, progress, priority) = (id, now, admission.need_ns, None, 1);
+        let entry = e.entry;
         #[rustfmt::skip]
         let running = RunningAttempt {
             request, attempt, due_ns, need_ns, threads, sent_ns, expected_ns, progress, priority, grant_mb,
+            entry,
         };
         e.running.insert(at, running);
         self.set_priorities(now, engine, (grant_mb > 0).then_some(id), out);
@@ -975,7 +978,6 @@
         let Some(ran) = ran else { return };
         self.learn(&o, &ran);
         self.update_health(now, &o, &ran);
-        let entry = self.engines.get(&o.engine).map_or_else(EngineEntry::default, |e| e.entry);
         let alone = o.work_ns.map_or(ran.need_ns, |w| w as f64).max(1.0) / ran.threads;
         let latency_over_alone = (o.status == Status::Done).then_some(o.latency_ns as f64 / alone);
         self.record_report(now, o.engine, o.report, latency_over_alone);
@@ -990,7 +992,7 @@
         p.failed_engine = (o.status != Status::Done && !p.cancelled).then_some(o.engine);
         let never_ran = matches!(o.status, Status::Busy | Status::Refused | Status::Skipped);
         if !never_ran && p.may_have_run.is_none() {
-            p.may_have_run = Some((ran.sent_ns, entry));
+            p.may_have_run = Some((ran.sent_ns, ran.entry));
         }
         let request = p.request;
         if o.concluded || p.concluded {
--- a/crates/control/tests/rules.rs
+++ b/crates/control/tests/rules.rs
@@ -89,6 +89,32 @@
     }
 }
 
+/// Guards against a load that runs on engines of two groups because the list moved the first one
+/// while it ran.
+#[test]
+fn deduplicated_request_is_retried_in_the_group_that_its_engine_had_when_it_was_sent() {
+    let mut s = settings();
+    s.classes[0].effect = Effect::Deduplicated;
+    s.classes[0].dedup_scope = DedupScope::Cell;
+    s.classes[0].dedup_window_ns = Some(S);
+    let at = |id, cell| EngineEntry { cell: Some(cell), ..entry(id) };
+    let mut w = Harness::with(s, vec![at(1, 0), at(2, 0), at(3, 5)]);
+    let mut engines = vec![1, 2];
+    // Requests go to one of the first group; those to the other one are completed.
+    let first = (1..50).find_map(|id| {
+        let engine = sent_to(&w.send_request(request(id, 0, 100))).unwrap();
+        if engine == 3 {
+            w.finish(outcome(id, 0, engine, Status::Done, 5));
+        }
+        (engine != 3).then_some((id, engine))
+    });
+    let (id, engine) = first.unwrap();
+    engines.retain(|other| *other != engine);
+    w.on(Event::Membership(MembershipKind::Delta, vec![at(engine, 5)]));
+    let actions = w.at(5).finish(outcome(id, 0, engine, Status::Error, 5));
+    assert_eq!(sent_to(&actions), Some(engines[0]));
+}
+
 #[test]
 fn draining_and_removed_engines_receive_nothing() {
     for state in [EngineState::Draining, EngineState::Gone] {
