Give a deduplicated request without a token its request id as one

What callers saw: nothing yet; found while looking for attributes that may be unknown. A MessagePack request of a deduplicated class that came without `token` was repeated on a second engine without a Once-Key, so that no engine could drop the repeat and its effect could be applied twice.

Cause: parse_request passes the token on as it came; only the PostgreSQL front replaced a missing one. The module repeats by the class alone.

Change: such a request gets its request id as token, which all of its attempts have in common. A client's token is passed on unchanged, and classes that are not deduplicated get none.

tests/exchanges/msgpack_no_token.txt failed before: the first attempt had no Once-Key.

--- a/crates/front/src/msgpack.rs
+++ b/crates/front/src/msgpack.rs
@@ -465,6 +465,8 @@
         if !token.iter().all(is_valid) {
             return Err("bad token".into());
         }
+        // Engines cannot recognise a repeat without a token; all attempts have the request's id.
+        let token = token.or_else(|| self.deduplicates(class).then(|| name.to_owned()));
         let hex = |v: &str| (1..=16).contains(&v.len()) && v.bytes().all(|b| b.is_ascii_hexdigit());
         let key = |v: &str| u64::from_str_radix(v, 16).ok().filter(|_| hex(v)).ok_or("bad obj");
         let order_key = field("obj").map(key).transpose()?;
