Keep both processes of an upgrade within one retry budget and cold share

While two processes of an upgrade ran, each made the retries that a router may make regardless of traffic, and sent a cold engine the router's share.

Change: each process knows how many run and whether an older one does (crates/handover, Event::Processes). Each counts its own traffic for retries, and only the oldest has the floor; cold shares are divided evenly, and only the oldest may send a query over its part. Both hold until one window after a process ended. The list is shared whatever the classes are, wherever $TMPDIR is set.

Why it works: what a process may do depends on which processes run, not on messages about each send, so the sum stays within one budget at any delay.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
+use crate::process_budgets::ProcessHistory;
 
 // ---- Constants -----------------------------------------------------------------------------------
 
@@ -262,6 +263,8 @@
     key_queues: BTreeMap<u64, (VecDeque<RequestId>, u64)>,
     arrivals: VecDeque<u64>,
     retries: VecDeque<u64>,
+    /// The processes of an upgrade, which share the budgets of this router.
+    processes: ProcessHistory,
     /// Decayed means of the work, the time alone, and memory times time alone of sent attempts:
     /// converts queries and granted memory to threads.
     traffic_mix: [f64; 3],
@@ -386,6 +389,7 @@
             }
             Event::VerdictChanged(engine, verdict) => self.on_verdict(engine, verdict),
             Event::TurnGranted(id, resume_ns) => self.on_turn_granted(now_ns, id, resume_ns, out),
+            Event::Processes(processes) => self.on_processes(now_ns, processes),
             Event::Progress(..) | Event::PeerMessage(..) => {}
             Event::Outcome(outcome) => self.on_outcome(now_ns, outcome, out),
             Event::Probed(engine, status, report) => {
@@ -490,6 +494,12 @@
         }
     }
 
+    fn on_processes(&mut self, now: u64, processes: RouterProcesses) {
+        let retry_window_ns = self.settings.retry_budget.map_or(0, |budget| budget.window_ns);
+        let longest_window_ns = retry_window_ns.max(self.settings.overload_window_ns.unwrap_or(0));
+        self.processes.record(now, processes, longest_window_ns);
+    }
+
     /// Applies the end of all earlier requests of a key at another process of this router.
     fn on_turn_granted(&mut self, now: u64, id: RequestId, resume_ns: u64, out: &mut Actions) {
         let Some(p) = self.pending.get_mut(&id) else { return };
@@ -1160,7 +1170,9 @@
                 let since = now.saturating_sub(b.window_ns);
                 let made = self.retries.iter().filter(|t| **t >= since).count() as f64;
                 let arrivals = self.arrivals.iter().filter(|t| **t > since).count() as f64;
-                made + 1.0 <= b.floor + b.per_request * arrivals
+                // Each process counts its own traffic; only the oldest one has the floor.
+                let floor = if self.processes.within(now, b.window_ns).is_oldest { b.floor } else { 0.0 };
+                made + 1.0 <= floor + b.per_request * arrivals
             });
         self.may_repeat(now, p, None) && attempt_ok && budget_ok
     }
@@ -1186,7 +1198,8 @@
     /// engine: as many as whole queries fit by the settings alone, chosen by router and engine
     /// number so that all routers agree. An owner may send one query per overload window, or as
     /// many as its part holds. A router that restarted meanwhile waits for one window. An engine
-    /// back from refused connections has no owners until its start is announced.
+    /// back from refused connections has no owners until its start is announced. The processes of
+    /// an upgrade divide the share, and only the oldest one may send a query that exceeds its part.
     fn fits_cold_budget(&self, now: u64, p: &Pending, e: &Engine) -> bool {
         let s = &self.settings;
         let (Some(since), Some(_)) = (e.cold_start_ns, self.warmup_progress(now, e)) else { return true };
@@ -1200,11 +1213,14 @@
         let just_restarted =
             self.first_event_ns.is_some_and(|b| b > since && now < b.saturating_add(overload_window_ns));
         let half = budget * self.capacity_share(now, e) / 2.0;
+        let processes = self.processes.within(now, overload_window_ns);
+        let part = half / f64::from(processes.running.max(1));
         let typical_need = self.models[class.0].typical_need.value;
         let recent = || e.recent_sends.iter().filter(|s| s.0 + overload_window_ns >= now);
         if let Some(shares) = e.cold_shares {
             let sent: f64 = recent().filter(|s| s.2 == lane).map(|s| s.1).sum();
-            return sent + typical_need <= half * shares[lane] || sent <= 0.0 && shares[lane] >= 1.0;
+            let may_exceed = processes.is_oldest && shares[lane] >= 1.0;
+            return sent + typical_need <= part * shares[lane] || sent <= 0.0 && may_exceed;
         }
         let started = e.entry.started_ns.zip(s.warmup_ns);
         let announced = started.is_some_and(|(at, cold)| now < at.saturating_add(cold));
@@ -1212,7 +1228,7 @@
         let owners = (half / largest).floor().clamp(1.0, max_owners);
         let same = |s: &&(u64, f64, usize)| usize::from(s.1 * MIN_LIGHT_QUERIES > budget * start) == lane;
         let sent: f64 = recent().filter(same).map(|s| s.1).sum();
-        let fits = sent <= 0.0 || sent + typical_need <= half / owners;
+        let fits = sent <= 0.0 && processes.is_oldest || sent + typical_need <= part / owners;
         fits && !just_restarted && (!announced || (rank as f64) < owners)
     }
 }
--- a/crates/control/src/interface.rs
+++ b/crates/control/src/interface.rs
@@ -68,6 +68,21 @@
     }
 }
 
+/// The running processes of this router: two or more during an upgrade.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouterProcesses {
+    /// How many run.
+    pub running: u32,
+    /// Whether none of them started before this one.
+    pub is_oldest: bool,
+}
+
+impl Default for RouterProcesses {
+    fn default() -> RouterProcesses {
+        RouterProcesses { running: 1, is_oldest: true }
+    }
+}
+
 /// Settings of one request class.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ClassSettings {
@@ -393,6 +408,8 @@
     /// The requests of its key that a request waits for at another process are finished. It may be
     /// sent from this clock time.
     TurnGranted(RequestId, u64),
+    /// The running processes of this router have changed.
+    Processes(RouterProcesses),
     /// A peer has sent a message.
     PeerMessage(u32, Vec<u8>),
     /// The client has disconnected.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod control;
 pub mod interface;
+mod process_budgets;
 
 pub use control::Controller;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -259,6 +259,7 @@
     Ended(Attempt, EndReason, Option<Rows>, Option<LoadReport>),
     Membership(MembershipKind, Vec<EngineEntry>),
     Turn(RequestId, KeyTurn),
+    Processes(RouterProcesses),
 }
 
 impl InboundEvent {
@@ -268,7 +269,7 @@
     fn processing_order(&self) -> u8 {
         match self {
             InboundEvent::ClientLeft(..) => 0,
-            InboundEvent::Membership(..) => 1,
+            InboundEvent::Membership(..) | InboundEvent::Processes(_) => 1,
             InboundEvent::Ended(_, EndReason::Served, ..) => 2,
             InboundEvent::ClientCancelled(_) => 3,
             InboundEvent::Arrival(_)
@@ -305,6 +306,8 @@
     open_names: HashSet<String>,
     /// Changes that other processes of this router are to be told of; `None` if there can be none.
     serial_changes: Option<Vec<SerialChange>>,
+    /// The running processes of this router, as last reported.
+    processes: RouterProcesses,
     /// The counters.
     pub counters: Counters,
 }
@@ -327,6 +330,7 @@
             max_statement_bytes: (memory_mb * MAX_STATEMENT_MEMORY_SHARE * 1e6) as usize,
             open_names: HashSet::new(),
             serial_changes: None,
+            processes: RouterProcesses::default(),
             counters: Counters::default(),
         }
     }
@@ -450,6 +454,13 @@
         self.serial_changes.as_mut().map(std::mem::take).unwrap_or_default()
     }
 
+    /// Reports the running processes of this router.
+    pub fn set_processes(&mut self, processes: RouterProcesses) {
+        if std::mem::replace(&mut self.processes, processes) != processes {
+            self.batch.push(InboundEvent::Processes(processes));
+        }
+    }
+
     /// Reports the turn of a serial request among those of its key at other processes.
     pub fn set_turn(&mut self, request: RequestId, turn: KeyTurn) {
         self.batch.push(InboundEvent::Turn(request, turn));
@@ -676,6 +687,7 @@
                     self.decide(now, Event::Progress(at.request, at.number, update), commands);
                 }
             }
+            InboundEvent::Processes(processes) => self.decide(now, Event::Processes(processes), commands),
             InboundEvent::Turn(id, turn) => self.handle_turn(now, id, turn, commands),
             InboundEvent::Ended(at, end_reason, rows, report) => {
                 self.end_attempt(now, at, end_reason, rows, report, commands)
--- a/crates/core/tests/shared_order.rs
+++ b/crates/core/tests/shared_order.rs
@@ -12,6 +12,10 @@
 const KEY: u64 = 5;
 
 fn router() -> Router {
+    router_with(Settings::default())
+}
+
+fn router_with(settings: Settings) -> Router {
     let class = ClassSettings {
         target_latency_ns: DEADLINE_NS,
         deadline_ns: DEADLINE_NS,
@@ -21,7 +25,7 @@
         ..ClassSettings::default()
     };
     let kinds = vec![KindSettings { cores: Some(12.0), memory_mb: None }];
-    let settings = Settings { classes: vec![class], kinds, may_cancel: true, ..Settings::default() };
+    let settings = Settings { classes: vec![class], kinds, may_cancel: true, ..settings };
     let mut router = Router::new(settings, 1, 64.0).with_shared_order(true);
     let engine = EngineEntry { engine: EngineId(1), kind: Some(KindId(0)), ..EngineEntry::default() };
     router.membership(MembershipKind::Full, vec![engine]);
@@ -87,6 +91,28 @@
     assert_eq!(router.take_serial_changes(), [finished(request, T0 + DEADLINE_NS + 250 * MS)]);
 }
 
+/// Guards against a process that uses the retry budget of an older one.
+#[test]
+fn the_processes_of_the_router_reach_the_decision_module_before_the_requests_of_their_batch() {
+    for (is_oldest, retries) in [(true, 1), (false, 0)] {
+        let retry_budget = Some(RetryBudget { floor: 1.0, per_request: 0.0, window_ns: 1_000 * MS });
+        let mut router = router_with(Settings { retry_budget, ..Settings::default() });
+        let engines = [2, 3].map(|n| EngineEntry {
+            engine: EngineId(n),
+            kind: Some(KindId(0)),
+            ..EngineEntry::default()
+        });
+        router.membership(MembershipKind::Delta, engines.to_vec());
+        let request = submit(&mut router, 1);
+        starts(&mut router, T0);
+        router.set_turn(request, KeyTurn::From(0));
+        assert_eq!(starts(&mut router, T0), [request]);
+        router.ended(Attempt { request, number: 0 }, EndReason::Full, None, None);
+        router.set_processes(RouterProcesses { running: 2, is_oldest });
+        assert_eq!(starts(&mut router, T0 + MS).len(), retries);
+    }
+}
+
 #[test]
 fn a_request_that_gets_no_turn_is_answered_and_finished_at_its_deadline() {
     let mut router = router();
--- a/crates/handover/src/shared_state.rs
+++ b/crates/handover/src/shared_state.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 
 use log::{info, warn};
-use marljunction_control::interface::{KeyTurn, RequestId};
+use marljunction_control::interface::{KeyTurn, RequestId, RouterProcesses};
 use marljunction_core::serial::SerialChange;
 use marljunction_settings::atomic_file::write_atomically;
 use nix::fcntl::Flock;
@@ -57,6 +57,8 @@
     next_read_ns: u64,
     /// The last access failed.
     failed: bool,
+    /// The running processes, as last logged.
+    logged: RouterProcesses,
 }
 
 impl SharedState {
@@ -87,6 +89,7 @@
             unwritten: false,
             next_read_ns: 0,
             failed: false,
+            logged: RouterProcesses::default(),
         }
     }
 
@@ -108,15 +111,23 @@
             Err(error) => self.continue_without(machine_now, &error),
         }
         self.unwritten = false;
+        self.log_processes();
         let turns = self.new_turns();
         let waits = self.told.values().any(|turn| *turn == KeyTurn::Waiting);
         self.next_read_ns = now + if waits { WAITING_READ_PERIOD_NS } else { READ_PERIOD_NS };
         turns
     }
 
-    /// Whether another process of the upgrade was running when the list was last read.
-    pub fn has_others(&self) -> bool {
-        self.table.has_others(self.process)
+    /// The processes of this router that ran when the list was last read.
+    pub fn processes(&self) -> RouterProcesses {
+        self.table.processes_beside(self.process)
+    }
+
+    fn log_processes(&mut self) {
+        let processes = self.processes();
+        if std::mem::replace(&mut self.logged, processes) != processes {
+            info!("running processes of this router: {}", processes.running);
+        }
     }
 
     fn record(&mut self, change: SerialChange) {
@@ -145,7 +156,10 @@
             self.table = table;
             return Ok(true);
         }
-        let Some(_lock) = try_lock(&self.paths.lock)? else { return Ok(false) };
+        let Some(_lock) = try_lock(&self.paths.lock)? else {
+            self.table = table;
+            return Ok(false);
+        };
         if self.life.is_none() {
             self.life = try_lock(&self.paths.life_of(self.process))?;
         }
--- a/crates/handover/src/table.rs
+++ b/crates/handover/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-use marljunction_control::interface::{KeyTurn, RequestId};
+use marljunction_control::interface::{KeyTurn, RequestId, RouterProcesses};
 use serde::{Deserialize, Serialize};
 
 /// Format of the list.
@@ -13,13 +13,14 @@
 /// has polled for 2 s, and learn of the last poll late.
 pub const ORPHANED_ATTEMPT_NS: u64 = 2_350_000_000;
 
-/// Identifies a process, also after its process id is used again. Times are of the machine's clock.
+/// Identifies a process, also after its process id is used again; ordered by start. Times are of the
+/// machine's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ProcessId {
-    /// The system's id of the process.
-    pub pid: u32,
     /// Its start (ns).
     pub started_ns: u64,
+    /// The system's id of the process.
+    pub pid: u32,
 }
 
 impl fmt::Display for ProcessId {
@@ -71,9 +72,13 @@
         self.processes.iter().copied()
     }
 
-    /// Whether a process other than `process` uses the list.
-    pub fn has_others(&self, process: ProcessId) -> bool {
-        self.processes.iter().any(|known| *known != process)
+    /// The processes that use the list, as `process` sees them, which is one of them.
+    pub fn processes_beside(&self, process: ProcessId) -> RouterProcesses {
+        let others = self.processes.iter().filter(|known| **known != process);
+        RouterProcesses {
+            running: 1 + others.clone().count() as u32,
+            is_oldest: others.clone().all(|other| *other > process),
+        }
     }
 
     /// Replaces what a process has told: its unfinished requests, in the order in which it took
--- a/crates/handover/tests/shared_list.rs
+++ b/crates/handover/tests/shared_list.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use marljunction_control::interface::{KeyTurn, RequestId};
+use marljunction_control::interface::{KeyTurn, RequestId, RouterProcesses};
 use marljunction_core::serial::SerialChange;
 use marljunction_handover::{Machine, Table, ORPHANED_ATTEMPT_NS};
 
@@ -65,13 +65,15 @@
     let (mut old, mut new) = (directory.open(1), directory.open(2));
     old.exchange(T0, vec![taken(1, 5), taken(2, 5), taken(3, 6)]);
     new.exchange(T0, vec![taken(1, 5), taken(2, 6)]);
-    assert!(new.has_others());
+    assert_eq!(new.processes(), RouterProcesses { running: 2, is_oldest: false });
+    old.exchange(T0 + 250 * MS, vec![]);
+    assert_eq!(old.processes(), RouterProcesses { running: 2, is_oldest: true });
     drop(old);
     let resume_ns = T0 + MS * 300 + ORPHANED_ATTEMPT_NS;
     let turns = new.exchange(T0 + 300 * MS, vec![]);
     let expected = [1, 2].map(|number| (RequestId(number), KeyTurn::From(resume_ns)));
     assert_eq!(turns, expected);
-    assert!(!new.has_others());
+    assert_eq!(new.processes(), RouterProcesses { running: 1, is_oldest: true });
     drop(new);
     let turns = directory.open(3).exchange(T0 + 400 * MS, vec![taken(1, 7)]);
     assert_eq!(turns, [(RequestId(1), KeyTurn::From(0))], "another key is free after a restart");
--- a/src/daemon/iteration.rs
+++ b/src/daemon/iteration.rs
@@ -208,14 +208,14 @@
         }
     }
 
-    /// Tells the other process of an upgrade of changes of serial requests, and applies the turns that
-    /// follow.
-    fn exchange_with_other_process(&mut self, now: u64) {
+    /// Tells the other process of an upgrade of changes of serial requests, and applies what it tells.
+    pub(super) fn exchange_with_other_process(&mut self, now: u64) {
         let Some(handover) = &mut self.handover else { return };
         let changes = self.router.take_serial_changes();
         for (request, turn) in handover.exchange(now, changes) {
             self.router.set_turn(request, turn);
         }
+        self.router.set_processes(handover.processes());
     }
 
     /// Executes one command of the decision module.
--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -79,7 +79,7 @@
         let engines = build_engines(&config, &start, postgres.as_ref(), pacing);
         let fronts = build_fronts(&config, postgres, &directory)?;
         let (fleet, fleet_state) = start_fleet(now, &registry, fleet, identity, &config, &files)?;
-        let handover = build_shared_state(clock.now_ns(), &files, &config, &listeners)?;
+        let handover = build_shared_state(clock.now_ns(), &files, &listeners)?;
         let router =
             build_router(&config, pacing.seed, fair_queue, fleet_state).with_shared_order(handover.is_some());
         let net = build_net(registry, &config);
@@ -102,6 +102,8 @@
             handover,
             fleet,
         };
+        // Before the first request: guards against a process that uses the budgets of an older one.
+        daemon.exchange_with_other_process(now);
         daemon.load_engines(known, start.max_snapshot_age_ns);
         Ok(daemon)
     }
@@ -252,16 +254,14 @@
         .with_health(health)
 }
 
-/// Shares the order of serial requests with processes that accept from the same socket; not if no
-/// class is serial, or there is no directory to share.
+/// Shares state with processes that accept clients at the same address; not without a directory for
+/// it.
 fn build_shared_state(
     now: u64,
     files: &ConfigFiles,
-    config: &Config,
     listeners: &Listeners,
 ) -> Result<Option<SharedState>, DaemonError> {
-    let is_serial = config.settings.classes.iter().any(|class| class.serial_by_key);
-    let (Some(directory), Some(listener), true) = (&files.state_dir, &listeners.msgpack, is_serial) else {
+    let (Some(directory), Some(listener)) = (&files.state_dir, &listeners.msgpack) else {
         return Ok(None);
     };
     let address = listener.local_addr().map_err(DaemonError::io("listen"))?;
--- a/tests/handover_order.rs
+++ b/tests/handover_order.rs
@@ -12,7 +12,7 @@
 #[path = "common/upgrade.rs"]
 mod upgrade;
 
-use upgrade::{assert_well, client, write_config, Engine, Process};
+use upgrade::{assert_well, client, wait_for, write_config, Engine, Process};
 
 /// Time after its last poll at which an engine ends a query.
 const UNPOLLED_LIMIT: Duration = Duration::from_secs(2);
@@ -160,3 +160,16 @@
     third.complete();
     assert_served(&mut new_client, 3);
 }
+
+/// Guards against a process that uses the budgets of retries and of cold engines beside an older one:
+/// both know that the other runs, and when it has ended.
+#[test]
+fn both_processes_know_that_the_other_runs() {
+    let upgrade = Upgrade::new("processes");
+    let mut old = upgrade.start();
+    let mut new = upgrade.start();
+    wait_for(&mut old.log, "running processes of this router: 2");
+    old.child.kill().unwrap();
+    old.child.wait().unwrap();
+    wait_for(&mut new.log, "running processes of this router: 1");
+}
