Count what both processes of an upgrade send to cold engines, not halves

Cause: dividing the share of a cold engine by processes left the part unused of the process that has less traffic; the older one still takes requests on open connections.

Change: the shared list holds what each process sent to cold engines; the module counts both (Event::ColdSendsElsewhere), for a window also after the end of the process that sent it. Only what cannot be shared belongs to one process (Event::Reserve): the retries that do not depend on traffic, and one query that exceeds the share. It is the oldest one that is not stopping.

Without counting the other's sends, two tests of process_budgets.rs fail (116 queries where 58 are allowed); without the reserve, three.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
-use crate::process_budgets::ProcessHistory;
+use crate::process_budgets::ReserveHistory;
 
 // ---- Constants -----------------------------------------------------------------------------------
 
@@ -220,6 +220,8 @@
     warm_data_sets: VecDeque<u64>,
     /// Time, typical need and lane of the attempts sent within the overload window.
     recent_sends: Vec<(u64, f64, usize)>,
+    /// Those of other processes of this router while the engine is cold.
+    sends_elsewhere: Vec<(u64, f64, usize)>,
     /// This router's shares of the light and heavy lane's budget while the engine is cold, where
     /// assigned.
     cold_shares: Option<[f64; 2]>,
@@ -263,8 +265,10 @@
     key_queues: BTreeMap<u64, (VecDeque<RequestId>, u64)>,
     arrivals: VecDeque<u64>,
     retries: VecDeque<u64>,
-    /// The processes of an upgrade, which share the budgets of this router.
-    processes: ProcessHistory,
+    /// Whether this process has the reserve of its router's budgets.
+    reserve: ReserveHistory,
+    /// Number of attempts sent to cold engines.
+    cold_send_count: u64,
     /// Decayed means of the work, the time alone, and memory times time alone of sent attempts:
     /// converts queries and granted memory to threads.
     traffic_mix: [f64; 3],
@@ -389,7 +393,8 @@
             }
             Event::VerdictChanged(engine, verdict) => self.on_verdict(engine, verdict),
             Event::TurnGranted(id, resume_ns) => self.on_turn_granted(now_ns, id, resume_ns, out),
-            Event::Processes(processes) => self.on_processes(now_ns, processes),
+            Event::Reserve(has_reserve) => self.on_reserve(now_ns, has_reserve),
+            Event::ColdSendsElsewhere(sends) => self.on_cold_sends_elsewhere(&sends),
             Event::Progress(..) | Event::PeerMessage(..) => {}
             Event::Outcome(outcome) => self.on_outcome(now_ns, outcome, out),
             Event::Probed(engine, status, report) => {
@@ -494,10 +499,41 @@
         }
     }
 
-    fn on_processes(&mut self, now: u64, processes: RouterProcesses) {
+    fn on_reserve(&mut self, now: u64, has_reserve: bool) {
         let retry_window_ns = self.settings.retry_budget.map_or(0, |budget| budget.window_ns);
         let longest_window_ns = retry_window_ns.max(self.settings.overload_window_ns.unwrap_or(0));
-        self.processes.record(now, processes, longest_window_ns);
+        self.reserve.record(now, has_reserve, longest_window_ns);
+    }
+
+    fn on_cold_sends_elsewhere(&mut self, sends: &[ColdSend]) {
+        let overload_window_ns = self.settings.overload_window_ns.unwrap_or(0);
+        self.engines.values_mut().for_each(|e| e.sends_elsewhere.clear());
+        for send in sends {
+            if let Some(e) = self.engines.get_mut(&send.engine) {
+                let sent_ns = send.counts_until_ns.saturating_sub(overload_window_ns);
+                e.sends_elsewhere.push((sent_ns, send.need_ns as f64, send.lane));
+            }
+        }
+    }
+
+    /// Number of attempts that this process has sent to cold engines.
+    pub fn cold_send_count(&self) -> u64 {
+        self.cold_send_count
+    }
+
+    /// What this process has sent to cold engines and still counts against their budgets.
+    pub fn cold_sends(&self, now: u64) -> Vec<ColdSend> {
+        let overload_window_ns = self.settings.overload_window_ns.unwrap_or(0);
+        let cold = self.engines.values().filter(|e| self.warmup_progress(now, e).is_some());
+        let sends = cold.flat_map(|e| {
+            e.recent_sends.iter().map(move |(sent_ns, need_ns, lane)| ColdSend {
+                engine: e.entry.engine,
+                need_ns: *need_ns as u64,
+                lane: *lane,
+                counts_until_ns: sent_ns.saturating_add(overload_window_ns),
+            })
+        });
+        sends.filter(|send| send.counts_until_ns >= now).collect()
     }
 
     /// Applies the end of all earlier requests of a key at another process of this router.
@@ -864,6 +900,7 @@
         e.warm_data_sets.retain(|set| Some(*set) != request.data_set);
         e.warm_data_sets.extend(request.data_set);
         e.warm_data_sets.drain(..e.warm_data_sets.len().saturating_sub(MAX_WARM_DATA_SETS));
+        self.cold_send_count += u64::from(capacity_share < 1.0);
         e.recent_sends.push((now, typical_need, lane));
         e.recent_sends.retain(|s| s.0 + overload_window_ns >= now);
         if e.suspended {
@@ -1170,8 +1207,8 @@
                 let since = now.saturating_sub(b.window_ns);
                 let made = self.retries.iter().filter(|t| **t >= since).count() as f64;
                 let arrivals = self.arrivals.iter().filter(|t| **t > since).count() as f64;
-                // Each process counts its own traffic; only the oldest one has the floor.
-                let floor = if self.processes.within(now, b.window_ns).is_oldest { b.floor } else { 0.0 };
+                // Each process of this router counts its own traffic; one of them has the floor.
+                let floor = if self.reserve.throughout(now, b.window_ns) { b.floor } else { 0.0 };
                 made + 1.0 <= floor + b.per_request * arrivals
             });
         self.may_repeat(now, p, None) && attempt_ok && budget_ok
@@ -1198,8 +1235,9 @@
     /// engine: as many as whole queries fit by the settings alone, chosen by router and engine
     /// number so that all routers agree. An owner may send one query per overload window, or as
     /// many as its part holds. A router that restarted meanwhile waits for one window. An engine
-    /// back from refused connections has no owners until its start is announced. The processes of
-    /// an upgrade divide the share, and only the oldest one may send a query that exceeds its part.
+    /// back from refused connections has no owners until its start is announced. What other
+    /// processes of this router send counts as well, and one process may send a query that exceeds
+    /// the share.
     fn fits_cold_budget(&self, now: u64, p: &Pending, e: &Engine) -> bool {
         let s = &self.settings;
         let (Some(since), Some(_)) = (e.cold_start_ns, self.warmup_progress(now, e)) else { return true };
@@ -1213,14 +1251,14 @@
         let just_restarted =
             self.first_event_ns.is_some_and(|b| b > since && now < b.saturating_add(overload_window_ns));
         let half = budget * self.capacity_share(now, e) / 2.0;
-        let processes = self.processes.within(now, overload_window_ns);
-        let part = half / f64::from(processes.running.max(1));
         let typical_need = self.models[class.0].typical_need.value;
-        let recent = || e.recent_sends.iter().filter(|s| s.0 + overload_window_ns >= now);
+        let has_reserve = self.reserve.throughout(now, overload_window_ns);
+        let sends = || e.recent_sends.iter().chain(&e.sends_elsewhere);
+        let recent = || sends().filter(|s| s.0 + overload_window_ns >= now);
         if let Some(shares) = e.cold_shares {
             let sent: f64 = recent().filter(|s| s.2 == lane).map(|s| s.1).sum();
-            let may_exceed = processes.is_oldest && shares[lane] >= 1.0;
-            return sent + typical_need <= part * shares[lane] || sent <= 0.0 && may_exceed;
+            let may_exceed = has_reserve && shares[lane] >= 1.0;
+            return sent + typical_need <= half * shares[lane] || sent <= 0.0 && may_exceed;
         }
         let started = e.entry.started_ns.zip(s.warmup_ns);
         let announced = started.is_some_and(|(at, cold)| now < at.saturating_add(cold));
@@ -1228,7 +1266,7 @@
         let owners = (half / largest).floor().clamp(1.0, max_owners);
         let same = |s: &&(u64, f64, usize)| usize::from(s.1 * MIN_LIGHT_QUERIES > budget * start) == lane;
         let sent: f64 = recent().filter(same).map(|s| s.1).sum();
-        let fits = sent <= 0.0 && processes.is_oldest || sent + typical_need <= part / owners;
+        let fits = sent <= 0.0 && has_reserve || sent + typical_need <= half / owners;
         fits && !just_restarted && (!announced || (rank as f64) < owners)
     }
 }
--- a/crates/control/src/interface.rs
+++ b/crates/control/src/interface.rs
@@ -68,19 +68,17 @@
     }
 }
 
-/// The running processes of this router: two or more during an upgrade.
+/// Work sent to a cold engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RouterProcesses {
-    /// How many run.
-    pub running: u32,
-    /// Whether none of them started before this one.
-    pub is_oldest: bool,
-}
-
-impl Default for RouterProcesses {
-    fn default() -> RouterProcesses {
-        RouterProcesses { running: 1, is_oldest: true }
-    }
+pub struct ColdSend {
+    /// The engine.
+    pub engine: EngineId,
+    /// Typical need of the request's class.
+    pub need_ns: u64,
+    /// 0 for light classes, 1 for heavy ones.
+    pub lane: usize,
+    /// Clock time until which it counts against the engine's budget.
+    pub counts_until_ns: u64,
 }
 
 /// Settings of one request class.
@@ -408,8 +406,12 @@
     /// The requests of its key that a request waits for at another process are finished. It may be
     /// sent from this clock time.
     TurnGranted(RequestId, u64),
-    /// The running processes of this router have changed.
-    Processes(RouterProcesses),
+    /// Whether this process has the reserve of its router's budgets, which one process of an upgrade
+    /// has: the retries that do not depend on traffic, and a query that exceeds a cold engine's
+    /// budget.
+    Reserve(bool),
+    /// All that other processes of this router sent to cold engines and that still counts.
+    ColdSendsElsewhere(Vec<ColdSend>),
     /// A peer has sent a message.
     PeerMessage(u32, Vec<u8>),
     /// The client has disconnected.
--- a/crates/control/tests/process_budgets.rs
+++ b/crates/control/tests/process_budgets.rs
@@ -4,15 +4,13 @@
 use common::*;
 use marljunction_control::interface::*;
 
-const OLD: RouterProcesses = RouterProcesses { running: 2, is_oldest: true };
-const NEW: RouterProcesses = RouterProcesses { running: 2, is_oldest: false };
-const ALONE: RouterProcesses = RouterProcesses { running: 1, is_oldest: true };
 /// Window of the retry budget.
 const WINDOW_NS: u64 = 10 * S;
 
-fn retrying() -> Settings {
+fn retrying() -> Harness {
     let retry_budget = Some(RetryBudget { floor: 3.0, per_request: 0.1, window_ns: WINDOW_NS });
-    Settings { retry_budget, ..settings() }
+    let engines: Vec<u64> = (1..=12).collect();
+    Harness::new(Settings { retry_budget, ..settings() }, &engines)
 }
 
 /// Number of retries that follow when `count` first attempts fail.
@@ -33,21 +31,18 @@
 /// its traffic.
 #[test]
 fn both_processes_of_an_upgrade_stay_within_one_retry_budget() {
-    let engines: Vec<u64> = (1..=12).collect();
-    let mut old = Harness::new(retrying(), &engines);
-    let mut new = Harness::new(retrying(), &engines);
-    old.on(Event::Processes(OLD));
-    new.on(Event::Processes(NEW));
+    let (mut old, mut new) = (retrying(), retrying());
+    old.on(Event::Reserve(true));
+    new.on(Event::Reserve(false));
     let total = retries(&mut old, 1, 10) + retries(&mut new, 1, 10);
     assert_eq!(total, 3 + 20 / 10, "the floor, and one for each tenth request");
 }
 
 #[test]
 fn a_process_has_the_whole_retry_budget_one_window_after_the_older_one_ended() {
-    let engines: Vec<u64> = (1..=12).collect();
-    let mut new = Harness::new(retrying(), &engines);
-    new.on(Event::Processes(NEW));
-    new.at(1_000).on(Event::Processes(ALONE));
+    let mut new = retrying();
+    new.on(Event::Reserve(false));
+    new.at(1_000).on(Event::Reserve(true));
     assert_eq!(retries(new.at(10_900), 1, 5), 0, "the older one's retries still count");
     assert_eq!(retries(new.at(11_100), 11, 5), 4, "the floor, and one for ten requests");
 }
@@ -63,21 +58,22 @@
 }
 
 /// A process that has known one engine for long, which has just started again.
-fn beside_a_cold_engine(router_count: u32, processes: RouterProcesses) -> Harness {
+fn beside_a_cold_engine(router_count: u32, has_reserve: bool) -> Harness {
     let mut w = Harness::new(Settings { router_count, ..cold() }, &[1]);
-    w.on(Event::Processes(processes));
+    w.on(Event::Reserve(has_reserve));
     w.at(5_000);
     let restarted = EngineEntry { started_ns: Some(w.now), ..entry(1) };
     w.on(Event::Membership(MembershipKind::Delta, vec![restarted]));
     w
 }
 
-/// How many queries a process sends to the engine within one overload window, if each completes at
+/// How many queries a process sends to the engine at this time, of two that arrive and complete at
 /// once.
-fn sends(mut w: Harness, work_ms: u64) -> usize {
+fn sends(w: &mut Harness, at_ms: u64, work_ms: u64) -> usize {
+    w.at(5_000 + at_ms);
     let mut sends = 0;
-    for id in 1..400 {
-        if let Some(engine) = sent_to(&w.at(5_000 + id).send_request(request(id, 0, work_ms))) {
+    for id in [2 * at_ms, 2 * at_ms + 1] {
+        if let Some(engine) = sent_to(&w.send_request(request(id, 0, work_ms))) {
             w.finish(outcome(id, 0, engine, Status::Done, 1));
             sends += 1;
         }
@@ -85,25 +81,57 @@
     sends
 }
 
+/// How many queries two processes send within one overload window, each of which knows what the other
+/// one sent.
+fn sends_of_both(old: &mut Harness, new: &mut Harness, work_ms: u64) -> usize {
+    (1..900)
+        .map(|at_ms| {
+            let of_old = sends(old, at_ms, work_ms);
+            new.on(Event::ColdSendsElsewhere(old.c.cold_sends(old.now)));
+            let of_new = sends(new, at_ms, work_ms);
+            old.on(Event::ColdSendsElsewhere(new.c.cold_sends(new.now)));
+            of_old + of_new
+        })
+        .sum()
+}
+
 /// Guards against two processes that each send a cold engine what its router may send.
 #[test]
 fn both_processes_of_an_upgrade_stay_within_one_share_of_a_cold_engine() {
     for router_count in [1, 4, 16] {
         for work_ms in [50, 100, 200] {
-            let [alone, old, new] = [ALONE, OLD, NEW]
-                .map(|processes| sends(beside_a_cold_engine(router_count, processes), work_ms));
-            assert!(old > 0, "{router_count} {work_ms}: {old} of {alone}");
-            assert!(old + new <= alone, "{router_count} {work_ms}: {old} and {new}, alone {alone}");
+            let mut alone = beside_a_cold_engine(router_count, true);
+            let of_one: usize = (1..900).map(|at_ms| sends(&mut alone, at_ms, work_ms)).sum();
+            let mut old = beside_a_cold_engine(router_count, true);
+            let mut new = beside_a_cold_engine(router_count, false);
+            let of_both = sends_of_both(&mut old, &mut new, work_ms);
+            assert_eq!(of_both, of_one, "{router_count} routers, {work_ms} ms");
+            assert!(of_one > 0);
         }
     }
 }
 
 #[test]
 fn both_processes_of_an_upgrade_stay_within_an_assigned_share_of_a_cold_engine() {
-    let [alone, old, new] = [ALONE, OLD, NEW].map(|processes| {
-        let mut w = beside_a_cold_engine(100, processes);
+    let assigned = |has_reserve| {
+        let mut w = beside_a_cold_engine(100, has_reserve);
         w.on(Event::ColdShares(EngineId(1), [1.0, 1.0]));
-        sends(w, 100)
-    });
-    assert!(old > 0 && new > 0 && old + new <= alone, "{old} and {new}, alone {alone}");
+        w
+    };
+    let mut alone = assigned(true);
+    let of_one: usize = (1..900).map(|at_ms| sends(&mut alone, at_ms, 100)).sum();
+    let of_both = sends_of_both(&mut assigned(true), &mut assigned(false), 100);
+    assert!(of_one > 1 && of_both == of_one, "{of_both}, alone {of_one}");
+}
+
+#[test]
+fn a_process_without_the_reserve_sends_no_query_that_exceeds_the_share() {
+    // The share of one of sixteen routers is less than one query of 400 ms.
+    let mut old = beside_a_cold_engine(16, true);
+    assert_eq!((1..5).map(|at_ms| sends(&mut old, at_ms, 400)).sum::<usize>(), 1);
+    let mut new = beside_a_cold_engine(16, false);
+    assert_eq!((1..5).map(|at_ms| sends(&mut new, at_ms, 400)).sum::<usize>(), 0);
+    new.on(Event::Reserve(true));
+    assert_eq!(sends(&mut new, 900, 400), 0, "what the other one sent may still count");
+    assert_eq!(sends(&mut new, 1_100, 400), 1);
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -259,7 +259,8 @@
     Ended(Attempt, EndReason, Option<Rows>, Option<LoadReport>),
     Membership(MembershipKind, Vec<EngineEntry>),
     Turn(RequestId, KeyTurn),
-    Processes(RouterProcesses),
+    Reserve(bool),
+    ColdSendsElsewhere(Vec<ColdSend>),
 }
 
 impl InboundEvent {
@@ -269,7 +270,9 @@
     fn processing_order(&self) -> u8 {
         match self {
             InboundEvent::ClientLeft(..) => 0,
-            InboundEvent::Membership(..) | InboundEvent::Processes(_) => 1,
+            InboundEvent::Membership(..) | InboundEvent::Reserve(_) | InboundEvent::ColdSendsElsewhere(_) => {
+                1
+            }
             InboundEvent::Ended(_, EndReason::Served, ..) => 2,
             InboundEvent::ClientCancelled(_) => 3,
             InboundEvent::Arrival(_)
@@ -306,8 +309,8 @@
     open_names: HashSet<String>,
     /// Changes that other processes of this router are to be told of; `None` if there can be none.
     serial_changes: Option<Vec<SerialChange>>,
-    /// The running processes of this router, as last reported.
-    processes: RouterProcesses,
+    /// Whether this process has the reserve of its router's budgets, as last reported.
+    has_reserve: bool,
     /// The counters.
     pub counters: Counters,
 }
@@ -330,7 +333,7 @@
             max_statement_bytes: (memory_mb * MAX_STATEMENT_MEMORY_SHARE * 1e6) as usize,
             open_names: HashSet::new(),
             serial_changes: None,
-            processes: RouterProcesses::default(),
+            has_reserve: true,
             counters: Counters::default(),
         }
     }
@@ -454,13 +457,25 @@
         self.serial_changes.as_mut().map(std::mem::take).unwrap_or_default()
     }
 
-    /// Reports the running processes of this router.
-    pub fn set_processes(&mut self, processes: RouterProcesses) {
-        if std::mem::replace(&mut self.processes, processes) != processes {
-            self.batch.push(InboundEvent::Processes(processes));
+    /// Reports whether this process has the reserve of its router's budgets.
+    pub fn set_reserve(&mut self, has_reserve: bool) {
+        if std::mem::replace(&mut self.has_reserve, has_reserve) != has_reserve {
+            self.batch.push(InboundEvent::Reserve(has_reserve));
         }
     }
 
+    /// Reports all that other processes of this router sent to cold engines and that still counts.
+    pub fn set_cold_sends_elsewhere(&mut self, sends: Vec<ColdSend>) {
+        self.batch.push(InboundEvent::ColdSendsElsewhere(sends));
+    }
+
+    /// Returns what this process has sent to cold engines and still counts, if that has grown since
+    /// `told`, a count of such sends that is updated.
+    pub fn new_cold_sends(&self, now_ns: u64, told: &mut u64) -> Option<Vec<ColdSend>> {
+        let count = self.control.cold_send_count();
+        (std::mem::replace(told, count) != count).then(|| self.control.cold_sends(now_ns))
+    }
+
     /// Reports the turn of a serial request among those of its key at other processes.
     pub fn set_turn(&mut self, request: RequestId, turn: KeyTurn) {
         self.batch.push(InboundEvent::Turn(request, turn));
@@ -687,7 +702,10 @@
                     self.decide(now, Event::Progress(at.request, at.number, update), commands);
                 }
             }
-            InboundEvent::Processes(processes) => self.decide(now, Event::Processes(processes), commands),
+            InboundEvent::Reserve(has_reserve) => self.decide(now, Event::Reserve(has_reserve), commands),
+            InboundEvent::ColdSendsElsewhere(sends) => {
+                self.decide(now, Event::ColdSendsElsewhere(sends), commands)
+            }
             InboundEvent::Turn(id, turn) => self.handle_turn(now, id, turn, commands),
             InboundEvent::Ended(at, end_reason, rows, report) => {
                 self.end_attempt(now, at, end_reason, rows, report, commands)
--- a/crates/core/tests/shared_order.rs
+++ b/crates/core/tests/shared_order.rs
@@ -93,8 +93,8 @@
 
 /// Guards against a process that uses the retry budget of an older one.
 #[test]
-fn the_processes_of_the_router_reach_the_decision_module_before_the_requests_of_their_batch() {
-    for (is_oldest, retries) in [(true, 1), (false, 0)] {
+fn the_reserve_reaches_the_decision_module_before_the_requests_of_its_batch() {
+    for (has_reserve, retries) in [(true, 1), (false, 0)] {
         let retry_budget = Some(RetryBudget { floor: 1.0, per_request: 0.0, window_ns: 1_000 * MS });
         let mut router = router_with(Settings { retry_budget, ..Settings::default() });
         let engines = [2, 3].map(|n| EngineEntry {
@@ -108,7 +108,7 @@
         router.set_turn(request, KeyTurn::From(0));
         assert_eq!(starts(&mut router, T0), [request]);
         router.ended(Attempt { request, number: 0 }, EndReason::Full, None, None);
-        router.set_processes(RouterProcesses { running: 2, is_oldest });
+        router.set_reserve(has_reserve);
         assert_eq!(starts(&mut router, T0 + MS).len(), retries);
     }
 }
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -19,4 +19,4 @@
 pub use error::HandoverError;
 pub use machine::Machine;
 pub use shared_state::SharedState;
-pub use table::{ProcessId, Table, TakenRequest, ORPHANED_ATTEMPT_NS};
+pub use table::{ProcessId, SentToCold, Table, TakenRequest, Told, ORPHANED_ATTEMPT_NS};
--- a/crates/handover/src/shared_state.rs
+++ b/crates/handover/src/shared_state.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 
 use log::{info, warn};
-use marljunction_control::interface::{KeyTurn, RequestId, RouterProcesses};
+use marljunction_control::interface::{ColdSend, EngineId, KeyTurn, RequestId};
 use marljunction_core::serial::SerialChange;
 use marljunction_settings::atomic_file::write_atomically;
 use nix::fcntl::Flock;
@@ -15,11 +15,11 @@
 use crate::error::HandoverError;
 use crate::life::{is_locked, try_lock};
 use crate::machine::Machine;
-use crate::table::{ProcessId, Table, TakenRequest, VERSION};
+use crate::table::{ProcessId, SentToCold, Table, TakenRequest, Told, VERSION};
 
-/// Interval between reads while a request waits for another process.
-const WAITING_READ_PERIOD_NS: u64 = 5_000_000;
-/// Interval between reads otherwise: an ended process is noticed, and its files are removed.
+/// Interval between checks for processes that ended and times that passed, beside another process.
+const SHARED_CHECK_PERIOD_NS: u64 = 5_000_000;
+/// Interval between reads while no other process runs: a new one is noticed.
 const READ_PERIOD_NS: u64 = 200_000_000;
 
 /// Paths of the files of one router, which all processes of an upgrade use.
@@ -44,12 +44,13 @@
     paths: Paths,
     /// Held until the process ends; `None` until it first uses the list.
     life: Option<Flock<File>>,
-    /// Unfinished requests of this process, in the order in which it took them.
-    open: Vec<TakenRequest>,
-    /// Pauses that this process has told, by key (ns on the machine's clock).
-    pauses: BTreeMap<u64, u64>,
+    told: Told,
     /// Turns last returned.
-    told: BTreeMap<RequestId, KeyTurn>,
+    turns: BTreeMap<RequestId, KeyTurn>,
+    /// Work of other processes on cold engines, as last returned.
+    cold_sends_elsewhere: Vec<SentToCold>,
+    /// The file as last read, with its list.
+    last_read: Option<(String, Table)>,
     /// The list as last read or written.
     table: Table,
     /// Something that this process has told is not in the list yet.
@@ -57,8 +58,8 @@
     next_read_ns: u64,
     /// The last access failed.
     failed: bool,
-    /// The running processes, as last logged.
-    logged: RouterProcesses,
+    /// Number of running processes, as last logged.
+    running: usize,
 }
 
 impl SharedState {
@@ -82,14 +83,15 @@
             machine,
             paths,
             life: None,
-            open: Vec::new(),
-            pauses: BTreeMap::new(),
-            told: BTreeMap::new(),
+            told: Told::default(),
+            turns: BTreeMap::new(),
+            cold_sends_elsewhere: Vec::new(),
+            last_read: None,
             table,
             unwritten: false,
             next_read_ns: 0,
             failed: false,
-            logged: RouterProcesses::default(),
+            running: 1,
         }
     }
 
@@ -101,7 +103,8 @@
     pub fn exchange(&mut self, now: u64, changes: Vec<SerialChange>) -> Vec<(RequestId, KeyTurn)> {
         self.unwritten |= !changes.is_empty();
         changes.into_iter().for_each(|change| self.record(change));
-        if !self.unwritten && now < self.next_read_ns {
+        let is_due = self.unwritten || now >= self.next_read_ns || self.is_shared() && self.has_changed();
+        if !is_due {
             return Vec::new();
         }
         let machine_now = self.machine.machine_ns(now);
@@ -113,20 +116,60 @@
         self.unwritten = false;
         self.log_processes();
         let turns = self.new_turns();
-        let waits = self.told.values().any(|turn| *turn == KeyTurn::Waiting);
-        self.next_read_ns = now + if waits { WAITING_READ_PERIOD_NS } else { READ_PERIOD_NS };
+        self.next_read_ns = now + if self.is_shared() { SHARED_CHECK_PERIOD_NS } else { READ_PERIOD_NS };
         turns
     }
 
-    /// The processes of this router that ran when the list was last read.
-    pub fn processes(&self) -> RouterProcesses {
-        self.table.processes_beside(self.process)
+    /// Whether another process of this router was running when the list was last read.
+    pub fn is_shared(&self) -> bool {
+        self.running > 1
+    }
+
+    /// Whether this process has the reserve of its router's budgets.
+    pub fn has_reserve(&self) -> bool {
+        self.table.has_reserve(self.process)
+    }
+
+    /// Tells the other processes at the next exchange what this one has sent to cold engines.
+    pub fn tell_cold_sends(&mut self, sends: &[ColdSend]) {
+        let (process, machine) = (self.process, &self.machine);
+        let entries = sends.iter().map(|send| SentToCold {
+            process,
+            engine: send.engine.0,
+            need_ns: send.need_ns,
+            lane: send.lane,
+            counts_until_ns: machine.machine_ns(send.counts_until_ns),
+        });
+        self.told.cold_sends = entries.collect();
+        self.unwritten = true;
+    }
+
+    /// Returns the work of other processes on cold engines, if it has changed since the last call.
+    pub fn new_cold_sends_elsewhere(&mut self) -> Option<Vec<ColdSend>> {
+        let sends = self.table.cold_sends_beside(self.process);
+        if sends == self.cold_sends_elsewhere {
+            return None;
+        }
+        self.cold_sends_elsewhere = sends;
+        let entries = self.cold_sends_elsewhere.iter().map(|send| ColdSend {
+            engine: EngineId(send.engine),
+            need_ns: send.need_ns,
+            lane: send.lane,
+            counts_until_ns: self.machine.process_ns(send.counts_until_ns),
+        });
+        Some(entries.collect())
+    }
+
+    /// Tells the other processes at the next exchange that this one is stopping.
+    pub fn begin_stop(&mut self) {
+        self.told.is_stopping = true;
+        self.unwritten = true;
     }
 
     fn log_processes(&mut self) {
-        let processes = self.processes();
-        if std::mem::replace(&mut self.logged, processes) != processes {
-            info!("running processes of this router: {}", processes.running);
+        let running = self.table.processes().count();
+        if std::mem::replace(&mut self.running, running) != running {
+            info!("running processes of this router: {running}");
         }
     }
 
@@ -135,12 +178,12 @@
             SerialChange::Taken { request, key, over_by_ns } => {
                 let (process, request) = (self.process, request.0);
                 let over_by_ns = self.machine.machine_ns(over_by_ns);
-                self.open.push(TakenRequest { process, request, key, over_by_ns });
+                self.told.open.push(TakenRequest { process, request, key, over_by_ns });
             }
             SerialChange::Finished { request, key, paused_until_ns } => {
-                self.open.retain(|taken| taken.request != request.0);
-                self.told.remove(&request);
-                self.pauses.insert(key, self.machine.machine_ns(paused_until_ns));
+                self.told.open.retain(|taken| taken.request != request.0);
+                self.turns.remove(&request);
+                self.told.pauses.insert(key, self.machine.machine_ns(paused_until_ns));
             }
         }
     }
@@ -163,7 +206,8 @@
         if self.life.is_none() {
             self.life = try_lock(&self.paths.life_of(self.process))?;
         }
-        let (table, ended) = self.revise(now, &self.read()?)?;
+        let read = self.read()?;
+        let (table, ended) = self.revise(now, &read)?;
         self.write(&table)?;
         for process in ended {
             info!("process {process} of this router has ended");
@@ -180,21 +224,28 @@
         let mut table = read.clone();
         let ended = self.ended_processes(&table)?;
         table.remove_processes(now, &ended);
-        self.pauses.retain(|_, until_ns| *until_ns > now);
-        table.update(self.process, &self.open, &self.pauses);
+        self.told.pauses.retain(|_, until_ns| *until_ns > now);
+        self.told.cold_sends.retain(|send| send.counts_until_ns >= now);
+        table.update(self.process, &self.told);
         table.remove_expired(now);
         Ok((table, ended))
     }
 
-    fn read(&self) -> Result<Table, HandoverError> {
+    fn read(&mut self) -> Result<Table, HandoverError> {
         let path = &self.paths.table;
         let text = match std::fs::read_to_string(path) {
             Ok(text) => text,
             Err(error) if error.kind() == ErrorKind::NotFound => return Ok(self.empty_table()),
             Err(error) => return Err(HandoverError::at(path)(error)),
         };
+        if let Some((_, table)) = self.last_read.as_ref().filter(|(last, _)| *last == text) {
+            return Ok(table.clone());
+        }
         match serde_json::from_str::<Table>(&text) {
-            Ok(table) if table.version == VERSION && table.boot == self.machine.boot => Ok(table),
+            Ok(table) if table.version == VERSION && table.boot == self.machine.boot => {
+                self.last_read = Some((text, table.clone()));
+                Ok(table)
+            }
             // No process of an earlier run of the machine is left.
             Ok(table) if table.version == VERSION => Ok(self.empty_table()),
             Ok(table) => Err(HandoverError::Version { path: path.clone(), found: table.version }),
@@ -205,14 +256,22 @@
         }
     }
 
+    /// Whether another process has changed the list since it was last read.
+    fn has_changed(&self) -> bool {
+        let text = std::fs::read_to_string(&self.paths.table).unwrap_or_default();
+        self.last_read.as_ref().is_none_or(|(last, _)| *last != text)
+    }
+
     fn empty_table(&self) -> Table {
         Table::new(self.machine.boot.clone())
     }
 
-    fn write(&self, table: &Table) -> Result<(), HandoverError> {
+    fn write(&mut self, table: &Table) -> Result<(), HandoverError> {
         let path = &self.paths.table;
         let text = serde_json::to_string(table).map_err(std::io::Error::from);
-        text.and_then(|text| write_atomically(path, &text)).map_err(HandoverError::at(path))
+        let written = text.and_then(|text| write_atomically(path, &text).map(|()| text));
+        self.last_read = Some((written.map_err(HandoverError::at(path))?, table.clone()));
+        Ok(())
     }
 
     fn ended_processes(&self, table: &Table) -> Result<Vec<ProcessId>, HandoverError> {
@@ -230,7 +289,7 @@
         if !std::mem::replace(&mut self.failed, true) {
             warn!("the order of serial requests is not shared: {error}");
         }
-        self.table.update(self.process, &self.open, &self.pauses);
+        self.table.update(self.process, &self.told);
         self.table.remove_expired(now);
     }
 
@@ -241,12 +300,12 @@
                 *machine_ns = self.machine.process_ns(*machine_ns);
             }
         }
-        turns.retain(|(request, turn)| match self.told.get(request) {
+        turns.retain(|(request, turn)| match self.turns.get(request) {
             None => true,
             Some(KeyTurn::Waiting) => *turn != KeyTurn::Waiting,
             Some(KeyTurn::From(_)) => false,
         });
-        self.told.extend(turns.iter().copied());
+        self.turns.extend(turns.iter().copied());
         turns
     }
 }
--- a/crates/handover/src/table.rs
+++ b/crates/handover/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-use marljunction_control::interface::{KeyTurn, RequestId, RouterProcesses};
+use marljunction_control::interface::{KeyTurn, RequestId};
 use serde::{Deserialize, Serialize};
 
 /// Format of the list.
@@ -42,6 +42,34 @@
     pub over_by_ns: u64,
 }
 
+/// Work that a process sent to a cold engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SentToCold {
+    /// The process that sent it.
+    pub process: ProcessId,
+    /// The engine.
+    pub engine: u64,
+    /// Typical need of the request's class (core-nanoseconds).
+    pub need_ns: u64,
+    /// 0 for light classes, 1 for heavy ones.
+    pub lane: usize,
+    /// Time until which it counts against the engine's budget (ns).
+    pub counts_until_ns: u64,
+}
+
+/// What a process tells the others.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    /// Its unfinished requests, in the order in which it took them.
+    pub open: Vec<TakenRequest>,
+    /// Time until which no request of a key may be sent (ns), by key.
+    pub pauses: BTreeMap<u64, u64>,
+    /// Its work on cold engines that still counts.
+    pub cold_sends: Vec<SentToCold>,
+    /// Whether it is stopping.
+    pub is_stopping: bool,
+}
+
 /// The shared list. Times are of the machine's clock.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Table {
@@ -49,10 +77,14 @@
     /// The run of the machine that the times belong to.
     pub(crate) boot: String,
     processes: BTreeSet<ProcessId>,
+    /// Those of them that are stopping.
+    stopping: BTreeSet<ProcessId>,
     /// In the order in which they were taken.
     requests: Vec<TakenRequest>,
     /// Time until which no request of a key may be sent (ns), by key.
     pauses: BTreeMap<u64, u64>,
+    /// Work on cold engines that still counts.
+    cold_sends: Vec<SentToCold>,
 }
 
 impl Table {
@@ -62,8 +94,10 @@
             version: VERSION,
             boot,
             processes: BTreeSet::new(),
+            stopping: BTreeSet::new(),
             requests: Vec::new(),
             pauses: BTreeMap::new(),
+            cold_sends: Vec::new(),
         }
     }
 
@@ -72,19 +106,28 @@
         self.processes.iter().copied()
     }
 
-    /// The processes that use the list, as `process` sees them, which is one of them.
-    pub fn processes_beside(&self, process: ProcessId) -> RouterProcesses {
-        let others = self.processes.iter().filter(|known| **known != process);
-        RouterProcesses {
-            running: 1 + others.clone().count() as u32,
-            is_oldest: others.clone().all(|other| *other > process),
-        }
+    /// Whether a process has the reserve of its router's budgets: the oldest one that is not stopping
+    /// has it, or the oldest one if all are stopping.
+    pub fn has_reserve(&self, process: ProcessId) -> bool {
+        let mut serving = self.processes.iter().filter(|known| !self.stopping.contains(known));
+        let holder = serving.next().or(self.processes.first());
+        holder.is_none_or(|holder| *holder == process)
     }
 
-    /// Replaces what a process has told: its unfinished requests, in the order in which it took
-    /// them, and its pauses. Requests that are in the list already keep their place.
-    pub fn update(&mut self, process: ProcessId, open: &[TakenRequest], pauses: &BTreeMap<u64, u64>) {
+    /// Work on cold engines of other processes that still counts.
+    pub fn cold_sends_beside(&self, process: ProcessId) -> Vec<SentToCold> {
+        self.cold_sends.iter().filter(|send| send.process != process).copied().collect()
+    }
+
+    /// Replaces what a process has told. Requests that are in the list already keep their place.
+    pub fn update(&mut self, process: ProcessId, told: &Told) {
+        let Told { open, pauses, cold_sends, is_stopping } = told;
         self.processes.insert(process);
+        if *is_stopping {
+            self.stopping.insert(process);
+        }
+        self.cold_sends.retain(|send| send.process != process);
+        self.cold_sends.extend(cold_sends);
         let is_open: BTreeSet<u64> = open.iter().map(|taken| taken.request).collect();
         self.requests.retain(|taken| taken.process != process || is_open.contains(&taken.request));
         let own = self.requests.iter().filter(|taken| taken.process == process);
@@ -107,13 +150,15 @@
         }
         self.requests.retain(|taken| !ended.contains(&taken.process));
         self.processes.retain(|process| !ended.contains(process));
+        self.stopping.retain(|process| !ended.contains(process));
     }
 
     /// Removes requests that must be over, so that a suspended process does not block a key forever,
-    /// and pauses that have passed.
+    /// and pauses and work on cold engines that no longer count.
     pub fn remove_expired(&mut self, now: u64) {
         self.requests.retain(|taken| taken.over_by_ns > now);
         self.pauses.retain(|_, until_ns| *until_ns > now);
+        self.cold_sends.retain(|send| send.counts_until_ns >= now);
     }
 
     /// Returns the turn of each request of a process.
--- a/crates/handover/tests/shared_list.rs
+++ b/crates/handover/tests/shared_list.rs
@@ -1,10 +1,8 @@
 //! Two or three processes of a router share the order of their serial requests.
 
-use std::collections::BTreeMap;
-
-use marljunction_control::interface::{KeyTurn, RequestId, RouterProcesses};
+use marljunction_control::interface::{ColdSend, EngineId, KeyTurn, RequestId};
 use marljunction_core::serial::SerialChange;
-use marljunction_handover::{Machine, Table, ORPHANED_ATTEMPT_NS};
+use marljunction_handover::{Machine, Table, Told, ORPHANED_ATTEMPT_NS};
 
 mod common;
 use common::{finished, process, taken, Directory, MS, OVER_BY_NS, T0};
@@ -65,15 +63,11 @@
     let (mut old, mut new) = (directory.open(1), directory.open(2));
     old.exchange(T0, vec![taken(1, 5), taken(2, 5), taken(3, 6)]);
     new.exchange(T0, vec![taken(1, 5), taken(2, 6)]);
-    assert_eq!(new.processes(), RouterProcesses { running: 2, is_oldest: false });
-    old.exchange(T0 + 250 * MS, vec![]);
-    assert_eq!(old.processes(), RouterProcesses { running: 2, is_oldest: true });
     drop(old);
     let resume_ns = T0 + MS * 300 + ORPHANED_ATTEMPT_NS;
     let turns = new.exchange(T0 + 300 * MS, vec![]);
     let expected = [1, 2].map(|number| (RequestId(number), KeyTurn::From(resume_ns)));
     assert_eq!(turns, expected);
-    assert_eq!(new.processes(), RouterProcesses { running: 1, is_oldest: true });
     drop(new);
     let turns = directory.open(3).exchange(T0 + 400 * MS, vec![taken(1, 7)]);
     assert_eq!(turns, [(RequestId(1), KeyTurn::From(0))], "another key is free after a restart");
@@ -120,7 +114,8 @@
     new.exchange(T0, vec![]);
     std::fs::write(directory.table(), "{").unwrap();
     assert_eq!(new.exchange(T0, vec![taken(1, 5)]), [(RequestId(1), KeyTurn::From(0))]);
-    let other = r#"{"version":2,"processes":[],"requests":[],"pauses":{},"boot":""}"#;
+    let other =
+        r#"{"version":2,"processes":[],"requests":[],"stopping":[],"pauses":{},"cold_sends":[],"boot":""}"#;
     std::fs::write(directory.table(), other).unwrap();
     assert_eq!(new.exchange(T0, vec![taken(2, 5)]), [(RequestId(2), KeyTurn::From(0))]);
     assert_eq!(std::fs::read_to_string(directory.table()).unwrap(), other);
@@ -141,10 +136,53 @@
     let (first, second) = (process(1), process(2));
     let mut table = Table::new(String::new());
     let of = |process, request| common::entry(process, request, 5);
-    table.update(first, &[of(first, 1)], &BTreeMap::new());
-    table.update(second, &[of(second, 1)], &BTreeMap::new());
-    table.update(first, &[of(first, 1), of(first, 2)], &BTreeMap::new());
+    let told = |open: &[_]| Told { open: open.to_vec(), ..Told::default() };
+    table.update(first, &told(&[of(first, 1)]));
+    table.update(second, &told(&[of(second, 1)]));
+    table.update(first, &told(&[of(first, 1), of(first, 2)]));
     assert_eq!(table.turns(second), [(RequestId(1), KeyTurn::Waiting)]);
     let turns = [(RequestId(1), KeyTurn::From(0)), (RequestId(2), KeyTurn::Waiting)];
     assert_eq!(table.turns(first), turns);
 }
+
+#[test]
+fn the_oldest_process_that_is_not_stopping_has_the_reserve() {
+    let directory = Directory::new("reserve");
+    let (mut old, mut new) = (directory.open(1), directory.open(2));
+    old.exchange(T0, vec![]);
+    assert!(old.has_reserve());
+    new.exchange(T0, vec![]);
+    old.exchange(T0 + 250 * MS, vec![]);
+    assert_eq!((old.has_reserve(), new.has_reserve()), (true, false));
+    old.begin_stop();
+    old.exchange(T0 + 260 * MS, vec![]);
+    new.exchange(T0 + 270 * MS, vec![]);
+    assert_eq!((old.has_reserve(), new.has_reserve()), (false, true));
+    drop(old);
+    new.begin_stop();
+    new.exchange(T0 + 500 * MS, vec![]);
+    assert!(new.has_reserve(), "it has no successor");
+}
+
+#[test]
+fn work_on_cold_engines_is_known_to_the_other_process_while_it_counts() {
+    let directory = Directory::new("cold");
+    let (mut old, mut new) = (directory.open(1), directory.open(2));
+    let send = |engine, until_ms| ColdSend {
+        engine: EngineId(engine),
+        need_ns: 7,
+        lane: 1,
+        counts_until_ns: T0 + until_ms * MS,
+    };
+    old.tell_cold_sends(&[send(1, 500), send(2, 900)]);
+    old.exchange(T0, vec![]);
+    new.exchange(T0, vec![]);
+    assert_eq!(new.new_cold_sends_elsewhere(), Some(vec![send(1, 500), send(2, 900)]));
+    assert_eq!(new.new_cold_sends_elsewhere(), None);
+    // It counts on after the end of the process that sent it.
+    drop(old);
+    new.exchange(T0 + 600 * MS, vec![]);
+    assert_eq!(new.new_cold_sends_elsewhere(), Some(vec![send(2, 900)]));
+    new.exchange(T0 + 1_000 * MS, vec![]);
+    assert_eq!(new.new_cold_sends_elsewhere(), Some(vec![]));
+}
--- a/src/daemon/iteration.rs
+++ b/src/daemon/iteration.rs
@@ -195,6 +195,7 @@
     fn run_module(&mut self) {
         loop {
             let now = self.clock.now_ns();
+            self.exchange_with_other_process(now);
             let mut commands = std::mem::take(&mut self.event_loop.commands);
             self.router.process_events(now, &mut commands);
             for command in commands.drain(..) {
@@ -208,14 +209,22 @@
         }
     }
 
-    /// Tells the other process of an upgrade of changes of serial requests, and applies what it tells.
+    /// Tells the other process of an upgrade of serial requests and of work on cold engines, and applies
+    /// what it tells.
     pub(super) fn exchange_with_other_process(&mut self, now: u64) {
         let Some(handover) = &mut self.handover else { return };
+        if handover.is_shared() {
+            let sends = self.router.new_cold_sends(now, &mut self.told_cold_sends);
+            sends.iter().for_each(|sends| handover.tell_cold_sends(sends));
+        }
         let changes = self.router.take_serial_changes();
         for (request, turn) in handover.exchange(now, changes) {
             self.router.set_turn(request, turn);
         }
-        self.router.set_processes(handover.processes());
+        self.router.set_reserve(handover.has_reserve());
+        if let Some(sends) = handover.new_cold_sends_elsewhere() {
+            self.router.set_cold_sends_elsewhere(sends);
+        }
     }
 
     /// Executes one command of the decision module.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -102,6 +102,8 @@
     admin: Admin,
     /// The order of serial requests, shared with the other process of an upgrade.
     handover: Option<SharedState>,
+    /// Number of attempts sent to cold engines that the other process was told of.
+    told_cold_sends: u64,
     /// Communication with the other routers; `None` outside of a fleet.
     fleet: Option<FleetRuntime>,
 }
--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -4,6 +4,7 @@
 //! the process exits before it may be killed, whatever its clients do.
 
 use log::info;
+use marljunction_handover::SharedState;
 use marljunction_net::phase::Phase;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 
@@ -55,6 +56,7 @@
         if let Some(fleet) = &mut self.fleet {
             fleet.leave(now);
         }
+        self.handover.iter_mut().for_each(SharedState::begin_stop);
         self.stop.phase.stop(now, self.listeners.shared);
         self.fronts.msgpack.set_well(self.stop.phase.is_well());
         // The next process accepts on the same socket: guards against connections accepted only to
--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -100,6 +100,7 @@
             engine_list: EngineList { source, snapshot, exclusions, relay_stream: RelayStream::default() },
             admin,
             handover,
+            told_cold_sends: 0,
             fleet,
         };
         // Before the first request: guards against a process that uses the budgets of an older one.
