--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -11,21 +11,24 @@
 
 // ---- Constants -----------------------------------------------------------------------------------
 
-/// Weight of a new sample in a learned mean.
+/// Weight of a new sample in a learned mean: about thirty outcomes are remembered.
 const LEARN_WEIGHT: f64 = 0.03;
-/// Weight of a new attempt in the traffic mix: smaller than [`LEARN_WEIGHT`], since heavy queries
-/// are rare.
+/// Weight of a new attempt in the traffic mix: about two hundred are remembered. It is smaller than
+/// [`LEARN_WEIGHT`], since heavy queries are rare.
 const TRAFFIC_MIX_WEIGHT: f64 = 0.005;
-/// Samples required before estimates are corrected by reported work.
+/// Samples required before estimates are corrected by reported work: fewer show chance rather than
+/// the class.
 const MIN_OUTCOMES: f64 = 5.0;
 /// A sample is capped at this multiple of the current mean, so that one bad plan does not dominate
 /// it.
 const MAX_OUTLIER_RATIO: f64 = 6.0;
-/// Need of a class without samples, as a share of target latency times threads.
+/// Need of a class without samples, as a share of target latency times threads: most classes have a
+/// target well above their work.
 const DEFAULT_NEED_SHARE: f64 = 0.25;
-/// Weight of a new load report in an engine's peer threads.
+/// Weight of a new load report in an engine's peer threads: a single report is noisy.
 const REPORT_WEIGHT: f64 = 0.4;
-/// Typical age of the state that a load report describes (ns).
+/// Typical age of the state that a load report describes (ns). This router's own part in the report
+/// is what it had on the engine that long ago.
 const REPORT_AGE_NS: f64 = 400_000_000.0;
 /// Load that each peer adds between two reports, as a multiple of what this router adds.
 const PEER_GROWTH: f64 = 0.6;
@@ -34,26 +37,28 @@
 const MAX_PEER_RATIO: f64 = 3.0;
 /// Share of a query about to be sent that peers are assumed to send along with it.
 const NEW_QUERY_SHARE: f64 = 0.3;
-/// Decay time of engine state and of this router's own load (ns).
+/// Decay time of engine state and of this router's own load (ns): an old report gives way to the
+/// average engine's, an old success to a new failure.
 const DECAY_NS: f64 = 3_500_000_000.0;
-/// Weight of the peers' load inferred from this router's own, in engines with a fresh report.
-/// Unused where probes report load.
+/// Weight of the peers' load inferred from this router's own, in engines with a fresh report: a second
+/// opinion where reports are few and late. Unused where probes report load.
 const PEER_ESTIMATE_WEIGHT: f64 = 2.0;
 /// Factor on reported load for each refusal since the last report. Without it a router that
 /// considers every engine full would send nothing, receive no reports, and refuse forever.
 const REFUSAL_DECAY: f64 = 0.97;
 /// Maximum threads per core inferred from latency alone; assumed for an engine that rejects with
-/// `Busy`.
+/// `Busy`. Without the cap, a jam of a few seconds makes routers refuse most of what follows it.
 const MAX_THREADS_FROM_LATENCY: f64 = 2.5;
 /// Busy share above which in-flight queries and granted memory count as threads, in full at 1.
 const SATURATION_START: f64 = 0.5;
 /// In-flight threads per core above which they count despite idle cores, in full at one more. Below
-/// it queries may just be reading.
+/// it queries may just be reading, as they do for half of their time.
 const QUEUEING_START: f64 = 3.0;
 /// Loads on a data set that peers are assumed to have on an engine for each of this router's own
-/// there.
+/// there: peers spread their loads over the engines as well.
 const PEER_LOADS_PER_OWN: f64 = 1.0;
-/// Age of a report after which its engine may be probed (ns).
+/// Age of a report after which its engine may be probed (ns): about the time in which an engine
+/// refreshes its report.
 const PROBE_INTERVAL_NS: u64 = 500_000_000;
 /// Memory granted over the estimate where the engine grants it, and over the corrected estimate
 /// where this router does. A spill costs several times the work, an unused grant is lost to other
@@ -62,13 +67,15 @@
 const ROUTER_GRANT_MARGIN: f64 = 1.4;
 /// An attempt is overrun at this many standard deviations (of log latency) over its expected time.
 const OVERRUN_DEVIATIONS: f64 = 2.2;
-/// Bounds of that multiple of the expected time, and its value without samples.
+/// Bounds of that multiple of the expected time, and its value without samples. With rough estimates
+/// a bad plan shows late.
 const MIN_OVERRUN: f64 = 2.0;
 const DEFAULT_OVERRUN: f64 = 3.0;
 const MAX_OVERRUN: f64 = 5.0;
 /// Factor on the overrun multiple for loads and queries that wait for loads.
 const LOAD_OVERRUN_FACTOR: f64 = 3.0;
-/// Prior for the share of retries that are not overrun themselves, and its weight in samples.
+/// Prior for the share of retries that are not overrun themselves, and its weight in samples. It
+/// holds where the plan of each attempt is drawn anew.
 const INITIAL_RETRY_SUCCESS: f64 = 0.7;
 const INITIAL_RETRY_COUNT: f64 = 3.0;
 /// Cap on the prior over the learned share; the overrun multiple grows with its square, since
@@ -76,7 +83,7 @@
 const MAX_RETRY_FACTOR: f64 = 3.0;
 /// Data sets per engine assumed to be cached: the latest ones sent to it.
 const MAX_WARM_DATA_SETS: usize = 4;
-/// Need of a query on a cached data set, as a share of its full need.
+/// Need of a query on a cached data set, as a share of its full need: part of its reading is saved.
 const WARM_NEED_SHARE: f64 = 0.7;
 /// Threads per core above which an engine receives nothing more, as its throughput falls beyond.
 /// The limit is higher where queries queue for memory, since queued threads do not run.
@@ -93,15 +100,17 @@
 const MIN_COST_FACTOR: f64 = 0.6;
 /// Minimum time before an attempt is reviewed (ns), to allow for network and scheduling delays.
 const MIN_REVIEW_NS: u64 = 400_000_000;
-/// Minimum weight of an outcome in an engine's failure share. The weight grows with the time since
-/// the previous outcome, so that one failure suspends an engine that is rarely used.
+/// Minimum weight of an outcome in an engine's failure share: three failures in a row suspend it. The
+/// weight grows with the time since the previous outcome, so that one failure suspends an engine that
+/// is rarely used.
 const MIN_FAILURE_WEIGHT: f64 = 0.25;
 /// Failure share at which an engine is suspended.
 const SUSPEND_FAILURE_SHARE: f64 = 0.5;
 /// Bounds of the exponential backoff between trials of a suspended engine (ns).
 const MIN_TRIAL_BACKOFF_NS: u64 = 1_000_000_000;
 const MAX_TRIAL_BACKOFF_NS: u64 = 8_000_000_000;
-/// Trials of suspended engines allowed per arrival (token bucket with a capacity of one).
+/// Trials of suspended engines allowed per arrival (token bucket with a capacity of one): many engines
+/// may be suspended while few requests arrive.
 const TRIAL_SHARE: f64 = 0.05;
 /// Weight of a new sample in an engine's latency ratio.
 const LATENCY_RATIO_WEIGHT: f64 = 0.15;
@@ -113,20 +122,22 @@
 const COLD_BUDGET_SHARE: f64 = 0.8;
 /// A class is light if this many of its queries fit the budget of an engine that has just started.
 const MIN_LIGHT_QUERIES: f64 = 8.0;
-/// Cap on the peer threads per core assumed on a cold engine without a report.
+/// Cap on the peer threads per core assumed on a cold engine without a report: its budget keeps peers
+/// from more.
 const MAX_COLD_PEER_THREADS: f64 = 0.5;
-/// Load factor added for an engine in another zone.
+/// Load factor added for an engine in another zone, as crossing zones has a small price.
 const CROSS_ZONE_PENALTY: f64 = 0.05;
 /// Minimum engines in a router's preferred subset, which is the same for all of its requests. Other
 /// engines are used only if none of the subset passes. A subset keeps reports recent and
 /// connections open where each router has little traffic.
 const MIN_PREFERRED_ENGINES: usize = 5;
-/// Average number of routers, at least, whose subset contains a given engine.
+/// Average number of routers, at least, whose subset contains a given engine: no engine is left to a
+/// few routers.
 const MIN_ROUTERS_PER_ENGINE: usize = 8;
 /// Engines of the subset compared for one request, drawn at random on average: routers with the
 /// same report must not all choose the same engine.
 const MAX_CANDIDATES: u64 = 6;
-/// Minimum retry advice (ns).
+/// Minimum retry advice (ns): sooner than this the load has not changed.
 const MIN_RETRY_AFTER_NS: u64 = 100_000_000;
 /// Delay before a failed membership subscription is repeated (ns).
 const RESUBSCRIBE_DELAY_NS: u64 = 1_000_000_000;
@@ -456,7 +467,8 @@
         e.verdict = verdict;
     }
 
-    /// Removes departed engines that have no running attempt.
+    /// Removes departed engines that have no running attempt. Guards against a table that grows with
+    /// every engine that ever was, and against draws among engines that are gone.
     fn remove_departed(&mut self) {
         self.engines.retain(|_, e| e.entry.state != EngineState::Gone || !e.running.is_empty());
     }
@@ -694,7 +706,8 @@
         blend(average, reported, freshness(now, e)) * REFUSAL_DECAY.powi(self.refusals_since_report)
     }
 
-    /// Estimated threads that peers have added since the last report.
+    /// Estimated threads that peers have added since the last report, as they read the same one. They
+    /// add more, the more often this router sends to an engine while a report is fresh.
     fn peer_growth(&self, e: &Engine, new: f64, context: &PickContext) -> f64 {
         (Self::own_threads(e) + NEW_QUERY_SHARE * new - e.lagged_threads.1).max(0.0) * context.peers
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,7 +40,7 @@
 /// engine counts from when it received the call, and sockets may add 50 ms.
 const UNCONFIRMED_END_GRACE_NS: u64 = 250_000_000;
 
-/// Maximum number of open requests outside the fair queue.
+/// Maximum number of open requests outside the fair queue; each may hold a statement and a result.
 const MAX_OPEN_REQUESTS: usize = 1_000;
 /// Share of the memory limit for the statements of open requests.
 const MAX_STATEMENT_MEMORY_SHARE: f64 = 0.15;
