--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod fair_queue;
 mod fair_queue_cost;
 mod fleet;
+mod handover;
 mod health;
 mod limits;
 mod pacing_strategies;
@@ -137,6 +138,15 @@
         #[arg(long, value_name = "FILE")]
         program: Option<PathBuf>,
     },
+    /// Cost of the state that the processes of an upgrade share.
+    Handover {
+        /// Fewer exchanges.
+        #[arg(long)]
+        quick: bool,
+        /// Write the results to FILE; standard output if not given.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
     /// Compare pacing strategies for a fleet's calls in simulated time, without sockets.
     Pacing {
         /// Write the results to FILE; standard output if not given.
@@ -210,6 +220,7 @@
             let program = if measure { resolve_program(program)? } else { PathBuf::new() };
             capacity::run(&capacity::Run { program, measure, write, check, only })
         }
+        Experiment::Handover { quick, json } => write_results(json, &handover::run(quick)?),
         Experiment::Pacing { json } => write_results(json, &pacing_strategies::run()),
         Experiment::Disciplines { json, seed } => write_results(json, &disciplines::run(seed)),
     }
