--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -100,7 +100,7 @@
     engines: Box<dyn Backend>,
     engine_list: EngineList,
     admin: Admin,
-    /// The order of serial requests, shared with the other process of an upgrade.
+    /// What the processes of an upgrade share; `None` without a directory for it.
     handover: Option<SharedState>,
     /// Number of attempts sent to cold engines that the other process was told of.
     told_cold_sends: u64,
