--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -23,11 +23,17 @@
 fn client(name: usize, listen: &str, record: &Record) -> Vec<String> {
     let mut connection = Connection::open(listen).expect("the router accepts");
     let (load, lookup) = (new_request_id(), new_request_id());
-    let first = request(1, "service-load", &fields(&load, BUDGET_MS, 10_000), "insert into sales_17.orders values (1) /* run=5000 */");
+    let first = request(
+        1,
+        "service-load",
+        &fields(&load, BUDGET_MS, 10_000),
+        "insert into sales_17.orders values (1) /* run=5000 */",
+    );
     connection.write(&first);
     record.line(format!("client {name}: sent the load {load} whole"));
     sleep(Duration::from_millis(300));
-    let second = request(2, "lookup", &fields(&lookup, 5_000, 50), "select a, b, c from sales_17.orders /* run=50 */");
+    let second =
+        request(2, "lookup", &fields(&lookup, 5_000, 50), "select a, b, c from sales_17.orders /* run=50 */");
     let (head, rest) = second.split_at(second.len() / 2);
     connection.write(head);
     record.line(format!("client {name}: sent half of the lookup {lookup}"));
@@ -49,7 +55,9 @@
         }
     }
     if !answered.contains(&1) {
-        breaks.push(format!("client {name}: the connection ended with no answer to the load {load}, which ran"));
+        breaks.push(format!(
+            "client {name}: the connection ended with no answer to the load {load}, which ran"
+        ));
     }
     breaks
 }
@@ -60,8 +68,11 @@
     let engines: Vec<Engine> = (1..=3).map(|n| Engine::start(&format!("e{n}"), &record)).collect();
     let (listen, operator) = (free_address(), free_address());
     let start = Start {
-        name: "n1", listen: &listen, operator: &operator, coordinator: None, engines: &Target::of(&engines), socket: None,
-        postgres: None, keyed_loads: false,
+        name: "n1",
+        listen: &listen,
+        operator: &operator,
+        engines: &Target::of(&engines),
+        ..Start::default()
     };
     let mut router = Router::start(&record, &start);
     if let Err(why) = router.wait_ready(Duration::from_secs(30)) {
--- a/review/stand-ins-2/client.rs
+++ b/review/stand-ins-2/client.rs
@@ -2,8 +2,8 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 use std::time::Duration;
 
 use super::record::Record;
@@ -180,7 +180,9 @@
 
 fn answer(value: Value) -> Incoming {
     let Value::List(parts) = value else { panic!("the router sent no list") };
-    let [_, Value::Number(number), error, result] = &parts[..] else { panic!("the router sent no answer: {parts:?}") };
+    let [_, Value::Number(number), error, result] = &parts[..] else {
+        panic!("the router sent no answer: {parts:?}")
+    };
     let text = match (error, result) {
         (Value::Nil, Value::List(result)) => format!("served {}", result[0].text()),
         (Value::List(error), _) => error[0].text(),
@@ -190,7 +192,14 @@
 }
 
 /// Result of one request on a connection of its own.
-pub fn ask_once(address: &str, record: &Record, class: &str, budget_ms: u64, work_ms: u64, statement: &str) -> String {
+pub fn ask_once(
+    address: &str,
+    record: &Record,
+    class: &str,
+    budget_ms: u64,
+    work_ms: u64,
+    statement: &str,
+) -> String {
     let id = new_request_id();
     let Ok(mut connection) = Connection::open(address) else { return "no connection".into() };
     let fields = fields(&id, budget_ms, work_ms);
--- a/review/stand-ins-2/engine.rs
+++ b/review/stand-ins-2/engine.rs
@@ -40,6 +40,8 @@
     /// The process is down: its connections are closed.
     down: bool,
     connections: Vec<TcpStream>,
+    /// Load report of the next good answer, in place of a true one.
+    spoilt_report: Option<String>,
 }
 
 /// A running engine. Clones are the same engine.
@@ -56,8 +58,7 @@
     pub fn start(uid: &str, record: &Record) -> Engine {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().unwrap().to_string();
-        let engine =
-            Engine { uid: uid.into(), address, state: Arc::default(), record: record.clone() };
+        let engine = Engine { uid: uid.into(), address, state: Arc::default(), record: record.clone() };
         let of_thread = engine.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -75,12 +76,18 @@
         self.state.lock().unwrap().started.clone()
     }
 
+    /// Spoils the load report of the next good answer.
+    pub fn spoil_next_report(&self, report: &str) {
+        self.state.lock().unwrap().spoilt_report = Some(report.to_owned());
+    }
+
     /// Stops the process: its queries and connections end. Returns the queries that were running.
     pub fn stop(&self) -> Vec<String> {
         let mut state = self.state.lock().unwrap();
         state.down = true;
         let now = Instant::now();
-        let running = |(id, query): (&String, &Query)| (query.ends > now && !query.given_up).then(|| id.clone());
+        let running =
+            |(id, query): (&String, &Query)| (query.ends > now && !query.given_up).then(|| id.clone());
         let running: Vec<String> = state.queries.iter().filter_map(running).collect();
         state.queries.clear();
         for connection in state.connections.drain(..) {
@@ -138,12 +145,15 @@
     fn begin(&self, id: &str, request: &Request) {
         let class = request.header("Kind").to_owned();
         let statement = String::from_utf8_lossy(&request.body).into_owned();
-        let run = statement.split("run=").nth(1).and_then(|rest| rest.split(|c: char| !c.is_ascii_digit()).next());
+        let run =
+            statement.split("run=").nth(1).and_then(|rest| rest.split(|c: char| !c.is_ascii_digit()).next());
         let run = Duration::from_millis(run.and_then(|ms| ms.parse().ok()).unwrap_or(30));
         self.record.line(format!("{}: runs {class} {id}", self.uid));
         let now = Instant::now();
         let mut state = self.state.lock().unwrap();
-        state.queries.insert(id.to_owned(), Query { began: now, ends: now + run, asked: now, given_up: false });
+        state
+            .queries
+            .insert(id.to_owned(), Query { began: now, ends: now + run, asked: now, given_up: false });
         state.started.push(Started { id: id.to_owned(), class, at: self.record.now() });
     }
 
@@ -174,6 +184,14 @@
                 query.asked = now;
                 if now >= query.ends {
                     let [load] = load;
+                    let load = match state.spoilt_report.take() {
+                        Some(report) => {
+                            self.record
+                                .line(format!("{}: answers {id} with `Load-Report: {report}`", self.uid));
+                            ("Load-Report", report)
+                        }
+                        None => load,
+                    };
                     let row = format!("{id}\t{}\tok\n", self.uid);
                     return response("200 OK", &[load, ("Chunks", "1".into())], row.as_bytes());
                 }
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -69,7 +69,10 @@
 pub fn call(address: &str, method: &str, path: &str, body: &str) -> (u16, String) {
     let Ok(mut stream) = TcpStream::connect(address) else { return (0, "no connection".into()) };
     let _ = stream.set_read_timeout(Some(std::time::Duration::from_secs(1)));
-    let request = format!("{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
     let _ = stream.write_all(request.as_bytes());
     let mut answer = Vec::new();
     let _ = stream.read_to_end(&mut answer);
--- a/review/stand-ins-2/mod.rs
+++ b/review/stand-ins-2/mod.rs
@@ -2,7 +2,7 @@
 //! this module by its path.
 
 pub mod client;
-pub mod consul;
+pub mod coordinator;
 pub mod engine;
 pub mod http;
 pub mod postgres;
--- a/review/stand-ins-2/postgres.rs
+++ b/review/stand-ins-2/postgres.rs
@@ -1,6 +1,5 @@
 //! A stand-in engine that speaks the PostgreSQL protocol 3.0 with extended queries. It runs a statement when it has
-//! read its `Sync`, for as long as the statement says (`run=MS`), to its end also if the connection is lost: the
-//! server notices that only when it answers.
+//! read its `Sync`, for as long as the statement says (`run=MS`).
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -57,7 +56,7 @@
         self.state.lock().unwrap().ran.clone()
     }
 
-    /// Ends the connections of the next `count` statements while they run.
+    /// Ends the connections of the next `count` statements once they have run, in place of their answers.
     pub fn cut_next(&self, count: u32) {
         self.state.lock().unwrap().cuts = count;
     }
@@ -101,21 +100,22 @@
             state.cuts -= u32::from(cut);
             cut
         };
-        let run = statement.split("run=").nth(1).and_then(|rest| rest.split(|c: char| !c.is_ascii_digit()).next());
+        let run =
+            statement.split("run=").nth(1).and_then(|rest| rest.split(|c: char| !c.is_ascii_digit()).next());
         let run = Duration::from_millis(run.and_then(|ms| ms.parse().ok()).unwrap_or(30));
-        std::thread::sleep(run / 2);
-        if cut {
-            self.record.line(format!("{}: the connection is cut under: {statement}", self.uid));
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        std::thread::sleep(run / 2);
+        std::thread::sleep(run);
         self.record.line(format!("{}: has run to its end: {statement}", self.uid));
         if cut {
+            self.record.line(format!("{}: the connection ends before the answer", self.uid));
+            let _ = stream.shutdown(Shutdown::Both);
             return None;
         }
         let mut out = message(b'1', b"");
         out.extend(message(b'2', b""));
-        out.extend(message(b'T', b"\x00\x01c1\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00"));
+        out.extend(message(
+            b'T',
+            b"\x00\x01c1\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00",
+        ));
         out.extend(message(b'D', b"\x00\x01\x00\x00\x00\x02ok"));
         out.extend(message(b'C', b"SELECT 1\x00"));
         out.extend(message(b'Z', b"I"));
--- a/review/stand-ins-2/router.rs
+++ b/review/stand-ins-2/router.rs
@@ -95,7 +95,10 @@
 impl Target {
     /// The entries of these engines.
     pub fn of(engines: &[Engine]) -> Vec<Target> {
-        engines.iter().map(|engine| Target { uid: engine.uid.clone(), address: engine.address.clone() }).collect()
+        engines
+            .iter()
+            .map(|engine| Target { uid: engine.uid.clone(), address: engine.address.clone() })
+            .collect()
     }
 
     /// The entry in the protocol's form.
@@ -108,9 +111,12 @@
 }
 
 /// What a router is started with.
+#[derive(Clone, Default)]
 pub struct Start<'a> {
     /// Name of its configuration file and its log.
     pub name: &'a str,
+    /// Its number among the query routers, and how many there are; 0 for a single one.
+    pub number: (u32, u32),
     /// Where clients connect.
     pub listen: &'a str,
     /// Where operators call.
@@ -136,21 +142,30 @@
 }
 
 impl Router {
-    /// Starts the program. All routers of a case share one `$TMPDIR`.
+    /// Starts the program.
     pub fn start(record: &Record, start: &Start) -> Router {
         let dir = directory();
-        let temporary = dir.join("tmp");
+        // The processes of one router share it.
+        let temporary = dir.join(format!("tmp-{}", start.number.0));
         std::fs::create_dir_all(&temporary).unwrap();
         let targets: Vec<String> = start.engines.iter().map(|target| target.entry("in_service")).collect();
         let updates = match targets.is_empty() {
             true => String::new(),
-            false => format!(r#"{{"index":1,"endpoints":{{"rev":1,"all":true,"targets":[{}]}}}}"#, targets.join(",")),
+            false => format!(
+                r#"{{"index":1,"endpoints":{{"rev":1,"all":true,"targets":[{}]}}}}"#,
+                targets.join(",")
+            ),
         };
         let index = u32::from(!targets.is_empty());
         let coordinator = start.coordinator.map_or(String::new(), |at| format!(r#""coordinator":"{at}","#));
         let settings = if start.keyed_loads { keyed_settings() } else { SETTINGS.to_owned() };
+        let (me, count) = (start.number.0, start.number.1.max(1));
+        let settings =
+            settings.replace(r#""balancers":1,"me":0"#, &format!(r#""balancers":{count},"me":{me}"#));
+        let router_name = format!("n{}", me + 1);
+        let seed = format!("{:016x}", 0x8c1f_30d2_7a5b_e964_u64.wrapping_add(u64::from(me)));
         let config = format!(
-            r#"{{"name":"n1","listen":"{}","operator":"{}","seed":"8c1f30d27a5be964",{coordinator}
+            r#"{{"name":"{router_name}","listen":"{}","operator":"{}","seed":"{seed}",{coordinator}
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
 "known":{{"index":{index},"updates":[{updates}]}},
 "settings":{settings}}}"#,
@@ -161,7 +176,10 @@
         let log = File::create(dir.join(format!("{}.log", start.name))).unwrap();
         let run = std::env::var("RUN_COMMAND").expect("RUN_COMMAND is set by run.sh");
         let mut command = Command::new("/bin/sh");
-        command.env("ROUTER_NAME", "n1").env("ROUTER_LISTEN", start.listen).env("ROUTER_CONFIG", &config_file);
+        command
+            .env("ROUTER_NAME", &router_name)
+            .env("ROUTER_LISTEN", start.listen)
+            .env("ROUTER_CONFIG", &config_file);
         command.env("TMPDIR", &temporary).env("MARLJUNCTION_LOG", "debug").stdout(Stdio::null()).stderr(log);
         match start.socket {
             // The platform's socket comes as descriptor 3: passed as standard input, and moved there by the shell.
@@ -195,7 +213,9 @@
                 self.record.line(format!("router {}: ended with {status}", self.name));
                 return Err(format!("the process ended with {status}"));
             }
-            if TcpStream::connect(&self.operator).is_ok() && call(&self.operator, "GET", "/ready", "").0 == 200 {
+            if TcpStream::connect(&self.operator).is_ok()
+                && call(&self.operator, "GET", "/ready", "").0 == 200
+            {
                 self.record.line(format!("router {}: is ready", self.name));
                 return Ok(());
             }
