Keep the connection of an open request while its client writes slowly

Cause: MsgpackFront::tick looked at the age of an incomplete message, not at the open requests of its connection. Ruled out: the engine's timeouts, eviction and closing as idle; the connection ended as ended_silent, which only tick records.

Change: a connection owes input only while none of its requests is open, and gets the whole time for the rest of a message again once the last answer was sent. The admin API had the same cause: a complete call that waits for the fleet was answered 408 after a suspension.

--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -213,8 +213,9 @@
 }
 
 struct Connection {
-    /// When it was accepted, or since when its request awaits a response (ns).
+    /// When it was accepted (ns).
     since_ns: u64,
+    /// Its request is complete and not yet answered.
     awaits_response: bool,
 }
 
@@ -261,7 +262,7 @@
         match parse_request(net.input(conn)) {
             Ok(Some(request)) => {
                 // Further input must not cause a pending request to be executed again.
-                (connection.since_ns, connection.awaits_response) = (now, true);
+                connection.awaits_response = true;
                 Some(request)
             }
             Ok(None) if connection_status.ended.is_some() => {
@@ -305,12 +306,13 @@
         }
     }
 
-    /// Closes connections whose request is incomplete or unanswered after [`REQUEST_TIMEOUT_NS`].
+    /// Closes connections whose request is incomplete after [`REQUEST_TIMEOUT_NS`]. A complete one
+    /// is kept until [`AdminServer::answer`].
     pub fn tick(&mut self, now: u64, net: &mut Net) {
         let timed_out: Vec<u64> = self
             .connections
             .iter()
-            .filter(|(_, connection)| now >= connection.since_ns + REQUEST_TIMEOUT_NS)
+            .filter(|(_, c)| !c.awaits_response && now >= c.since_ns + REQUEST_TIMEOUT_NS)
             .map(|(conn, _)| *conn)
             .collect();
         for conn in timed_out {
--- a/crates/front/src/msgpack.rs
+++ b/crates/front/src/msgpack.rs
@@ -22,7 +22,8 @@
 /// two levels for a list or map and three for a string; a valid request has nine.
 const MAX_DEPTH: usize = 16;
 
-/// Timeout for a client's first call, and for the rest of a partial message.
+/// Timeout for a client's first call, and for the rest of a partial message on a connection without
+/// open requests.
 const RECEIVE_TIMEOUT_NS: u64 = 2_000_000_000;
 /// Time for which a new connection is not evicted, so that its first call can arrive.
 const EVICTION_GRACE_NS: u64 = 250_000_000;
@@ -175,6 +176,21 @@
     unread: bool,
 }
 
+impl Connection {
+    /// Since when the client owes input, for its first call or the rest of a message (ns). `None`
+    /// while a request is open: closing the connection would lose the answer.
+    fn awaits_input_since_ns(&self) -> Option<u64> {
+        if !self.open_requests.is_empty() {
+            return None;
+        }
+        match self.partial {
+            Some((since_ns, _)) if self.has_called => Some(since_ns.max(self.active_ns)),
+            None if self.has_called => None,
+            _ => Some(self.active_ns),
+        }
+    }
+}
+
 /// The front for MessagePack clients.
 pub struct MsgpackFront {
     directory: Directory,
@@ -221,11 +237,10 @@
     }
 
     /// Closes connections that sent no call or only a partial message within
-    /// [`RECEIVE_TIMEOUT_NS`].
+    /// [`RECEIVE_TIMEOUT_NS`]. A connection with open requests is kept until they are answered.
     pub fn tick(&mut self, now: u64, net: &mut Net, router: &mut Router) {
-        let is_expired = |since: u64| now > since + RECEIVE_TIMEOUT_NS;
         let timed_out = |c: &Connection| {
-            !c.has_called && is_expired(c.active_ns) || c.partial.is_some_and(|p| is_expired(p.0))
+            c.awaits_input_since_ns().is_some_and(|since_ns| now > since_ns + RECEIVE_TIMEOUT_NS)
         };
         let mut to_close: Vec<u64> =
             self.connections.iter().filter(|(_, c)| timed_out(c)).map(|(c, _)| *c).collect();
--- a/crates/front/tests/admin.rs
+++ b/crates/front/tests/admin.rs
@@ -5,6 +5,7 @@
 
 use marljunction_front::admin::{
     parse_request, AdminRequest, AdminResponse, AdminServer, MAX_BODY_BYTES, MAX_HEAD_BYTES,
+    REQUEST_TIMEOUT_NS,
 };
 use marljunction_net::{ConnectionLimits, Net, Owner};
 
@@ -72,6 +73,8 @@
     // The request is pending, as it is until the fleet has confirmed it; more input arrives.
     client.write_all(b"\r\n\r\nmore\r\n\r\n").unwrap();
     assert_eq!(server.ready(0, &mut net, conn), None, "the request is returned a second time");
+    // Guards against: a process that was suspended answers a request that it has executed with 408.
+    server.tick(2 * REQUEST_TIMEOUT_NS, &mut net);
     server.answer(0, &mut net, conn, &request, AdminResponse::new(200, "confirmed"));
     client.shutdown(std::net::Shutdown::Write).unwrap();
     net.discard_input(conn);
--- a/crates/front/tests/close_idle.rs
+++ b/crates/front/tests/close_idle.rs
@@ -5,7 +5,7 @@
 
 use marljunction_control::interface::{ClassId, ClassSettings, Settings};
 use marljunction_core::end_reason::EndReason;
-use marljunction_core::Router;
+use marljunction_core::{Answer, Client, Router};
 use marljunction_front::msgpack::MsgpackFront;
 use marljunction_front::postgres::{PostgresFront, PostgresSetup};
 use marljunction_front::Directory;
@@ -143,6 +143,25 @@
     }
 }
 
+/// Guards against: a message written over more than 2 s closes its connection, and the request that
+/// runs for it gets no answer.
+#[test]
+fn a_slowly_written_message_leaves_the_open_request_its_connection_and_answer() {
+    let mut w = fixture(Owner::Msgpack);
+    w.client.write_all(CALL).unwrap();
+    w.client.write_all(&CALL[..CALL.len() / 2]).unwrap();
+    w.front.ready(0, &mut w.net, &mut w.router, w.conn);
+    w.front.tick(LATE_NS, &mut w.net, &mut w.router);
+    assert_eq!((w.net.owner(w.conn), w.router.unanswered()), (Some(Owner::Msgpack), 1));
+    let refusal = Answer::Refused { after: None, backoff_ms: 1, fault: None };
+    w.front.answer(LATE_NS, &mut w.net, &mut w.router, Client { conn: w.conn, call: 1 }, refusal);
+    // The client gets the time for the rest of its message anew.
+    w.front.tick(LATE_NS + 2_000_000_000, &mut w.net, &mut w.router);
+    assert_eq!(w.net.owner(w.conn), Some(Owner::Msgpack));
+    w.front.tick(2 * LATE_NS, &mut w.net, &mut w.router);
+    assert_eq!((w.router.counters.endings(EndReason::Silent), w.net.owner(w.conn)), (1, None));
+}
+
 #[test]
 fn a_connection_with_unread_messages_is_not_evicted() {
     let mut w = fixture(Owner::Msgpack);
