Close the connections of a drained router whose clients never pause

Cause: a drain closed only what its client left idle for 50 ms (should_close); nothing ended a connection whose client does not pause, or always has a request open. Ruled out: the interval of the check, since no idle time ends a connection that always has a request open.

Change: ClosePolicy, in three steps. For 1 s as before; then a connection closes with the answer to its last open request and gets at most one more request accepted, further ones are refused at once; after 3 s also in the middle of a message or a result. Both fronts, and the stop beside a successor.

Seven unit tests fail with the new steps taken out.

--- a/crates/front/src/msgpack.rs
+++ b/crates/front/src/msgpack.rs
@@ -13,6 +13,7 @@
 use marljunction_core::statement::Statement;
 use marljunction_core::{Answer, Client, ClientRequest, Router};
 use marljunction_fair_queue::settings::ClientKey;
+use marljunction_net::phase::ClosePolicy;
 use marljunction_net::Net;
 use std::net::IpAddr;
 
@@ -31,6 +32,8 @@
 const MAX_MESSAGES_PER_READ: usize = 64;
 /// Number of consecutive rejected messages after which a connection is closed.
 const MAX_REJECTED_IN_ROW: u32 = 100;
+/// Retry delay of a call that is not accepted as a request (ms).
+const UNACCEPTED_BACKOFF_MS: u64 = 200;
 /// Maximum length of a deduplication token.
 const MAX_TOKEN_BYTES: usize = 64;
 /// A client's time budget may exceed its class's deadline by this factor, because clients round it.
@@ -159,6 +162,11 @@
     reply(id, Value::Array(vec![code.into(), Value::Map(fields)]), Value::Nil)
 }
 
+/// The answer to a call that is not accepted as a request.
+fn backoff(id: u32) -> Vec<u8> {
+    error(id.into(), "Backoff", &[("backoff", UNACCEPTED_BACKOFF_MS.to_string())])
+}
+
 #[derive(Default)]
 struct Connection {
     /// The id of the client's address.
@@ -166,6 +174,8 @@
     open_requests: HashMap<u32, RequestId>,
     /// When the client last connected, sent a call or was answered (ns).
     active_ns: u64,
+    /// When the last request was accepted (ns).
+    last_request_ns: Option<u64>,
     /// The client has sent a valid call.
     has_called: bool,
     /// A partial message: when it was first seen (ns), and its minimum size.
@@ -189,6 +199,20 @@
             _ => Some(self.active_ns),
         }
     }
+
+    /// Returns whether the close policy selects this connection. A new one has time for its first
+    /// call.
+    fn is_selected(&self, policy: ClosePolicy, now: u64) -> bool {
+        if !self.open_requests.is_empty() {
+            return false;
+        }
+        if policy.is_forced() && self.has_called {
+            return true;
+        }
+        let is_answered = policy.closes_answered() && self.has_called;
+        let between_messages = self.partial.is_none() && !self.unread;
+        between_messages && (is_answered || policy.closes_idle(now, self.active_ns))
+    }
 }
 
 /// The front for MessagePack clients.
@@ -197,12 +221,18 @@
     connections: HashMap<u64, Connection>,
     /// The answer to `isWell`: whether to send new connections here.
     well: bool,
+    close_policy: ClosePolicy,
 }
 
 impl MsgpackFront {
     /// Creates a front without clients.
     pub fn new(directory: Directory) -> Self {
-        MsgpackFront { directory, connections: HashMap::new(), well: true }
+        MsgpackFront {
+            directory,
+            connections: HashMap::new(),
+            well: true,
+            close_policy: ClosePolicy::default(),
+        }
     }
 
     /// Sets the answer to `isWell`, by which balancers decide whether to send new connections here.
@@ -210,6 +240,11 @@
         self.well = well;
     }
 
+    /// Sets which connections are closed by [`close_idle`](Self::close_idle), or once answered.
+    pub fn set_close_policy(&mut self, close_policy: ClosePolicy) {
+        self.close_policy = close_policy;
+    }
+
     /// Adds an accepted client connection.
     pub fn accept(&mut self, now: u64, conn: u64, peer: IpAddr) {
         let peer = self.directory.peer(peer);
@@ -267,29 +302,25 @@
         self.connections.get(&conn).is_some_and(condition)
     }
 
-    /// Closes idle connections for which `should_close` returns true, given the time of their last
-    /// activity (ns). A connection is idle without open requests, input and queued output.
-    pub fn close_idle(
-        &mut self,
-        now: u64,
-        net: &mut Net,
-        router: &mut Router,
-        should_close: impl Fn(u64) -> bool,
-    ) {
-        let is_idle = |c: &Connection| {
-            c.open_requests.is_empty() && c.partial.is_none() && !c.unread && should_close(c.active_ns)
-        };
-        let mut to_close: Vec<u64> =
-            self.connections.iter().filter(|(_, c)| is_idle(c)).map(|(c, _)| *c).collect();
+    /// Closes the connections that the close policy selects.
+    pub fn close_idle(&mut self, now: u64, net: &mut Net, router: &mut Router) {
+        let policy = self.close_policy;
+        let selected = self.connections.iter().filter(|(_, c)| c.is_selected(policy, now));
+        let mut to_close: Vec<u64> = selected.map(|(conn, _)| *conn).collect();
         to_close.sort_unstable();
         for conn in to_close {
-            if self.still_matches(now, net, router, conn, is_idle)
-                && net.input(conn).is_empty()
-                && net.drained(conn)
-            {
-                self.remove_connection(router, conn, EndReason::Idle);
-                net.close_after_flush(now, conn);
-            }
+            self.close_if_selected(now, net, router, conn);
+        }
+    }
+
+    /// Closes a connection if the close policy selects it and all output is written.
+    fn close_if_selected(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
+        let policy = self.close_policy;
+        let is_selected = self.still_matches(now, net, router, conn, |c| c.is_selected(policy, now));
+        let may_close = net.drained(conn) && (policy.is_forced() || net.input(conn).is_empty());
+        if is_selected && may_close {
+            self.remove_connection(router, conn, EndReason::Idle);
+            net.close_after_flush(now, conn);
         }
     }
 
@@ -361,6 +392,8 @@
         if let Message::Call(..) = message {
             (connection.has_called, connection.active_ns) = (true, now);
         }
+        let has_open_request = !connection.open_requests.is_empty();
+        let accepts_request = self.close_policy.accepts_request(connection.last_request_ns, has_open_request);
         let rejected = connection.rejected;
         connection.rejected += 1;
         let answer = match message {
@@ -396,17 +429,18 @@
                         router.counters.rejected += 1;
                         error(id.into(), "Malformed", &[("why", "the rid is an open request's".into())])
                     }
-                    Ok(_)
-                        if connection.open_requests.len() >= MAX_OPEN_REQUESTS || !router.has_capacity() =>
-                    {
-                        if connection.open_requests.len() < MAX_OPEN_REQUESTS {
-                            connection.rejected = rejected;
-                        }
+                    Ok(_) if connection.open_requests.len() >= MAX_OPEN_REQUESTS => {
                         router.counters.rejected += 1;
-                        error(id.into(), "Backoff", &[("backoff", "200".into())])
+                        backoff(id)
+                    }
+                    Ok(_) if !router.has_capacity() || !accepts_request => {
+                        connection.rejected = rejected;
+                        router.counters.rejected += 1;
+                        backoff(id)
                     }
                     Ok(client_request) => {
                         connection.rejected = 0;
+                        connection.last_request_ns = Some(now);
                         let request =
                             router.accept_request(now, Client { conn, call: id.into() }, client_request);
                         connection.open_requests.insert(id, request);
@@ -441,7 +475,10 @@
             }
         };
         if !net.send(client.conn, &bytes) {
-            self.close(net, router, client.conn, EndReason::Garbled);
+            return self.close(net, router, client.conn, EndReason::Garbled);
+        }
+        if self.close_policy.closes_answered() {
+            self.close_if_selected(now, net, router, client.conn);
         }
     }
 }
--- a/crates/front/src/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -17,6 +17,7 @@
 use marljunction_core::statement::Statement;
 use marljunction_core::{Answer, Client, ClientRequest, Column, Router, Row};
 use marljunction_fair_queue::settings::ClientKey;
+use marljunction_net::phase::ClosePolicy;
 use marljunction_net::Net;
 use std::net::IpAddr;
 
@@ -65,6 +66,10 @@
     since_ns: u64,
     /// When the client last sent a message or was answered (ns).
     active_ns: u64,
+    /// When the last statement was accepted as a request (ns).
+    last_request_ns: Option<u64>,
+    /// Messages of an extended query have come, and not yet its `Sync`.
+    in_extended_query: bool,
     key: i32,
     settings: Settings,
     startup_settings: Settings,
@@ -86,6 +91,26 @@
     setup: PostgresSetup,
     sessions: HashMap<u64, Session>,
     seed: u64,
+    close_policy: ClosePolicy,
+}
+
+impl Session {
+    /// Returns whether the close policy selects this session. A new one has time for its first
+    /// statement.
+    fn is_selected(&self, policy: ClosePolicy, now: u64) -> bool {
+        if !self.started || self.running.is_some() {
+            return false;
+        }
+        let has_requested = self.last_request_ns.is_some();
+        if policy.is_forced() && has_requested {
+            return true;
+        }
+        let between_messages = self.partial_ns.is_none() && !self.skips_to_sync;
+        let is_answered = policy.closes_answered() && has_requested && !self.in_extended_query;
+        between_messages
+            && self.suspended_portals == 0
+            && (is_answered || policy.closes_idle(now, self.active_ns))
+    }
 }
 
 /// Maps an unsuccessful answer to an SQLSTATE. The hint of a refusal states when to retry.
@@ -138,7 +163,13 @@
 impl PostgresFront {
     /// Creates a front without sessions. Request ids and cancel keys are derived from `seed`.
     pub fn new(directory: Directory, setup: PostgresSetup, seed: u64) -> Self {
-        PostgresFront { directory, setup, sessions: HashMap::new(), seed }
+        let sessions = HashMap::new();
+        PostgresFront { directory, setup, sessions, seed, close_policy: ClosePolicy::default() }
+    }
+
+    /// Sets which sessions are closed by [`close_idle`](Self::close_idle), or once answered.
+    pub fn set_close_policy(&mut self, close_policy: ClosePolicy) {
+        self.close_policy = close_policy;
     }
 
     /// Adds an accepted client connection.
@@ -207,35 +238,31 @@
         self.sessions.get(&conn).is_some_and(condition)
     }
 
-    /// Closes idle sessions for which `should_close` returns true, given the time of their last
-    /// activity (ns). A session is idle without a running request, suspended portals, input and
-    /// queued output. The client receives `57P01`, as at a shutdown of a PostgreSQL server.
-    pub fn close_idle(
-        &mut self,
-        now: u64,
-        net: &mut Net,
-        router: &mut Router,
-        should_close: impl Fn(u64) -> bool,
-    ) {
-        let is_idle = |s: &Session| {
-            let at_rest =
-                s.running.is_none() && s.partial_ns.is_none() && !s.skips_to_sync && s.suspended_portals == 0;
-            s.started && at_rest && should_close(s.active_ns)
-        };
-        let mut to_close: Vec<u64> =
-            self.sessions.iter().filter(|(_, s)| is_idle(s)).map(|(c, _)| *c).collect();
+    /// Closes the sessions that the close policy selects. The client receives `57P01`, as at a
+    /// shutdown of a PostgreSQL server.
+    pub fn close_idle(&mut self, now: u64, net: &mut Net, router: &mut Router) {
+        let policy = self.close_policy;
+        let selected = self.sessions.iter().filter(|(_, s)| s.is_selected(policy, now));
+        let mut to_close: Vec<u64> = selected.map(|(conn, _)| *conn).collect();
         to_close.sort_unstable();
         for conn in to_close {
-            let still_idle = self.still_matches(now, net, router, conn, is_idle);
-            if !still_idle || !net.input(conn).is_empty() || !net.drained(conn) {
-                continue;
+            if self.still_matches(now, net, router, conn, |s| s.is_selected(policy, now)) {
+                self.close_selected(now, net, router, conn);
             }
-            let mut response = ResponseBuffer::default();
-            response.error(&fault("57P01", "terminating connection: the router is drained or stops"), true);
-            self.write(now, net, router, conn, response, Some(EndReason::Idle));
         }
     }
 
+    /// Closes a session that the close policy selects, once all output is written.
+    fn close_selected(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
+        let may_close = net.drained(conn) && (self.close_policy.is_forced() || net.input(conn).is_empty());
+        if !may_close {
+            return;
+        }
+        let mut response = ResponseBuffer::default();
+        response.error(&fault("57P01", "terminating connection: the router is drained or stops"), true);
+        self.write(now, net, router, conn, response, Some(EndReason::Idle));
+    }
+
     /// Handles the messages that a client has sent.
     pub fn ready(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
         // Statements of a disconnected client must not run.
@@ -243,6 +270,11 @@
             return self.close(net, router, conn, end_reason.for_client_connection());
         }
         self.advance(now, net, router, conn);
+        let policy = self.close_policy;
+        let is_selected = self.sessions.get(&conn).is_some_and(|s| s.is_selected(policy, now));
+        if policy.closes_answered() && is_selected {
+            self.close_selected(now, net, router, conn);
+        }
     }
 
     /// Handles messages until one has to wait for its answer.
@@ -324,6 +356,7 @@
             ClientMessage::Sync => {
                 if let Some(session) = self.sessions.get_mut(&conn) {
                     (session.skips_to_sync, session.suspended_portals) = (false, 0);
+                    session.in_extended_query = false;
                     session.objects.clear_portals();
                 }
                 response.ready();
@@ -338,7 +371,9 @@
                 }
             }
             message => {
-                if self.sessions.get(&conn).is_some_and(|s| s.skips_to_sync) {
+                let session = self.sessions.get_mut(&conn)?;
+                session.in_extended_query = true;
+                if session.skips_to_sync {
                     return None;
                 }
                 if let Err(fault) = self.extended(now, router, conn, message, response) {
@@ -562,16 +597,19 @@
         kind: StatementKind,
         portal: Option<(String, u32)>,
     ) -> Result<(), SqlFault> {
-        if !router.has_capacity() {
+        let last_request_ns = self.sessions.get(&conn).and_then(|s| s.last_request_ns);
+        let accepts_request = self.close_policy.accepts_request(last_request_ns, false);
+        if !router.has_capacity() || !accepts_request {
             router.counters.rejected += 1;
-            return Err(SqlFault {
-                hint: "retry after 200 ms".into(),
-                ..fault("53000", "too many requests are open")
-            });
+            let why = match accepts_request {
+                true => "too many requests are open",
+                false => "the router is drained or stops",
+            };
+            return Err(SqlFault { hint: "retry after 200 ms".into(), ..fault("53000", why) });
         }
         let name = format!("{:016x}", self.random());
         let Some(session) = self.sessions.get_mut(&conn) else { return Ok(()) };
-        session.calls += 1;
+        (session.calls, session.last_request_ns) = (session.calls + 1, Some(now));
         let (call, settings) = (session.calls, &session.settings);
         let class = settings.class.unwrap_or(self.setup.class);
         let deadline_ns = self.directory.deadline_ns(class);
--- a/crates/front/tests/close_idle.rs
+++ b/crates/front/tests/close_idle.rs
@@ -5,10 +5,11 @@
 
 use marljunction_control::interface::{ClassId, ClassSettings, Settings};
 use marljunction_core::end_reason::EndReason;
-use marljunction_core::{Answer, Client, Router};
+use marljunction_core::{Answer, Client, Router, Rows};
 use marljunction_front::msgpack::MsgpackFront;
 use marljunction_front::postgres::{PostgresFront, PostgresSetup};
 use marljunction_front::Directory;
+use marljunction_net::phase::ClosePolicy;
 use marljunction_net::{ConnectionLimits, Net, Owner};
 use marljunction_settings::Names;
 
@@ -73,8 +74,10 @@
 
     /// Closes idle connections and sessions.
     fn close_idle(&mut self) {
-        self.front.close_idle(LATE_NS, &mut self.net, &mut self.router, |_| true);
-        self.sessions.close_idle(LATE_NS, &mut self.net, &mut self.router, |_| true);
+        self.front.set_close_policy(ClosePolicy::WhenIdle);
+        self.front.close_idle(LATE_NS, &mut self.net, &mut self.router);
+        self.sessions.set_close_policy(ClosePolicy::WhenIdle);
+        self.sessions.close_idle(LATE_NS, &mut self.net, &mut self.router);
     }
 
     /// Writes to the client until its socket is full.
@@ -214,3 +217,118 @@
         assert_eq!((w.router.counters.endings(EndReason::Garbled), w.net.owner(w.conn)), (1, None));
     }
 }
+
+/// A refusal as the final answer to a call.
+fn refusal() -> Answer {
+    Answer::Refused { after: None, backoff_ms: 1, fault: None }
+}
+
+/// A call with this message id and request id.
+fn call(id: u8, request_id: &str) -> Vec<u8> {
+    let mut bytes = CALL.to_vec();
+    bytes[2] = id;
+    let at = bytes.windows(16).position(|part| part == b"9b1f03aa5c7e2d41").unwrap();
+    bytes[at..at + 16].copy_from_slice(request_id.as_bytes());
+    bytes
+}
+
+/// Everything that the client has received, up to the end of the connection.
+fn received(w: &mut Fixture) -> Vec<u8> {
+    w.client.shutdown(std::net::Shutdown::Write).unwrap();
+    w.net.discard_input(w.conn);
+    w.client.set_read_timeout(Some(std::time::Duration::from_secs(8))).unwrap();
+    let mut bytes = Vec::new();
+    w.client.read_to_end(&mut bytes).unwrap();
+    bytes
+}
+
+const WHEN_ANSWERED: ClosePolicy = ClosePolicy::WhenAnswered { since_ns: 1_000 };
+
+/// Guards against: a drained router never closes the connection of a client that sends its next
+/// request within 50 ms of each answer.
+#[test]
+fn a_drained_router_closes_a_busy_connection_with_its_next_answer() {
+    let mut w = fixture(Owner::Msgpack);
+    w.client.write_all(CALL).unwrap();
+    w.front.ready(900, &mut w.net, &mut w.router, w.conn);
+    w.front.set_close_policy(WHEN_ANSWERED);
+    w.front.close_idle(2_000, &mut w.net, &mut w.router);
+    assert_eq!(w.net.owner(w.conn), Some(Owner::Msgpack), "closed with an open request");
+    let client = Client { conn: w.conn, call: 1 };
+    w.front.answer(2_000, &mut w.net, &mut w.router, client, refusal());
+    assert_eq!(w.router.counters.endings(EndReason::Idle), 1);
+    assert!(received(&mut w).windows(7).any(|part| part == b"Backoff"));
+}
+
+/// Guards against: a drained router never closes a connection that always has an open request.
+#[test]
+fn a_drained_router_refuses_further_requests_of_a_connection_with_open_ones() {
+    let mut w = fixture(Owner::Msgpack);
+    w.client.write_all(CALL).unwrap();
+    w.front.ready(900, &mut w.net, &mut w.router, w.conn);
+    w.front.set_close_policy(WHEN_ANSWERED);
+    (2..=150).for_each(|id| w.client.write_all(&call(id.min(120), "9b1f03aa5c7e2d42")).unwrap());
+    (0..3).for_each(|_| w.front.ready(2_000, &mut w.net, &mut w.router, w.conn));
+    assert_eq!((w.router.counters.taken, w.router.counters.rejected), (1, 149));
+    w.front.answer(2_000, &mut w.net, &mut w.router, Client { conn: w.conn, call: 1 }, refusal());
+    assert_eq!(w.router.counters.endings(EndReason::Idle), 1);
+    // Each request has its answer: the first one the router's, the others a refusal.
+    assert_eq!(received(&mut w).windows(7).filter(|part| *part == b"Backoff").count(), 150);
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_a_drained_connection_is_served_first() {
+    let mut w = fixture(Owner::Msgpack);
+    w.client.write_all(CALL).unwrap();
+    w.front.ready(900, &mut w.net, &mut w.router, w.conn);
+    w.front.set_close_policy(WHEN_ANSWERED);
+    w.client.write_all(&call(2, "9b1f03aa5c7e2d42")).unwrap();
+    w.front.answer(2_000, &mut w.net, &mut w.router, Client { conn: w.conn, call: 1 }, refusal());
+    assert_eq!((w.router.counters.taken, w.net.owner(w.conn)), (2, Some(Owner::Msgpack)));
+    w.client.write_all(&call(3, "9b1f03aa5c7e2d43")).unwrap();
+    w.front.answer(3_000, &mut w.net, &mut w.router, Client { conn: w.conn, call: 2 }, refusal());
+    assert_eq!((w.router.counters.taken, w.router.counters.endings(EndReason::Idle)), (2, 1));
+}
+
+#[test]
+fn a_new_connection_to_a_drained_router_gets_one_request_served() {
+    let mut w = fixture(Owner::Msgpack);
+    w.front.set_close_policy(WHEN_ANSWERED);
+    w.front.close_idle(1_000, &mut w.net, &mut w.router);
+    w.client.write_all(CALL).unwrap();
+    w.front.ready(2_000, &mut w.net, &mut w.router, w.conn);
+    assert_eq!(w.router.counters.taken, 1);
+    w.front.answer(3_000, &mut w.net, &mut w.router, Client { conn: w.conn, call: 1 }, refusal());
+    assert_eq!(w.router.counters.endings(EndReason::Idle), 1);
+}
+
+/// Guards against: as for MessagePack connections, a session that never pauses is kept.
+#[test]
+fn a_drained_router_closes_a_busy_session_between_two_statements() {
+    let mut w = Fixture::session();
+    w.client.write_all(QUERY).unwrap();
+    w.sessions.ready(900, &mut w.net, &mut w.router, w.conn);
+    w.sessions.set_close_policy(WHEN_ANSWERED);
+    w.sessions.close_idle(2_000, &mut w.net, &mut w.router);
+    assert_eq!(w.sessions.sessions(), 1, "closed with a running statement");
+    w.sessions.answer(2_000, &mut w.net, &mut w.router, Client { conn: w.conn, call: 1 }, refusal());
+    assert_eq!((w.sessions.sessions(), w.router.counters.endings(EndReason::Idle)), (0, 1));
+    assert!(received(&mut w).windows(5).any(|part| part == b"57P01"));
+}
+
+/// Guards against: a drained session that fetches a result in parts is kept as long as it likes.
+#[test]
+fn a_drained_router_closes_a_session_with_a_suspended_portal_at_the_forced_close() {
+    const EXTENDED: &[u8] = b"P\0\0\0\x10\0select 1\0\0\0B\0\0\0\x0c\0\0\0\0\0\0\0\0E\0\0\0\x09\0\0\0\0\x01";
+    let mut w = Fixture::session();
+    w.client.write_all(EXTENDED).unwrap();
+    w.sessions.ready(900, &mut w.net, &mut w.router, w.conn);
+    let rows = Answer::Served(Rows::Text(b"1\n2\n".to_vec()));
+    w.sessions.answer(900, &mut w.net, &mut w.router, Client { conn: w.conn, call: 1 }, rows);
+    w.sessions.set_close_policy(WHEN_ANSWERED);
+    w.sessions.close_idle(LATE_NS, &mut w.net, &mut w.router);
+    assert_eq!(w.sessions.sessions(), 1, "the client could still fetch the rest of its result");
+    w.sessions.set_close_policy(ClosePolicy::Forced { since_ns: 1_000 });
+    w.sessions.close_idle(LATE_NS, &mut w.net, &mut w.router);
+    assert_eq!(w.sessions.sessions(), 0);
+}
--- a/crates/net/src/phase.rs
+++ b/crates/net/src/phase.rs
@@ -6,12 +6,11 @@
 pub enum Phase {
     /// Ready and serving.
     Serving,
-    /// Drained by an operator at this time (ns): serves requests, is not ready, and closes idle
-    /// client connections, so that their clients connect to another router.
+    /// Drained by an operator at this time (ns): serves requests, is not ready, and closes client
+    /// connections by [`ClosePolicy`], so that their clients connect to another router.
     Drained(u64),
-    /// Stopping: ends once all requests are answered. This phase is final. Idle client connections
-    /// are closed only if a successor accepts from the same listening socket; else they stay to the
-    /// end.
+    /// Stopping: ends once all requests are answered. This phase is final. Client connections are
+    /// closed before the end only if a successor accepts from the same listening socket.
     Stopping {
         /// Start of the stop (ns).
         since: u64,
@@ -23,6 +22,73 @@
 /// Idle time after which a drained or stopping process closes a client connection. It must cover
 /// the time in which a client sends its next request after a response.
 pub const MIN_IDLE_NS: u64 = 50_000_000;
+/// Time after which a drained process no longer waits for a connection to become idle. Clients that
+/// are told to go elsewhere before it would still be sent here.
+pub const LAST_REQUESTS_AFTER_NS: u64 = 1_000_000_000;
+/// Time after which a drained process closes each connection without an open request.
+pub const FORCED_CLOSE_AFTER_NS: u64 = 3_000_000_000;
+
+/// Which client connections a process closes. None is ever closed with an open request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ClosePolicy {
+    /// None.
+    #[default]
+    Keep,
+    /// Those that are idle for [`MIN_IDLE_NS`].
+    WhenIdle,
+    /// Those whose requests are all answered, however short their clients pause. A connection gets
+    /// at most one more request accepted after `since_ns`; others are refused.
+    WhenAnswered {
+        /// Start of this policy (ns).
+        since_ns: u64,
+    },
+    /// As `WhenAnswered`, also in the middle of a message or of a result in parts.
+    Forced {
+        /// Start of `WhenAnswered` (ns).
+        since_ns: u64,
+    },
+}
+
+impl ClosePolicy {
+    /// The policy of a process that wants its clients to go elsewhere since `since_ns`.
+    fn draining(since_ns: u64, now_ns: u64) -> ClosePolicy {
+        let last_requests_ns = since_ns.saturating_add(LAST_REQUESTS_AFTER_NS);
+        if now_ns < last_requests_ns {
+            ClosePolicy::WhenIdle
+        } else if now_ns < since_ns.saturating_add(FORCED_CLOSE_AFTER_NS) {
+            ClosePolicy::WhenAnswered { since_ns: last_requests_ns }
+        } else {
+            ClosePolicy::Forced { since_ns: last_requests_ns }
+        }
+    }
+
+    /// Returns whether a connection without open requests that was last active at `active_ns` is
+    /// closed as idle.
+    pub fn closes_idle(self, now_ns: u64, active_ns: u64) -> bool {
+        self != ClosePolicy::Keep && now_ns >= active_ns.saturating_add(MIN_IDLE_NS)
+    }
+
+    /// Returns whether a connection is closed as soon as its requests are answered.
+    pub fn closes_answered(self) -> bool {
+        matches!(self, ClosePolicy::WhenAnswered { .. } | ClosePolicy::Forced { .. })
+    }
+
+    /// Returns whether a connection is closed in the middle of a message.
+    pub fn is_forced(self) -> bool {
+        matches!(self, ClosePolicy::Forced { .. })
+    }
+
+    /// Returns whether a connection whose last request was accepted at `last_request_ns` gets
+    /// another one accepted.
+    pub fn accepts_request(self, last_request_ns: Option<u64>, has_open_request: bool) -> bool {
+        match self {
+            ClosePolicy::Keep | ClosePolicy::WhenIdle => true,
+            ClosePolicy::WhenAnswered { since_ns } | ClosePolicy::Forced { since_ns } => {
+                !has_open_request && last_request_ns.is_none_or(|accepted_ns| accepted_ns < since_ns)
+            }
+        }
+    }
+}
 
 impl Phase {
     /// Returns whether the process reports that it is ready.
@@ -78,13 +144,13 @@
         }
     }
 
-    /// Returns whether to close a client connection without open requests that was last active at
-    /// `active_ns`.
-    pub fn should_close(self, now_ns: u64, active_ns: u64) -> bool {
-        let idle_long_enough = now_ns >= active_ns.saturating_add(MIN_IDLE_NS);
+    /// Returns which client connections are closed.
+    pub fn close_policy(self, now_ns: u64) -> ClosePolicy {
         match self {
-            Phase::Serving | Phase::Stopping { handing_over: false, .. } => false,
-            Phase::Drained(_) | Phase::Stopping { handing_over: true, .. } => idle_long_enough,
+            Phase::Serving | Phase::Stopping { handing_over: false, .. } => ClosePolicy::Keep,
+            Phase::Drained(since) | Phase::Stopping { since, handing_over: true } => {
+                ClosePolicy::draining(since, now_ns)
+            }
         }
     }
 }
--- a/crates/net/tests/phase.rs
+++ b/crates/net/tests/phase.rs
@@ -1,20 +1,27 @@
 //! Transitions between lifecycle phases, and what each phase allows.
 
-use marljunction_net::phase::{Phase, MIN_IDLE_NS};
+use marljunction_net::phase::{
+    ClosePolicy, Phase, FORCED_CLOSE_AFTER_NS, LAST_REQUESTS_AFTER_NS, MIN_IDLE_NS,
+};
+
+/// Whether a connection that was last active at `active_ns` is closed as idle.
+fn closes_idle(phase: Phase, now_ns: u64, active_ns: u64) -> bool {
+    phase.close_policy(now_ns).closes_idle(now_ns, active_ns)
+}
 
 #[test]
 fn a_drained_process_is_not_ready_and_closes_idle_connections_until_undrained() {
     let mut phase = Phase::Serving;
-    assert!(phase.is_ready() && !phase.should_close(10 * MIN_IDLE_NS, 0));
+    assert!(phase.is_ready() && !closes_idle(phase, 10 * MIN_IDLE_NS, 0));
     assert!(phase.is_well());
     assert!(phase.drain(100));
     assert!(!phase.is_well(), "a drained process asks for new clients");
     assert!(!phase.drain(200), "a second drain changed the phase");
     assert!(!phase.is_ready());
-    assert!(!phase.should_close(100 + MIN_IDLE_NS - 1, 100), "closed before the minimum idle time");
-    assert!(phase.should_close(100 + MIN_IDLE_NS, 100));
+    assert!(!closes_idle(phase, 100 + MIN_IDLE_NS - 1, 100), "closed before the minimum idle time");
+    assert!(closes_idle(phase, 100 + MIN_IDLE_NS, 100));
     assert!(phase.undrain());
-    assert!(phase.is_ready() && !phase.should_close(10 * MIN_IDLE_NS, 0));
+    assert!(phase.is_ready() && !closes_idle(phase, 10 * MIN_IDLE_NS, 0));
     assert!(!phase.undrain());
 }
 
@@ -26,10 +33,28 @@
     phase.stop(20, false);
     assert_eq!(phase.stopping_since(), Some(10), "a second stop moved the start");
     assert!(!phase.undrain() && !phase.drain(30) && !phase.is_ready());
-    assert!(phase.should_close(10 + MIN_IDLE_NS, 10));
+    assert!(closes_idle(phase, 10 + MIN_IDLE_NS, 10));
     let mut alone = Phase::Serving;
     alone.stop(10, false);
-    assert!(!alone.should_close(u64::MAX, 0), "closed an idle connection without a successor");
+    assert!(!closes_idle(alone, u64::MAX, 0), "closed an idle connection without a successor");
     assert!(alone.is_well() && !alone.is_ready(), "without a successor, new connections are still accepted");
     assert!(!phase.is_well());
 }
+
+/// Guards against: a drained process keeps a connection for ever whose client never pauses.
+#[test]
+fn a_drained_process_stops_waiting_for_pauses_and_accepts_one_more_request_at_most() {
+    let mut phase = Phase::Serving;
+    phase.drain(100);
+    let since_ns = 100 + LAST_REQUESTS_AFTER_NS;
+    let early = phase.close_policy(since_ns - 1);
+    assert!(!early.closes_answered() && early.accepts_request(Some(since_ns - 1), true));
+    let policy = phase.close_policy(since_ns);
+    assert_eq!(policy, ClosePolicy::WhenAnswered { since_ns });
+    assert!(policy.closes_answered() && !policy.is_forced());
+    assert!(policy.accepts_request(None, false) && policy.accepts_request(Some(since_ns - 1), false));
+    assert!(!policy.accepts_request(None, true) && !policy.accepts_request(Some(since_ns), false));
+    assert_eq!(phase.close_policy(100 + FORCED_CLOSE_AFTER_NS), ClosePolicy::Forced { since_ns });
+    phase.undrain();
+    assert_eq!(phase.close_policy(u64::MAX), ClosePolicy::Keep);
+}
--- a/src/daemon/admin.rs
+++ b/src/daemon/admin.rs
@@ -35,6 +35,7 @@
         match self.execute_call(now, &call) {
             Outcome::AdminResponse(reply) => {
                 self.fronts.msgpack.set_well(self.stop.phase.is_well());
+                self.apply_close_policy(now);
                 self.admin.server.answer(now, &mut self.net, conn, &call, reply);
             }
             Outcome::AwaitPeers(version) => self.await_confirmation(now, conn, call, version),
--- a/src/daemon/iteration.rs
+++ b/src/daemon/iteration.rs
@@ -178,16 +178,22 @@
         }
     }
 
+    /// Tells the fronts which connections the phase lets them close.
+    pub(super) fn apply_close_policy(&mut self, now: u64) {
+        let close_policy = self.stop.phase.close_policy(now);
+        self.fronts.msgpack.set_close_policy(close_policy);
+        self.fronts.postgres.iter_mut().for_each(|front| front.set_close_policy(close_policy));
+    }
+
     fn tick_fronts(&mut self, now: u64) {
-        let phase = self.stop.phase;
-        let should_close = |busy_ns| phase.should_close(now, busy_ns);
+        self.apply_close_policy(now);
         let msgpack = &mut self.fronts.msgpack;
         msgpack.tick(now, &mut self.net, &mut self.router);
-        msgpack.close_idle(now, &mut self.net, &mut self.router, should_close);
+        msgpack.close_idle(now, &mut self.net, &mut self.router);
         self.poll_exclusions(now);
         if let Some(front) = &mut self.fronts.postgres {
             front.tick(now, &mut self.net, &mut self.router);
-            front.close_idle(now, &mut self.net, &mut self.router, should_close);
+            front.close_idle(now, &mut self.net, &mut self.router);
         }
     }
 
--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -59,6 +59,7 @@
         self.handover.iter_mut().for_each(SharedState::begin_stop);
         self.stop.phase.stop(now, self.listeners.shared);
         self.fronts.msgpack.set_well(self.stop.phase.is_well());
+        self.apply_close_policy(now);
         // The next process accepts on the same socket: guards against connections accepted only to
         // be closed.
         if self.listeners.shared {
