Bound the input of all clients together by a share of the memory limit

Operators saw the process pass its memory limit while hundreds of clients stopped half way in large messages, and well-behaved clients wait for seconds beside heads of very many short fields.

Cause: input was bounded for each connection (72 KB), not for all; buffers doubled; decoding a head of 62 KB built 31,000 values; an iteration gave each client a turn whatever it cost. Ruled out: queued answers and requests, which have a share each, and a leak.

Change: clients' input has 0.15 of the memory limit. At it, a client is read up to 2 KB, and the largest unfinished message of a connection without open requests is closed (ended_input_limit, logged once). After 256 KB of messages in an iteration, connections with more than 2 KB of input wait for the next one, in turn.

--- a/crates/core/src/end_reason.rs
+++ b/crates/core/src/end_reason.rs
@@ -47,6 +47,8 @@
     Idle,
     /// The client sent no complete call in time.
     Silent,
+    /// The client's message was incomplete while all clients together had too much input buffered.
+    InputLimit,
     /// The process is shutting down.
     Shutdown,
 }
@@ -76,7 +78,7 @@
 }
 
 /// All end reasons with their counter names.
-pub const END_REASONS: [(EndReason, &str); 21] = [
+pub const END_REASONS: [(EndReason, &str); 22] = [
     (EndReason::Served, "served"),
     (EndReason::EngineError, "engine_error"),
     (EndReason::Full, "full"),
@@ -97,6 +99,7 @@
     (EndReason::Forgotten, "forgotten"),
     (EndReason::Idle, "idle"),
     (EndReason::Silent, "silent"),
+    (EndReason::InputLimit, "input_limit"),
     (EndReason::Shutdown, "shutdown"),
 ];
 
@@ -121,7 +124,9 @@
                 ControlEvent::Outcome(Status::Cancelled)
             }
             EndReason::ClientGone | EndReason::Forgotten => ControlEvent::Left,
-            EndReason::Idle | EndReason::Silent | EndReason::Shutdown => ControlEvent::NoEvent,
+            EndReason::Idle | EndReason::Silent | EndReason::InputLimit | EndReason::Shutdown => {
+                ControlEvent::NoEvent
+            }
         }
     }
 
@@ -172,6 +177,7 @@
             | EndReason::Forgotten
             | EndReason::Idle
             | EndReason::Silent
+            | EndReason::InputLimit
             | EndReason::Shutdown => HealthSignal::Inconclusive,
         }
     }
--- a/crates/engine/tests/give_up.rs
+++ b/crates/engine/tests/give_up.rs
@@ -502,7 +502,7 @@
 
 /// Limits the output queued on all connections to `output` bytes.
 fn limited_output(output: usize) -> ConnectionLimits {
-    ConnectionLimits { engines: 32, output }
+    ConnectionLimits { engines: 32, output, input: 1 << 30 }
 }
 
 #[test]
--- a/crates/front/src/msgpack/mod.rs
+++ b/crates/front/src/msgpack/mod.rs
@@ -14,7 +14,7 @@
 use marljunction_core::end_reason::EndReason;
 use marljunction_core::{Answer, Client, Router};
 use marljunction_net::phase::ClosePolicy;
-use marljunction_net::Net;
+use marljunction_net::{Net, MIN_INPUT_BYTES};
 use std::net::IpAddr;
 
 /// Maximum number of open requests per connection.
@@ -25,6 +25,9 @@
 const RECEIVE_TIMEOUT_NS: u64 = 2_000_000_000;
 /// Time for which a new connection is not evicted, so that its first call can arrive.
 const EVICTION_GRACE_NS: u64 = 250_000_000;
+/// Bytes of all clients' messages handled in one iteration of the event loop, after which only
+/// connections with little input are.
+const MAX_BYTES_PER_ITERATION: usize = 256 << 10;
 /// Number of consecutive rejected messages after which a connection is closed.
 const MAX_REJECTED_IN_ROW: u32 = 100;
 /// Retry delay of a call that is not accepted as a request (ms).
@@ -61,9 +64,10 @@
 
 impl Connection {
     /// Since when the client owes input, for its first call or the rest of a message (ns). `None`
-    /// while a request is open: closing the connection would lose the answer.
+    /// while a request is open, or a message may be complete and is not yet read: closing the
+    /// connection would lose it.
     fn awaits_input_since_ns(&self) -> Option<u64> {
-        if !self.open_requests.is_empty() {
+        if !self.open_requests.is_empty() || self.unread {
             return None;
         }
         match self.partial {
@@ -95,6 +99,10 @@
     /// The answer to `isWell`: whether to send new connections here.
     well: bool,
     close_policy: ClosePolicy,
+    /// Bytes of messages handled in this iteration of the event loop.
+    handled_bytes: usize,
+    /// The first connection that was left out of this iteration.
+    left_out: Option<u64>,
 }
 
 impl MsgpackFront {
@@ -105,6 +113,8 @@
             connections: HashMap::new(),
             well: true,
             close_policy: ClosePolicy::default(),
+            handled_bytes: 0,
+            left_out: None,
         }
     }
 
@@ -142,6 +152,14 @@
             .map(|(conn, _)| *conn)
     }
 
+    /// Returns the connection without open requests whose incomplete message has the most bytes
+    /// buffered, and their number.
+    pub fn largest_incomplete(&self, net: &Net) -> Option<(usize, u64)> {
+        let incomplete =
+            self.connections.iter().filter(|(_, c)| c.partial.is_some() && c.open_requests.is_empty());
+        incomplete.map(|(conn, _)| (net.input(*conn).len(), *conn)).max()
+    }
+
     /// Returns whether messages remain in a connection's input that no event will announce.
     pub fn has_more(&self, conn: u64) -> bool {
         self.connections.get(&conn).is_some_and(|c| c.unread)
@@ -236,12 +254,26 @@
         }
     }
 
+    /// Starts an iteration of the event loop, in which [`MAX_BYTES_PER_ITERATION`] are handled and
+    /// then only connections with little input. Returns the first connection that was left out of
+    /// the last iteration.
+    pub fn begin_iteration(&mut self) -> Option<u64> {
+        self.handled_bytes = 0;
+        self.left_out.take()
+    }
+
     /// Handles the messages that a client has sent.
     pub fn ready(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
+        if self.is_left_out(net, conn) {
+            return;
+        }
         // Requests of a disconnected client must not run.
         if let Some(end_reason) = net.service(conn).ended {
             return self.close(net, router, conn, end_reason.for_client_connection());
         }
+        if self.is_left_out(net, conn) {
+            return;
+        }
         let mut answers = Vec::new();
         let fault = self.read_messages(now, net, router, conn, &mut answers);
         // One write for all answers of the turn.
@@ -253,6 +285,18 @@
         }
     }
 
+    /// Leaves a connection with much input to the next iteration, if enough was handled in this one.
+    /// Guards against many clients with large messages that delay those with small ones.
+    fn is_left_out(&mut self, net: &Net, conn: u64) -> bool {
+        let is_large = net.input(conn).len() > MIN_INPUT_BYTES;
+        let is_left_out = is_large && self.handled_bytes >= MAX_BYTES_PER_ITERATION;
+        if is_left_out {
+            self.connections.entry(conn).and_modify(|c| c.unread = true);
+            self.left_out.get_or_insert(conn);
+        }
+        is_left_out
+    }
+
     /// Handles the messages of one turn, so that other connections are served between the turns of
     /// one client. Adds the answers that are due at once to `answers`.
     ///
@@ -274,12 +318,14 @@
             let (since_ns, mut scanner) = connection.partial.take().unwrap_or((now, FrameScanner::default()));
             let FrameLength::Complete(size) = scanner.scan(input)? else {
                 connection.partial = (!input.is_empty()).then_some((since_ns, scanner));
+                self.handled_bytes += input.len();
                 return Ok(());
             };
             let message = decode_message(&input[..size], |name| self.directory.is_request_field(name))?;
             net.consume(conn, size);
             self.message(now, router, conn, message, answers)?;
             handled_bytes += size;
+            self.handled_bytes += size;
             if handled_bytes >= MAX_BYTES_PER_TURN {
                 break;
             }
--- a/crates/front/src/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -184,6 +184,13 @@
         self.sessions.insert(conn, Session { peer, since_ns: now, active_ns: now, ..Session::default() });
     }
 
+    /// Returns the session without a running statement whose incomplete message has the most bytes
+    /// buffered, and their number.
+    pub fn largest_incomplete(&self, net: &Net) -> Option<(usize, u64)> {
+        let incomplete = self.sessions.iter().filter(|(_, s)| s.partial_ns.is_some() && s.running.is_none());
+        incomplete.map(|(conn, _)| (net.input(*conn).len(), *conn)).max()
+    }
+
     /// Returns whether messages remain in a session's input that no event will announce.
     pub fn has_more(&self, conn: u64) -> bool {
         self.sessions.get(&conn).is_some_and(|s| s.unread && s.running.is_none())
--- a/crates/front/tests/close_idle.rs
+++ b/crates/front/tests/close_idle.rs
@@ -203,7 +203,8 @@
 fn a_client_that_does_not_read_is_evicted_for_engine_output_and_counted() {
     for owner in [Owner::Msgpack, Owner::Postgres] {
         // The output of four connections reaches the limit.
-        let mut w = fixture_with_limits(owner, ConnectionLimits { engines: 8, output: 1 << 20 });
+        let mut w =
+            fixture_with_limits(owner, ConnectionLimits { engines: 8, output: 1 << 20, input: 1 << 30 });
         w.fill_output();
         let engine = TcpListener::bind("127.0.0.1:0").unwrap();
         for _ in 0..4 {
@@ -332,3 +333,16 @@
     w.sessions.close_idle(LATE_NS, &mut w.net, &mut w.router);
     assert_eq!(w.sessions.sessions(), 0);
 }
+
+/// Guards against: for the memory of others, a connection is closed whose request is open.
+#[test]
+fn only_incomplete_messages_without_open_requests_are_closed_for_memory() {
+    let mut w = fixture(Owner::Msgpack);
+    w.client.write_all(&CALL[..20]).unwrap();
+    w.front.ready(0, &mut w.net, &mut w.router, w.conn);
+    assert_eq!(w.front.largest_incomplete(&w.net), Some((20, w.conn)));
+    w.client.write_all(&CALL[20..]).unwrap();
+    w.client.write_all(&CALL[..20]).unwrap();
+    w.front.ready(0, &mut w.net, &mut w.router, w.conn);
+    assert_eq!((w.router.counters.taken, w.front.largest_incomplete(&w.net)), (1, None));
+}
--- a/crates/lab/src/pressure.rs
+++ b/crates/lab/src/pressure.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use marljunction_testkit::pressure::trouble::Trouble;
-use marljunction_testkit::pressure::{PressureBed, MEMORY_MB};
+use marljunction_testkit::pressure::{Limits, PressureBed};
 use serde_json::{Map, Value};
 
 /// Time for which the trouble acts before it is measured.
@@ -27,6 +27,9 @@
     ("nested_bytes", Trouble::NestedBytes),
 ];
 
+/// Limits of the router.
+const LIMITS: Limits = Limits { memory_mb: 64, sockets: 8_192 };
+
 /// Measures each trouble with a router of its own.
 ///
 /// # Errors
@@ -36,7 +39,7 @@
     let mut results = Map::new();
     let mut calm_p99_ms = 0.0;
     for (name, trouble) in TROUBLES {
-        let bed = PressureBed::start(program, &format!("pressure-{name}"))?;
+        let bed = PressureBed::start(program, &format!("pressure-{name}"), LIMITS)?;
         let pressure = trouble.start(bed.address);
         std::thread::sleep(LEAD);
         let measured = bed.measure(time)?;
@@ -54,7 +57,7 @@
         insert("lost", measured.lost.into());
         insert("refused", measured.refused.into());
         insert("peak_mb", peak_mb.into());
-        insert("peak_share", (peak_mb / MEMORY_MB as f64).into());
+        insert("peak_share", (peak_mb / LIMITS.memory_mb as f64).into());
     }
     Ok(Value::Object(results))
 }
--- a/crates/net/src/input.rs
+++ b/crates/net/src/input.rs
@@ -27,6 +27,11 @@
         self.bytes.len() - self.consumed
     }
 
+    /// Memory of the buffer (bytes).
+    pub(crate) fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Adds bytes that have arrived.
     pub(crate) fn extend(&mut self, arrived: &[u8]) {
         self.bytes.drain(..std::mem::take(&mut self.consumed));
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod datagrams;
 mod input;
+mod input_limit;
 pub mod listener;
 pub mod phase;
 
@@ -15,6 +16,8 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 
+pub use input_limit::MIN_INPUT_BYTES;
+
 use input::InputBuffer;
 use marljunction_core::end_reason::EndReason;
 
@@ -24,6 +27,8 @@
 const MAX_OUTPUT_DIVISOR: usize = 4;
 /// Share of the memory limit for the output queued on all connections.
 const OUTPUT_MEMORY_SHARE: f64 = 0.15;
+/// Share of the memory limit for the buffered input of all clients.
+const INPUT_MEMORY_SHARE: f64 = 0.15;
 /// Maximum input buffered for one connection: more than the largest message.
 const MAX_INPUT_BYTES: usize = 72 << 10;
 /// Maximum capacity of an empty buffer.
@@ -40,12 +45,20 @@
     pub engines: usize,
     /// Maximum queued output in bytes.
     pub output: usize,
+    /// Buffered input of all clients (bytes) above which no client's input is read beyond a small
+    /// part of it.
+    pub input: usize,
 }
 
 impl ConnectionLimits {
     /// Derives the limits from the number of file descriptors and the memory limit.
     pub fn of(sockets: usize, memory_mb: f64) -> Self {
-        ConnectionLimits { engines: sockets / 2, output: (memory_mb * OUTPUT_MEMORY_SHARE * 1e6) as usize }
+        let share = |of_memory: f64| (memory_mb * of_memory * 1e6) as usize;
+        ConnectionLimits {
+            engines: sockets / 2,
+            output: share(OUTPUT_MEMORY_SHARE),
+            input: share(INPUT_MEMORY_SHARE),
+        }
     }
 }
 
@@ -81,6 +94,8 @@
     connecting: bool,
     /// Reading stopped at the input limit.
     unread: bool,
+    /// Reading stopped because all clients together have too much input buffered.
+    throttled: bool,
     /// The peer has closed its side; input that it sent before may still be unread.
     peer_closed: bool,
     ended: Option<EndReason>,
@@ -103,6 +118,10 @@
     defers_engine_writes: bool,
     /// Engine connections with output to write in [`Net::flush_engine_writes`].
     deferred: Vec<u64>,
+    /// Memory of all clients' input buffers (bytes).
+    client_input_bytes: usize,
+    /// Clients whose input is left unread until others have less buffered.
+    throttled: Vec<u64>,
 }
 
 /// The state of a connection after [`Net::service`].
@@ -132,6 +151,8 @@
             received_bytes: 0,
             defers_engine_writes: false,
             deferred: Vec::new(),
+            client_input_bytes: 0,
+            throttled: Vec::new(),
         }
     }
 
@@ -214,7 +235,7 @@
         self.client_conns += usize::from(owner.is_client());
         #[rustfmt::skip]
         let conn = Conn {
-            stream, owner, connecting, input: InputBuffer::default(), output: Vec::new(), written: 0, unread: false,
+            stream, owner, connecting, input: InputBuffer::default(), output: Vec::new(), written: 0, unread: false, throttled: false,
             peer_closed: false, ended: None, linger: (0, 0),
         };
         self.conns.insert(self.last_id, conn);
@@ -244,6 +265,9 @@
         if conn.ended.is_some() {
             return self.close(id);
         }
+        if conn.owner.is_client() {
+            self.client_input_bytes -= conn.input.capacity();
+        }
         (conn.owner, conn.linger) = (Owner::Lingering, (MAX_LINGER_BYTES, now + MAX_LINGER_NS));
         conn.input = InputBuffer::default();
         self.lingering.push(id);
@@ -304,7 +328,10 @@
             }
             self.queued_bytes -= conn.output.len() - conn.written;
             self.engine_conns -= usize::from(conn.owner == Owner::Engine);
-            self.client_conns -= usize::from(conn.owner.is_client());
+            if conn.owner.is_client() {
+                self.client_conns -= 1;
+                self.client_input_bytes -= conn.input.capacity();
+            }
             let _ = self.registry.deregister(&mut conn.stream);
         }
     }
@@ -407,22 +434,8 @@
         if conn.peer_closed {
             conn.ended = conn.ended.or(Some(EndReason::Cut));
         }
-        while conn.ended.is_none() {
-            if conn.input.len() >= MAX_INPUT_BYTES {
-                conn.unread = true;
-                break;
-            }
-            match conn.stream.read(&mut self.scratch) {
-                Ok(0) => conn.ended = Some(EndReason::Cut),
-                Ok(n) => {
-                    self.received_bytes += n as u64;
-                    conn.input.extend(&self.scratch[..n]);
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(_) => conn.ended = Some(EndReason::Cut),
-            }
-        }
+        self.read_available(id);
+        let Some(conn) = self.conns.get_mut(&id) else { return lost };
         ConnectionStatus {
             up: !conn.connecting,
             drained: conn.output.is_empty() && !conn.connecting,
@@ -433,7 +446,7 @@
     /// Returns whether input remains to be read for which no further event will come.
     pub fn has_more(&self, id: u64) -> bool {
         // An owner that leaves the buffer full waits for another event and then reads again.
-        self.conns.get(&id).is_some_and(|c| c.unread && c.input.len() < MAX_INPUT_BYTES)
+        self.conns.get(&id).is_some_and(|c| c.unread && !c.throttled && c.input.len() < MAX_INPUT_BYTES)
     }
 
     /// Returns the buffered input.
@@ -444,7 +457,11 @@
     /// Removes the first `bytes` of the buffered input.
     pub fn consume(&mut self, id: u64, bytes: usize) {
         if let Some(conn) = self.conns.get_mut(&id) {
+            let capacity = conn.input.capacity();
             conn.input.consume(bytes);
+            if conn.owner.is_client() {
+                self.client_input_bytes -= capacity - conn.input.capacity();
+            }
         }
     }
 }
--- a/crates/net/tests/close.rs
+++ b/crates/net/tests/close.rs
@@ -3,7 +3,7 @@
 use std::io::Read;
 
 use marljunction_core::end_reason::EndReason;
-use marljunction_net::{ConnectionLimits, Net, Owner};
+use marljunction_net::{ConnectionLimits, Net, Owner, MIN_INPUT_BYTES};
 
 /// Buffer size of sockets whose peer does not read. A fixed size stops the kernel from enlarging the
 /// buffers between two checks, which would shrink the queued output.
@@ -94,7 +94,7 @@
 fn the_client_with_the_largest_backlog_is_evicted_for_other_output() {
     let mut poll = mio::Poll::new().unwrap();
     // One connection may queue a quarter of it.
-    let limits = ConnectionLimits { engines: 8, output: 4 << 20 };
+    let limits = ConnectionLimits { engines: 8, output: 4 << 20, input: 1 << 30 };
     let mut net = Net::new(poll.registry().try_clone().unwrap(), 1, limits);
     let add_non_reader = |net: &mut Net, kilobytes: usize| {
         let (stream, id) = non_reading_client(net, Owner::Msgpack);
@@ -125,3 +125,28 @@
     assert!(net.send(engine_id, &vec![b'z'; 900 << 10]), "a request to an engine exceeds the limit");
     assert_eq!(net.service(more.1).ended, Some(EndReason::Garbled));
 }
+
+/// Guards against: many clients' unfinished messages take more memory than all clients may.
+#[test]
+fn input_beyond_the_share_of_all_clients_is_left_unread_until_there_is_room() {
+    let poll = mio::Poll::new().unwrap();
+    let limits = ConnectionLimits { engines: 8, output: 1 << 20, input: 100 << 10 };
+    let mut net = Net::new(poll.registry().try_clone().unwrap(), 1, limits);
+    let clients: Vec<_> = (0..4).map(|_| client(&mut net, Owner::Msgpack)).collect();
+    for (mut stream, id) in clients.iter().map(|(stream, id)| (stream, *id)) {
+        std::io::Write::write_all(&mut stream, &[b'x'; 60 << 10]).unwrap();
+        net.service(id);
+    }
+    let buffered = |net: &Net| clients.iter().map(|(_, id)| net.input(*id).len()).collect::<Vec<_>>();
+    assert_eq!(buffered(&net), [60 << 10, 60 << 10, MIN_INPUT_BYTES, MIN_INPUT_BYTES]);
+    assert!(net.is_input_full() && net.take_throttled().is_empty() && !net.has_more(clients[2].1));
+    net.close(clients[0].1);
+    assert_eq!(net.take_throttled(), [clients[1].1, clients[2].1, clients[3].1]);
+    net.service(clients[2].1);
+    assert_eq!(buffered(&net), [0, 60 << 10, 60 << 10, MIN_INPUT_BYTES]);
+    net.consume(clients[1].1, usize::MAX);
+    net.close(clients[2].1);
+    net.service(clients[3].1);
+    assert_eq!(buffered(&net), [0, 0, 0, 60 << 10]);
+    assert!(!net.is_input_full());
+}
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -239,8 +239,11 @@
         }
         let list = ListService::new(&registry, LIST_TOKEN, setup.routers, setup.capacity)
             .map_err(context("list"))?;
-        let net =
-            Net::new(registry, FIRST_CONNECTION, ConnectionLimits { engines: 1 << 20, output: 1 << 30 });
+        let net = Net::new(
+            registry,
+            FIRST_CONNECTION,
+            ConnectionLimits { engines: 1 << 20, output: 1 << 30, input: 1 << 30 },
+        );
         let dir = std::env::temp_dir().join(format!("marljunction-{}-{}", std::process::id(), setup.name));
         std::fs::create_dir_all(&dir).map_err(context("directory"))?;
         let unused_address = SocketAddr::from(([127, 0, 0, 1], 9));
@@ -261,7 +264,7 @@
             load.router_down(&mut Net::new(
                 poll.registry().try_clone()?,
                 0,
-                ConnectionLimits { engines: 0, output: 0 },
+                ConnectionLimits { engines: 0, output: 0, input: 1 << 30 },
             ));
             Ok::<_, std::io::Error>(load)
         };
--- a/crates/testkit/src/hollow/router.rs
+++ b/crates/testkit/src/hollow/router.rs
@@ -128,8 +128,11 @@
     ) -> Result<HollowRouter, HollowError> {
         let registry_clone = registry.try_clone().map_err(io("poll"))?;
         let first_connection = (slot as u64 + 1) << TOKEN_BITS | incarnation << INCARNATION_BITS;
-        let net =
-            Net::new(registry_clone, first_connection, ConnectionLimits { engines: 0, output: 1 << 20 });
+        let net = Net::new(
+            registry_clone,
+            first_connection,
+            ConnectionLimits { engines: 0, output: 1 << 20, input: 1 << 30 },
+        );
         let seed = shared.setup.seed ^ u64::from(start.number) << 20 ^ incarnation;
         let pacing = SourceParams { pace: shared.pace(start.number), seed, stale_ns: STALE_NS };
         let (settings, names) = &*shared.settings;
--- a/crates/testkit/src/pressure/mod.rs
+++ b/crates/testkit/src/pressure/mod.rs
@@ -19,10 +19,15 @@
 use crate::test_bed::{settings, SettingsParams};
 use engine::InstantEngine;
 
-/// Memory limit of the router (MB).
-pub const MEMORY_MB: u64 = 64;
-/// File descriptors of the router.
-pub const SOCKETS: u64 = 8_192;
+/// Limits of a router under pressure.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Memory (MB).
+    pub memory_mb: u64,
+    /// File descriptors.
+    pub sockets: u64,
+}
+
 /// Well-behaved clients; each has one connection with one open request at most.
 const CLIENTS: usize = 4;
 /// Pause of a well-behaved client between an answer and its next request.
@@ -93,13 +98,14 @@
     ///
     /// # Errors
     /// If a socket or file cannot be opened, or the router does not start.
-    pub fn start(program: &Path, name: &str) -> Result<PressureBed, String> {
+    pub fn start(program: &Path, name: &str, limits: Limits) -> Result<PressureBed, String> {
         let context = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
         let engine = InstantEngine::start().map_err(context("engine"))?;
         let directory = std::env::temp_dir().join(format!("marljunction-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&directory).map_err(context("directory"))?;
         let config = directory.join("config.json");
-        std::fs::write(&config, router_config(engine.address()).to_string()).map_err(context("config"))?;
+        std::fs::write(&config, router_config(engine.address(), limits).to_string())
+            .map_err(context("config"))?;
         let environment = [("ROUTER_CONFIG", config), ("TMPDIR", directory.clone())];
         let mut process = Process::start(program, &environment, &directory.join("log"))?;
         let end = Instant::now() + START_TIMEOUT;
@@ -150,7 +156,7 @@
     }
 }
 
-fn router_config(engine: SocketAddr) -> serde_json::Value {
+fn router_config(engine: SocketAddr, limits: Limits) -> serde_json::Value {
     let params = SettingsParams {
         classes: &classes(),
         tenants: &[("a", 1.0)],
@@ -164,7 +170,7 @@
         "state": "in_service", "capacity_hint": 1, "boot_ms": 0});
     json!({
         "name": "r1", "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+        "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
         "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"all": true, "targets": [target]}}]},
         "settings": settings(&params),
     })
--- a/crates/testkit/src/pressure/trouble.rs
+++ b/crates/testkit/src/pressure/trouble.rs
@@ -16,6 +16,8 @@
 /// Threads of a trouble with many connections: one waits a second for each connection that the full
 /// backlog of the listener drops.
 const THREADS: usize = 100;
+/// Threads that write whole heads: more would take the processors from the router.
+const HEAD_WRITERS: usize = 4;
 /// Calls written at once by a client that does not pause.
 const CALLS_PER_WRITE: usize = 256;
 /// Interval after which closed connections are opened again.
@@ -81,10 +83,10 @@
 
     fn threads(self) -> usize {
         match self {
-            Trouble::HalfHeads(_)
-            | Trouble::HalfStatements(_)
-            | Trouble::HalfHeadsBesideRequests(_)
-            | Trouble::WholeHeads(_) => THREADS,
+            Trouble::HalfHeads(_) | Trouble::HalfStatements(_) | Trouble::HalfHeadsBesideRequests(_) => {
+                THREADS
+            }
+            Trouble::WholeHeads(_) => HEAD_WRITERS,
             _ => 1,
         }
     }
@@ -102,7 +104,7 @@
             Trouble::HalfHeadsBesideRequests(count) => {
                 hold_beside_requests(address, stopped, count / THREADS)
             }
-            Trouble::WholeHeads(count) => send_heads(address, stopped, count / THREADS),
+            Trouble::WholeHeads(count) => send_heads(address, stopped, count / HEAD_WRITERS),
             Trouble::Readiness => flood(address, stopped, |id| call(id, "isWell", &[], "")),
             Trouble::Forget => flood(address, stopped, |id| notification("forget", id)),
             Trouble::UnknownNotifications => flood(address, stopped, |id| notification("hello", id)),
@@ -193,15 +195,15 @@
 /// Sends whole heads in turn on this many connections.
 fn send_heads(address: SocketAddr, stopped: &AtomicBool, count: usize) {
     let mut open: Vec<Option<TcpStream>> = (0..count).map(|_| connect(address)).collect();
-    let mut id = 0;
+    // Invalid, so that it is answered at once and its message id can be used again.
+    let head = many_fields(1);
     while !stopped.load(Ordering::Relaxed) {
         for connection in &mut open {
             if stopped.load(Ordering::Relaxed) {
                 return;
             }
-            id += 1;
             let Some(mut stream) = connection.take().or_else(|| connect(address)) else { continue };
-            let is_written = stream.write_all(&many_fields(id)).is_ok();
+            let is_written = stream.write_all(&head).is_ok();
             // The answers are small; they are dropped in passing.
             let _ = stream.set_nonblocking(true);
             let is_open = !matches!(stream.read(&mut [0; 4_096]), Ok(0));
--- a/crates/testkit/src/test_bed.rs
+++ b/crates/testkit/src/test_bed.rs
@@ -159,8 +159,11 @@
             engines.push(engine.map_err(context("engine"))?);
         }
         let coordinator = Coordinator::new(&registry, COORDINATOR_TOKEN).map_err(context("coordinator"))?;
-        let net =
-            Net::new(registry, FIRST_CONNECTION, ConnectionLimits { engines: 100_000, output: 256 << 20 });
+        let net = Net::new(
+            registry,
+            FIRST_CONNECTION,
+            ConnectionLimits { engines: 100_000, output: 256 << 20, input: 1 << 30 },
+        );
         let all: Vec<Value> = engines.iter().map(|e| engine_entry(e, "in_service")).collect();
         let params = SettingsParams {
             classes: &setup.classes,
--- a/src/daemon/iteration.rs
+++ b/src/daemon/iteration.rs
@@ -84,6 +84,7 @@
             self.event_loop.last_tick_ns = now;
             self.tick(now);
         }
+        self.relieve_input();
         self.run_module();
         self.end_all(now);
         self.flush_pending();
@@ -105,13 +106,14 @@
         for event in events.iter().filter(|event| event.is_read_closed()) {
             self.net.mark_peer_closed(event.token().0 as u64);
         }
-        let mut unread = std::mem::take(&mut self.event_loop.unread);
-        let mut tokens: Vec<usize> = events.iter().map(|event| event.token().0).collect();
-        tokens.iter().for_each(|token| {
-            unread.remove(&(*token as u64));
-        });
-        tokens.extend(unread.into_iter().map(|conn| conn as usize));
-        for token in tokens {
+        let unread = std::mem::take(&mut self.event_loop.unread);
+        // Clients left out of the last iteration come before those that had their turn in it.
+        let resume_at = self.fronts.msgpack.begin_iteration().unwrap_or(0);
+        let mut tokens: Vec<u64> =
+            unread.range(resume_at..).chain(unread.range(..resume_at)).copied().collect();
+        let ready = events.iter().map(|event| event.token().0 as u64);
+        tokens.extend(ready.filter(|token| !unread.contains(token)));
+        for token in tokens.into_iter().map(|token| token as usize) {
             match Token(token) {
                 MSGPACK | POSTGRES => self.accept_clients(now),
                 ADMIN => self.accept_admin(now),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 mod counters;
 mod engine_list;
 mod exclusions;
+mod input_limit;
 mod iteration;
 mod listeners;
 mod overrides;
