Hold requests until the end of what their client has sent is read

Operators saw requests run whose client had closed its connection with much still unread.

Cause: the MessagePack front submitted requests as it read them; with more waiting than is read at once, or on a connection accepted after its client had gone, the end stands behind them in the socket. Ruled out: input that is read at once, queued requests, and connections to engines that are still being established.

Change: while the socket has not been read to its end, requests are held, at most 32 and for 50 ms; they are dropped if the connection has ended.

The new test takes 32 requests of a client that has gone without the hold.

--- a/crates/front/src/msgpack/mod.rs
+++ b/crates/front/src/msgpack/mod.rs
@@ -1,6 +1,7 @@
 //! The front for MessagePack-RPC clients. The method of a call is the request's class.
 
 pub mod codec;
+mod held;
 mod request;
 
 use std::collections::HashMap;
@@ -9,6 +10,7 @@
 use rmpv::Value;
 
 use self::codec::{decode_message, error, reply, Call, FrameLength, FrameScanner, Message};
+use self::held::HeldRequests;
 use super::{Directory, MAX_BYTES_PER_TURN, MAX_MESSAGES_PER_TURN};
 use marljunction_control::interface::RequestId;
 use marljunction_core::end_reason::EndReason;
@@ -28,6 +30,8 @@
 /// Bytes of all clients' messages handled in one iteration of the event loop, after which only
 /// connections with little input are.
 const MAX_BYTES_PER_ITERATION: usize = 256 << 10;
+/// Why a call is rejected whose request id is in use.
+const OPEN_ID: &str = "the rid is an open request's";
 /// Number of consecutive rejected messages after which a connection is closed.
 const MAX_REJECTED_IN_ROW: u32 = 100;
 /// Retry delay of a call that is not accepted as a request (ms).
@@ -48,6 +52,7 @@
     /// The id of the client's address.
     peer: u64,
     open_requests: HashMap<u32, RequestId>,
+    held: HeldRequests,
     /// When the client last connected, sent a call or was answered (ns).
     active_ns: u64,
     /// A request was accepted while connections are closed once answered; further ones are refused.
@@ -63,11 +68,16 @@
 }
 
 impl Connection {
+    /// Number of requests that the client waits for.
+    fn open_count(&self) -> usize {
+        self.open_requests.len() + self.held.len()
+    }
+
     /// Since when the client owes input, for its first call or the rest of a message (ns). `None`
     /// while a request is open, or a message may be complete and is not yet read: closing the
     /// connection would lose it.
     fn awaits_input_since_ns(&self) -> Option<u64> {
-        if !self.open_requests.is_empty() || self.unread {
+        if self.open_count() > 0 || self.unread {
             return None;
         }
         match self.partial {
@@ -80,7 +90,7 @@
     /// Returns whether the close policy selects this connection. A new one has time for its first
     /// call.
     fn is_selected(&self, policy: ClosePolicy, now: u64) -> bool {
-        if !self.open_requests.is_empty() {
+        if self.open_count() > 0 {
             return false;
         }
         if policy.is_forced() && self.has_called {
@@ -144,7 +154,7 @@
     pub fn eviction_candidate(&self, now: u64, net: &Net) -> Option<u64> {
         let grace_over = |c: &Connection| c.has_called || now > c.active_ns + EVICTION_GRACE_NS;
         let is_evictable = |conn: &u64, c: &Connection| {
-            c.open_requests.is_empty() && !c.unread && grace_over(c) && net.drained(*conn)
+            c.open_count() == 0 && !c.unread && grace_over(c) && net.drained(*conn)
         };
         let candidates = self.connections.iter().filter(|(conn, c)| is_evictable(conn, c));
         candidates
@@ -155,8 +165,7 @@
     /// Returns the connection without open requests whose incomplete message has the most bytes
     /// buffered, and their number.
     pub fn largest_incomplete(&self, net: &Net) -> Option<(usize, u64)> {
-        let incomplete =
-            self.connections.iter().filter(|(_, c)| c.partial.is_some() && c.open_requests.is_empty());
+        let incomplete = self.connections.iter().filter(|(_, c)| c.partial.is_some() && c.open_count() == 0);
         incomplete.map(|(conn, _)| (net.input(*conn).len(), *conn)).max()
     }
 
@@ -185,6 +194,11 @@
                 self.close(net, router, conn, EndReason::Silent);
             }
         }
+        // Those that nothing is read from, as all clients have too much input buffered.
+        let holding = self.connections.iter().filter(|(_, c)| c.held.len() > 0).map(|(conn, _)| *conn);
+        let mut holding: Vec<u64> = holding.collect();
+        holding.sort_unstable();
+        holding.into_iter().for_each(|conn| self.submit_held(now, net, router, conn));
     }
 
     /// Reads a connection that is about to be closed, and returns whether `condition` still holds.
@@ -281,7 +295,29 @@
             return self.close(net, router, conn, EndReason::Garbled);
         }
         if let Err(reason) = fault {
-            self.reject_and_close(now, net, router, conn, &reason);
+            return self.reject_and_close(now, net, router, conn, &reason);
+        }
+        self.submit_held(now, net, router, conn);
+    }
+
+    /// Submits the held requests of a connection that are due.
+    fn submit_held(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
+        let Some(connection) = self.connections.get_mut(&conn) else { return };
+        let is_behind = connection.unread || net.is_behind(conn);
+        let mut answers = Vec::new();
+        for held in connection.held.take_due(now, is_behind) {
+            // Another connection's request with this id may have been submitted meanwhile.
+            if router.has_open_request(&held.request.name) {
+                router.counters.rejected += 1;
+                answers.extend(error(held.id.into(), "Malformed", &[("why", OPEN_ID.into())]));
+                continue;
+            }
+            let client = Client { conn, call: held.id.into() };
+            let request = router.accept_request(now, client, held.request);
+            connection.open_requests.insert(held.id, request);
+        }
+        if !answers.is_empty() && !net.send(conn, &answers) {
+            self.close(net, router, conn, EndReason::Garbled);
         }
     }
 
@@ -351,7 +387,11 @@
         match message {
             Message::Unknown => connection.rejected += 1,
             Message::Forget(id) => {
-                if let Some(request) = connection.open_requests.remove(&id) {
+                // A withdrawn request counts as taken, held or not.
+                let held = connection.held.remove(id);
+                let held =
+                    held.map(|held| router.accept_request(now, Client { conn, call: id.into() }, held));
+                if let Some(request) = connection.open_requests.remove(&id).or(held) {
                     router.client_left(request, EndReason::Forgotten);
                 }
             }
@@ -386,7 +426,7 @@
         let Some(connection) = self.connections.get_mut(&conn) else { return Ok(CallOutcome::Refused) };
         let id = call.id;
         // The answers of two open calls with one message id could not be told apart.
-        if connection.open_requests.contains_key(&id) {
+        if connection.open_requests.contains_key(&id) || connection.held.contains(id, "") {
             return Err("the number of an open call".into());
         }
         // Closes clients that retry rejected calls without pause.
@@ -395,8 +435,10 @@
         }
         let client_request = match self.directory.parse_request(connection.peer, call) {
             // Engines identify a query by this id alone.
-            Ok(request) if router.has_open_request(&request.name) => {
-                Err("the rid is an open request's".into())
+            Ok(request)
+                if router.has_open_request(&request.name) || connection.held.contains(id, &request.name) =>
+            {
+                Err(OPEN_ID.into())
             }
             parsed => parsed,
         };
@@ -408,7 +450,7 @@
                 return Ok(CallOutcome::Malformed(why));
             }
         };
-        let open = connection.open_requests.len();
+        let open = connection.open_count();
         if open >= MAX_OPEN_REQUESTS {
             connection.rejected += 1;
             router.counters.rejected += 1;
@@ -421,8 +463,7 @@
         }
         connection.rejected = 0;
         connection.had_last_request = is_closing;
-        let request = router.accept_request(now, Client { conn, call: id.into() }, client_request);
-        connection.open_requests.insert(id, request);
+        connection.held.push(now, id, client_request);
         Ok(CallOutcome::Accepted)
     }
 
--- a/crates/front/tests/close_idle.rs
+++ b/crates/front/tests/close_idle.rs
@@ -346,3 +346,57 @@
     w.front.ready(0, &mut w.net, &mut w.router, w.conn);
     assert_eq!((w.router.counters.taken, w.front.largest_incomplete(&w.net)), (1, None));
 }
+
+/// Writes calls without pause, more than is read at once, and then closes the connection. They are too
+/// few to be closed for being turned away.
+fn write_many_calls(w: &Fixture) -> std::thread::JoinHandle<()> {
+    const STATEMENT_BYTES: u16 = 4_000;
+    let mut client = w.client.try_clone().unwrap();
+    std::thread::spawn(move || {
+        let calls: Vec<u8> = (0..100)
+            .flat_map(|number: u8| {
+                let mut bytes = call(number, &format!("{number:016x}"));
+                bytes.truncate(bytes.len() - b"\xc4\x08select 1".len());
+                bytes.push(0xc5);
+                bytes.extend(STATEMENT_BYTES.to_be_bytes());
+                bytes.extend([b'x'; STATEMENT_BYTES as usize]);
+                bytes
+            })
+            .collect();
+        // The front may close the connection first.
+        let _ = client.write_all(&calls);
+        let _ = client.shutdown(std::net::Shutdown::Both);
+    })
+}
+
+/// Guards against: a client closes its connection with much still unread, and its requests run.
+#[test]
+fn requests_ahead_of_the_unread_end_of_a_connection_are_not_submitted() {
+    let mut w = fixture(Owner::Msgpack);
+    let writer = write_many_calls(&w);
+    // The socket holds more than is read at once before the first turn.
+    while w.net.input(w.conn).len() < 72 << 10 {
+        w.net.service(w.conn);
+    }
+    while w.net.owner(w.conn).is_some() {
+        w.front.begin_iteration();
+        w.front.ready(0, &mut w.net, &mut w.router, w.conn);
+    }
+    writer.join().unwrap();
+    assert_eq!((w.router.counters.taken, w.router.counters.endings(EndReason::ClientGone)), (0, 1));
+}
+
+#[test]
+fn a_client_that_never_pauses_has_its_requests_submitted_within_50_ms() {
+    let mut w = fixture(Owner::Msgpack);
+    let writer = write_many_calls(&w);
+    while w.net.input(w.conn).len() < 72 << 10 {
+        w.net.service(w.conn);
+    }
+    w.front.ready(0, &mut w.net, &mut w.router, w.conn);
+    assert_eq!(w.router.counters.taken, 0);
+    w.front.tick(50_000_000, &mut w.net, &mut w.router);
+    assert!(w.router.counters.taken > 0, "the requests of the first turn are still held");
+    w.front.close(&mut w.net, &mut w.router, w.conn, EndReason::Shutdown);
+    writer.join().unwrap();
+}
--- a/crates/net/src/input_limit.rs
+++ b/crates/net/src/input_limit.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// Returns whether reading stopped at a limit, so that the end of the connection may follow in the
+    /// socket unseen.
+    pub fn is_behind(&self, id: u64) -> bool {
+        self.conns.get(&id).is_some_and(|conn| conn.unread)
+    }
+
     /// Returns whether clients' input is left unread because too much is buffered. Room comes as
     /// messages are handled, or when a connection with an incomplete one is closed.
     pub fn is_input_full(&self) -> bool {
