--- a/crates/testkit/src/pressure/trouble.rs
+++ b/crates/testkit/src/pressure/trouble.rs
@@ -94,15 +94,20 @@
     fn run(self, address: SocketAddr, stopped: &AtomicBool) {
         match self {
             Trouble::Calm => {}
-            Trouble::HalfHeads(count) => hold_open(address, stopped, count / THREADS, &half(many_fields(1))),
+            Trouble::HalfHeads(count) => {
+                let bytes = half(many_fields(1));
+                hold_open(address, stopped, count / THREADS, || bytes.clone());
+            }
             Trouble::HalfStatements(count) => {
                 let statement = format!("select /* {} */ 1", "x".repeat(60_000));
                 let name = next_request_id();
                 let call = call(1, "lookup", &[("rid", &name), ("budget", "4000")], &statement);
-                hold_open(address, stopped, count / THREADS, &half(call));
+                let bytes = half(call);
+                hold_open(address, stopped, count / THREADS, || bytes.clone());
             }
             Trouble::HalfHeadsBesideRequests(count) => {
-                hold_beside_requests(address, stopped, count / THREADS)
+                let half = half(many_fields(2));
+                hold_open(address, stopped, count / THREADS, || [lookup(1), half.clone()].concat());
             }
             Trouble::WholeHeads(count) => send_heads(address, stopped, count / HEAD_WRITERS),
             Trouble::Readiness => flood(address, stopped, |id| call(id, "isWell", &[], "")),
@@ -161,30 +166,14 @@
     closed
 }
 
-/// Keeps this many connections open that have sent `bytes`.
-fn hold_open(address: SocketAddr, stopped: &AtomicBool, count: usize, bytes: &[u8]) {
-    let mut open: Vec<TcpStream> = Vec::new();
-    while !stopped.load(Ordering::Relaxed) {
-        open.retain(|stream| !is_closed(stream));
-        while open.len() < count && !stopped.load(Ordering::Relaxed) {
-            let Some(mut stream) = connect(address) else { break };
-            if stream.write_all(bytes).is_ok() {
-                open.push(stream);
-            }
-        }
-        std::thread::sleep(REOPEN_PERIOD);
-    }
-}
-
-/// Keeps this many connections open that send a request and then half of a message, again and again.
-fn hold_beside_requests(address: SocketAddr, stopped: &AtomicBool, count: usize) {
-    let half = half(many_fields(2));
+/// Keeps this many connections open that have sent what `bytes` returns.
+fn hold_open(address: SocketAddr, stopped: &AtomicBool, count: usize, bytes: impl Fn() -> Vec<u8>) {
     let mut open: Vec<TcpStream> = Vec::new();
     while !stopped.load(Ordering::Relaxed) {
         open.retain(|stream| !is_closed(stream));
         while open.len() < count && !stopped.load(Ordering::Relaxed) {
             let Some(mut stream) = connect(address) else { break };
-            if stream.write_all(&[lookup(1), half.clone()].concat()).is_ok() {
+            if stream.write_all(&bytes()).is_ok() {
                 open.push(stream);
             }
         }
