Bound held requests in their sum, and share the fronts' choice of connections

A fault of: held requests were bounded for each connection only (32), and submitted without a look at the limit on open requests, so many clients that send faster than they are read could take memory beyond the router's limit on statements. Now a request beyond that limit is refused when it is due, and none is held once all held statements take a megabyte. Both new tests fail with their bound taken out.

Written twice: both fronts chose connections by a condition, in order, in five places (now ids_where), asked the same of output and input before a close (Net::may_close), and three places built the answers to calls that are not accepted (malformed, backoff). HeldRequests asks for a call's id and a request's name apart in place of an empty name. No behaviour of these changes.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod msgpack;
 pub mod postgres;
 
+use std::collections::HashMap;
 use std::net::IpAddr;
 
 use marljunction_control::interface::{ClassId, Effect, Settings, TenantId};
@@ -18,10 +19,18 @@
 /// Maximum size of a client's message.
 pub const MAX_MESSAGE_BYTES: usize = 64 << 10;
 /// Messages of one connection that are handled in one turn.
-pub const MAX_MESSAGES_PER_TURN: usize = 64;
+const MAX_MESSAGES_PER_TURN: usize = 64;
 /// Bytes of a connection's messages after which its turn ends.
 const MAX_BYTES_PER_TURN: usize = 16 << 10;
 
+/// Returns the ids of the connections for which `condition` holds, in order.
+fn ids_where<T>(connections: &HashMap<u64, T>, condition: impl Fn(&T) -> bool) -> Vec<u64> {
+    let selected = connections.iter().filter(|(_, connection)| condition(connection));
+    let mut ids: Vec<u64> = selected.map(|(conn, _)| *conn).collect();
+    ids.sort_unstable();
+    ids
+}
+
 /// Classes and tenants by name, and how clients are identified.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
--- a/crates/front/src/msgpack/mod.rs
+++ b/crates/front/src/msgpack/mod.rs
@@ -11,7 +11,7 @@
 
 use self::codec::{decode_message, error, reply, Call, FrameLength, FrameScanner, Message};
 use self::held::HeldRequests;
-use super::{Directory, MAX_BYTES_PER_TURN, MAX_MESSAGES_PER_TURN};
+use super::{ids_where, Directory, MAX_BYTES_PER_TURN, MAX_MESSAGES_PER_TURN};
 use marljunction_control::interface::RequestId;
 use marljunction_core::end_reason::EndReason;
 use marljunction_core::{Answer, Client, Router};
@@ -30,6 +30,8 @@
 /// Bytes of all clients' messages handled in one iteration of the event loop, after which only
 /// connections with little input are.
 const MAX_BYTES_PER_ITERATION: usize = 256 << 10;
+/// Statements of all clients' held requests above which none is held (bytes).
+const MAX_HELD_BYTES: usize = 1 << 20;
 /// Why a call is rejected whose request id is in use.
 const OPEN_ID: &str = "the rid is an open request's";
 /// Number of consecutive rejected messages after which a connection is closed.
@@ -37,6 +39,16 @@
 /// Retry delay of a call that is not accepted as a request (ms).
 const UNACCEPTED_BACKOFF_MS: u64 = 200;
 
+/// The answer to a call that is no valid request.
+fn malformed(id: u32, why: String) -> Vec<u8> {
+    error(id.into(), "Malformed", &[("why", why)])
+}
+
+/// The answer to a call that is not accepted as a request now.
+fn backoff(id: u32) -> Vec<u8> {
+    error(id.into(), "Backoff", &[("backoff", UNACCEPTED_BACKOFF_MS.to_string())])
+}
+
 /// What became of a call that is meant as a request.
 enum CallOutcome {
     /// It is an open request, which is answered later.
@@ -113,6 +125,8 @@
     handled_bytes: usize,
     /// The first connection that was left out of this iteration.
     left_out: Option<u64>,
+    /// Statements of all held requests (bytes).
+    held_bytes: usize,
 }
 
 impl MsgpackFront {
@@ -125,6 +139,7 @@
             close_policy: ClosePolicy::default(),
             handled_bytes: 0,
             left_out: None,
+            held_bytes: 0,
         }
     }
 
@@ -185,20 +200,16 @@
         let timed_out = |c: &Connection| {
             c.awaits_input_since_ns().is_some_and(|since_ns| now > since_ns + RECEIVE_TIMEOUT_NS)
         };
-        let mut to_close: Vec<u64> =
-            self.connections.iter().filter(|(_, c)| timed_out(c)).map(|(c, _)| *c).collect();
-        to_close.sort_unstable();
-        for conn in to_close {
+        for conn in ids_where(&self.connections, timed_out) {
             if self.still_matches(now, net, router, conn, timed_out) {
                 router.counters.rejected += 1;
                 self.close(net, router, conn, EndReason::Silent);
             }
         }
         // Those that nothing is read from, as all clients have too much input buffered.
-        let holding = self.connections.iter().filter(|(_, c)| c.held.len() > 0).map(|(conn, _)| *conn);
-        let mut holding: Vec<u64> = holding.collect();
-        holding.sort_unstable();
-        holding.into_iter().for_each(|conn| self.submit_held(now, net, router, conn));
+        for conn in ids_where(&self.connections, |c| c.held.len() > 0) {
+            self.submit_held(now, net, router, conn);
+        }
     }
 
     /// Reads a connection that is about to be closed, and returns whether `condition` still holds.
@@ -218,10 +229,7 @@
     /// Closes the connections that the close policy selects.
     pub fn close_idle(&mut self, now: u64, net: &mut Net, router: &mut Router) {
         let policy = self.close_policy;
-        let selected = self.connections.iter().filter(|(_, c)| c.is_selected(policy, now));
-        let mut to_close: Vec<u64> = selected.map(|(conn, _)| *conn).collect();
-        to_close.sort_unstable();
-        for conn in to_close {
+        for conn in ids_where(&self.connections, |c| c.is_selected(policy, now)) {
             // A request may have arrived since the last read.
             self.ready(now, net, router, conn);
             self.close_if_selected(now, net, router, conn);
@@ -233,8 +241,7 @@
     fn close_if_selected(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
         let policy = self.close_policy;
         let is_selected = self.connections.get(&conn).is_some_and(|c| c.is_selected(policy, now));
-        let may_close = net.drained(conn) && (policy.is_forced() || net.input(conn).is_empty());
-        if is_selected && may_close {
+        if is_selected && net.may_close(conn, policy) {
             self.remove_connection(router, conn, EndReason::Idle);
             net.close_after_flush(now, conn);
         }
@@ -261,6 +268,7 @@
 
     fn remove_connection(&mut self, router: &mut Router, conn: u64, end_reason: EndReason) {
         if let Some(connection) = self.connections.remove(&conn) {
+            self.held_bytes -= connection.held.statement_bytes();
             let mut open_requests: Vec<RequestId> = connection.open_requests.into_values().collect();
             open_requests.sort_unstable();
             open_requests.into_iter().for_each(|id| router.client_left(id, EndReason::ClientGone));
@@ -300,16 +308,22 @@
         self.submit_held(now, net, router, conn);
     }
 
-    /// Submits the held requests of a connection that are due.
+    /// Submits the held requests of a connection once they are due: the socket has been read to its
+    /// end, or they may be held no longer.
     fn submit_held(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
         let Some(connection) = self.connections.get_mut(&conn) else { return };
         let is_behind = connection.unread || net.is_behind(conn);
+        if is_behind && !connection.held.is_overdue(now) && self.held_bytes < MAX_HELD_BYTES {
+            return;
+        }
+        self.held_bytes -= connection.held.statement_bytes();
         let mut answers = Vec::new();
-        for held in connection.held.take_due(now, is_behind) {
-            // Another connection's request with this id may have been submitted meanwhile.
-            if router.has_open_request(&held.request.name) {
+        for held in connection.held.take(now) {
+            // Others may have been submitted meanwhile: one with this id, or too many.
+            let is_open = router.has_open_request(&held.request.name);
+            if is_open || !router.has_capacity() {
                 router.counters.rejected += 1;
-                answers.extend(error(held.id.into(), "Malformed", &[("why", OPEN_ID.into())]));
+                answers.extend(if is_open { malformed(held.id, OPEN_ID.into()) } else { backoff(held.id) });
                 continue;
             }
             let client = Client { conn, call: held.id.into() };
@@ -388,9 +402,10 @@
             Message::Unknown => connection.rejected += 1,
             Message::Forget(id) => {
                 // A withdrawn request counts as taken, held or not.
-                let held = connection.held.remove(id);
-                let held =
-                    held.map(|held| router.accept_request(now, Client { conn, call: id.into() }, held));
+                let held = connection.held.remove(id).map(|held| {
+                    self.held_bytes -= held.statement.text.len();
+                    router.accept_request(now, Client { conn, call: id.into() }, held)
+                });
                 if let Some(request) = connection.open_requests.remove(&id).or(held) {
                     router.client_left(request, EndReason::Forgotten);
                 }
@@ -405,13 +420,8 @@
                 let id = call.id;
                 match self.call(now, router, conn, call)? {
                     CallOutcome::Accepted => {}
-                    CallOutcome::Malformed(why) => {
-                        answers.extend(error(id.into(), "Malformed", &[("why", why)]));
-                    }
-                    CallOutcome::Refused => {
-                        let backoff = UNACCEPTED_BACKOFF_MS.to_string();
-                        answers.extend(error(id.into(), "Backoff", &[("backoff", backoff)]));
-                    }
+                    CallOutcome::Malformed(why) => answers.extend(malformed(id, why)),
+                    CallOutcome::Refused => answers.extend(backoff(id)),
                 }
             }
         }
@@ -426,7 +436,7 @@
         let Some(connection) = self.connections.get_mut(&conn) else { return Ok(CallOutcome::Refused) };
         let id = call.id;
         // The answers of two open calls with one message id could not be told apart.
-        if connection.open_requests.contains_key(&id) || connection.held.contains(id, "") {
+        if connection.open_requests.contains_key(&id) || connection.held.has_call(id) {
             return Err("the number of an open call".into());
         }
         // Closes clients that retry rejected calls without pause.
@@ -436,7 +446,7 @@
         let client_request = match self.directory.parse_request(connection.peer, call) {
             // Engines identify a query by this id alone.
             Ok(request)
-                if router.has_open_request(&request.name) || connection.held.contains(id, &request.name) =>
+                if router.has_open_request(&request.name) || connection.held.has_request(&request.name) =>
             {
                 Err(OPEN_ID.into())
             }
@@ -463,6 +473,7 @@
         }
         connection.rejected = 0;
         connection.had_last_request = is_closing;
+        self.held_bytes += client_request.statement.text.len();
         connection.held.push(now, id, client_request);
         Ok(CallOutcome::Accepted)
     }
--- a/crates/front/src/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -11,7 +11,7 @@
 
 use self::codec::{fault, read_message, read_startup, Bind, ClientMessage, ResponseBuffer, SqlFault, TEXT};
 use self::session::{is_text, SessionObjects, Settings, StatementKind};
-use super::{Directory, ANSWER_MARGIN_NS, MAX_BYTES_PER_TURN, MAX_MESSAGES_PER_TURN};
+use super::{ids_where, Directory, ANSWER_MARGIN_NS, MAX_BYTES_PER_TURN, MAX_MESSAGES_PER_TURN};
 use marljunction_control::interface::{ClassId, RequestId};
 use marljunction_core::end_reason::EndReason;
 use marljunction_core::statement::Statement;
@@ -236,10 +236,7 @@
             !s.started && is_expired(s.since_ns)
                 || s.running.is_none() && s.partial_ns.is_some_and(is_expired)
         };
-        let mut to_close: Vec<u64> =
-            self.sessions.iter().filter(|(_, s)| timed_out(s)).map(|(c, _)| *c).collect();
-        to_close.sort_unstable();
-        for conn in to_close {
+        for conn in ids_where(&self.sessions, timed_out) {
             if self.still_matches(now, net, router, conn, timed_out) {
                 router.counters.rejected += 1;
                 self.close(net, router, conn, EndReason::Silent);
@@ -265,10 +262,7 @@
     /// shutdown of a PostgreSQL server.
     pub fn close_idle(&mut self, now: u64, net: &mut Net, router: &mut Router) {
         let policy = self.close_policy;
-        let selected = self.sessions.iter().filter(|(_, s)| s.is_selected(policy, now));
-        let mut to_close: Vec<u64> = selected.map(|(conn, _)| *conn).collect();
-        to_close.sort_unstable();
-        for conn in to_close {
+        for conn in ids_where(&self.sessions, |s| s.is_selected(policy, now)) {
             if self.still_matches(now, net, router, conn, |s| s.is_selected(policy, now)) {
                 self.close_selected(now, net, router, conn);
             }
@@ -277,8 +271,7 @@
 
     /// Closes a session that the close policy selects, once all output is written.
     fn close_selected(&mut self, now: u64, net: &mut Net, router: &mut Router, conn: u64) {
-        let may_close = net.drained(conn) && (self.close_policy.is_forced() || net.input(conn).is_empty());
-        if !may_close {
+        if !net.may_close(conn, self.close_policy) {
             return;
         }
         let mut response = ResponseBuffer::default();
--- a/crates/front/tests/close_idle.rs
+++ b/crates/front/tests/close_idle.rs
@@ -349,8 +349,7 @@
 
 /// Writes calls without pause, more than is read at once, and then closes the connection. They are too
 /// few to be closed for being turned away.
-fn write_many_calls(w: &Fixture) -> std::thread::JoinHandle<()> {
-    const STATEMENT_BYTES: u16 = 4_000;
+fn write_many_calls(w: &Fixture, statement_bytes: u16) -> std::thread::JoinHandle<()> {
     let mut client = w.client.try_clone().unwrap();
     std::thread::spawn(move || {
         let calls: Vec<u8> = (0..100)
@@ -358,8 +357,8 @@
                 let mut bytes = call(number, &format!("{number:016x}"));
                 bytes.truncate(bytes.len() - b"\xc4\x08select 1".len());
                 bytes.push(0xc5);
-                bytes.extend(STATEMENT_BYTES.to_be_bytes());
-                bytes.extend([b'x'; STATEMENT_BYTES as usize]);
+                bytes.extend(statement_bytes.to_be_bytes());
+                bytes.resize(bytes.len() + usize::from(statement_bytes), b'x');
                 bytes
             })
             .collect();
@@ -373,7 +372,7 @@
 #[test]
 fn requests_ahead_of_the_unread_end_of_a_connection_are_not_submitted() {
     let mut w = fixture(Owner::Msgpack);
-    let writer = write_many_calls(&w);
+    let writer = write_many_calls(&w, 4_000);
     // The socket holds more than is read at once before the first turn.
     while w.net.input(w.conn).len() < 72 << 10 {
         w.net.service(w.conn);
@@ -389,7 +388,7 @@
 #[test]
 fn a_client_that_never_pauses_has_its_requests_submitted_within_50_ms() {
     let mut w = fixture(Owner::Msgpack);
-    let writer = write_many_calls(&w);
+    let writer = write_many_calls(&w, 4_000);
     while w.net.input(w.conn).len() < 72 << 10 {
         w.net.service(w.conn);
     }
@@ -400,3 +399,43 @@
     w.front.close(&mut w.net, &mut w.router, w.conn, EndReason::Shutdown);
     writer.join().unwrap();
 }
+
+/// Guards against: requests that are held for many clients take more memory than open ones may.
+#[test]
+fn requests_are_not_held_once_their_statements_take_a_megabyte() {
+    let mut w = fixture(Owner::Msgpack);
+    let writer = write_many_calls(&w, 50_000);
+    let mut turns = 0;
+    while w.router.counters.taken == 0 && turns < 32 {
+        // Reading stops at the limit each time, so the connection stays behind.
+        while w.net.input(w.conn).len() < 72 << 10 {
+            w.net.service(w.conn);
+        }
+        w.front.begin_iteration();
+        w.front.ready(0, &mut w.net, &mut w.router, w.conn);
+        turns += 1;
+    }
+    assert!(w.net.is_behind(w.conn) && turns > 10, "submitted after {turns} turns");
+    assert!((21..=22).contains(&w.router.counters.taken), "{} submitted", w.router.counters.taken);
+    w.front.close(&mut w.net, &mut w.router, w.conn, EndReason::Shutdown);
+    writer.join().unwrap();
+}
+
+/// Guards against: held requests are submitted beyond the limit on open ones.
+#[test]
+fn held_requests_beyond_the_capacity_are_refused_when_they_are_due() {
+    let mut w = fixture(Owner::Msgpack);
+    // Open statements may take 3,000 bytes together.
+    let settings = Settings { classes: vec![ClassSettings::default()], ..Settings::default() };
+    w.router = Router::new(settings, 1, 0.02);
+    for id in 1..=10 {
+        let mut bytes = call(id, &format!("{id:016x}"));
+        bytes.truncate(bytes.len() - b"\xc4\x08select 1".len());
+        bytes.extend(b"\xc5\x0f\xa0");
+        bytes.resize(bytes.len() + 4_000, b'x');
+        w.client.write_all(&bytes).unwrap();
+    }
+    // Several are held in one turn before any is submitted.
+    (0..10).for_each(|_| w.front.ready(0, &mut w.net, &mut w.router, w.conn));
+    assert_eq!((w.router.counters.taken, w.router.counters.rejected), (1, 9));
+}
--- a/crates/net/src/input.rs
+++ b/crates/net/src/input.rs
@@ -1,7 +1,7 @@
 //! Buffered input of a connection.
 //!
-//! Invariants: consuming a message moves no bytes; the buffer never has more than twice the capacity
-//! that its content needs, apart from [`GROWTH_BYTES`].
+//! Invariants: consuming a message moves no bytes; the capacity grows by little more than what arrives,
+//! and an empty buffer keeps at most [`MAX_IDLE_BYTES`].
 
 /// The capacity grows by at least this much.
 const GROWTH_BYTES: usize = 4 << 10;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -403,6 +403,12 @@
         self.conns.get(&id).is_some_and(|c| !c.connecting && c.output.is_empty())
     }
 
+    /// Returns whether a connection that the close policy selects can be closed now: its output is
+    /// written, and no input is left unless the policy is forced.
+    pub fn may_close(&self, id: u64, policy: phase::ClosePolicy) -> bool {
+        self.drained(id) && (policy.is_forced() || self.input(id).is_empty())
+    }
+
     /// Returns whether all output to MessagePack and PostgreSQL clients is written.
     pub fn all_written(&self) -> bool {
         let client = |c: &&Conn| matches!(c.owner, Owner::Msgpack | Owner::Postgres);
