Count a drain as told to a router's process only while that process runs

Cause, in the test kit: a killed router's stream stayed open at the stand-in list service until its next turn, so a drain published right after the kill counted as told to it. PROTOCOL has an event count as told 7 s later at the latest; a process that is killed before it has not been told.

Ruled out: delays of the stand-ins, since sends to engines drained while the router ran are never late there.

Change: a kill closes the router's streams at the service at once. Every other check of late sends stays, and the audit now names each late send.

--- a/crates/testkit/src/audit.rs
+++ b/crates/testkit/src/audit.rs
@@ -13,13 +13,28 @@
 /// Allowance for delays of the sockets.
 const SOCKET_SLACK_NS: u64 = 50_000_000;
 
+/// A query start at an engine after the router was notified of its drain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LateSend {
+    /// The engine.
+    pub engine: String,
+    /// Router index in the statement.
+    pub router: Option<usize>,
+    /// Time from the start of the drain to the query start (ns).
+    pub after_drain_ns: u64,
+    /// Time from the router's notification, real or assumed, to the query start (ns).
+    pub after_notification_ns: u64,
+}
+
 /// Result of the check.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Audit {
     /// Query starts.
     pub sends: u64,
     /// Query starts at an engine after the router was notified of its drain.
     pub late_sends: u64,
+    /// Each of these.
+    pub late: Vec<LateSend>,
     /// Starts of at-most-once queries beyond the first of each.
     pub duplicate_runs: u64,
 }
@@ -45,7 +60,15 @@
                     sent.router.and_then(|router| notified_ns.get(&(router, (*engine).to_owned())));
                 let notified_ns =
                     notified.copied().unwrap_or(u64::MAX).min(drain_started_ns + MAX_NOTIFICATION_NS);
-                audit.late_sends += u64::from(sent.at_ns > notified_ns + DRAIN_GRACE_NS + SOCKET_SLACK_NS);
+                if sent.at_ns > notified_ns + DRAIN_GRACE_NS + SOCKET_SLACK_NS {
+                    audit.late_sends += 1;
+                    audit.late.push(LateSend {
+                        engine: (*engine).to_owned(),
+                        router: sent.router,
+                        after_drain_ns: sent.at_ns - drain_started_ns,
+                        after_notification_ns: sent.at_ns - notified_ns,
+                    });
+                }
             }
         }
         audit.duplicate_runs = starts.values().map(|n| n - 1).sum();
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -464,12 +464,14 @@
         Ok(())
     }
 
-    /// Kills a router. Pending calls of its clients are excluded from the results.
+    /// Kills a router. Pending calls of its clients are excluded from the results. The list service
+    /// notices the end of the process at once: an event that is published later is not told to it.
     pub fn kill(&mut self, router: usize) {
         let state = &mut self.routers[router];
         state.process = None;
         (state.client_address, state.disconnected_since_ns) = (None, None);
         self.load_generators[router].router_down(&mut self.net);
+        self.list.close_streams_of(&mut self.net, router);
     }
 
     /// Pauses a router with SIGSTOP or resumes it with SIGCONT. Calls pending at the pause are
--- a/crates/testkit/src/list.rs
+++ b/crates/testkit/src/list.rs
@@ -158,6 +158,14 @@
         conns.into_iter().for_each(|conn| self.close(net, conn));
     }
 
+    /// Closes the connections of one router.
+    pub fn close_streams_of(&mut self, net: &mut Net, router: usize) {
+        let is_of_router = |subscriber: &Subscriber| subscriber.router == router;
+        let conns: Vec<u64> =
+            self.subscribers.iter().filter(|(_, s)| is_of_router(s)).map(|(conn, _)| *conn).collect();
+        conns.into_iter().for_each(|conn| self.close(net, conn));
+    }
+
     /// Restarts the service, with event numbers from 1 and the current list.
     pub fn restart(&mut self, net: &mut Net, list: &Value) {
         self.close_all_streams(net);
--- a/tests/fleet_cells.rs
+++ b/tests/fleet_cells.rs
@@ -263,3 +263,17 @@
     wait_for_parts(&mut fleet, &all, max_update_delay(Fault::VersionRestart));
     fleet.stop_and_verify(TIMEOUT).unwrap();
 }
+
+/// Guards against: a check that counts a drain as told to a process that was killed before it. The
+/// process that follows it starts from its snapshot and cannot know of the drain.
+#[test]
+fn a_drain_after_a_kill_is_not_counted_as_told() {
+    let mut fleet = started_fleet("cells-told");
+    let relay = busiest_relay(&mut fleet);
+    fleet.kill(relay);
+    let drained = drain(&mut fleet, 0);
+    let is_told = |engine: &usize| fleet.list.notified_ns.contains_key(&(relay, format!("e{engine}")));
+    assert!(!drained.iter().any(is_told), "told to a process that had been killed");
+    fleet.run(Duration::from_secs(1)).unwrap();
+    fleet.stop_and_verify(TIMEOUT).unwrap();
+}
