Keep stopped test clients stopped when their router comes up late

Cause, in the test kit: router_up draws the time of the next request anew, also after stop_sending. The limit itself can be in use before all routers are up.

Ruled out: calls that the router leaves without an answer, as a call without one is dropped at its deadline and counted.

The message names the open calls by router from now on.

--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -896,7 +896,8 @@
     /// Describes the first check that failed.
     pub fn stop_and_verify(mut self, limit: Duration) -> Result<Vec<Counters>, String> {
         if !self.stop_clients(limit)? {
-            return Err("some calls were not answered".into());
+            let open: Vec<usize> = self.load_generators.iter().map(LoadGenerator::open).collect();
+            return Err(format!("some calls were not answered; open by router: {open:?}"));
         }
         let audit = self.audit();
         let (unanswered, twice) = (self.sum(|t| t.unanswered as f64), self.sum(|t| t.twice as f64));
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -166,6 +166,8 @@
     /// Calls that were pending when the router was killed or paused.
     pub excluded_calls: u64,
     router_is_up: bool,
+    /// Sends no new requests until the next phase.
+    stopped: bool,
 }
 
 impl LoadGenerator {
@@ -197,6 +199,7 @@
             first_answer_ns: None,
             excluded_calls: 0,
             router_is_up: true,
+            stopped: false,
         }
     }
 
@@ -208,6 +211,7 @@
         self.sources = sources;
         let seed = |i: usize| self.seed.wrapping_mul(1_000_003) ^ ((self.phase as u64) << 32) ^ i as u64;
         self.source_rngs = (0..self.sources.len()).map(|i| StdRng::seed_from_u64(seed(i))).collect();
+        self.stopped = false;
         self.next_ns = (0..self.sources.len()).map(|i| now + self.gap_ns(i)).collect();
     }
 
@@ -225,11 +229,14 @@
     /// The router is up at this address.
     pub fn router_up(&mut self, now: u64, to: SocketAddr) {
         (self.to, self.router_is_up) = (to, true);
-        self.next_ns = (0..self.sources.len()).map(|i| now + self.gap_ns(i)).collect();
+        if !self.stopped {
+            self.next_ns = (0..self.sources.len()).map(|i| now + self.gap_ns(i)).collect();
+        }
     }
 
     /// Sends no new requests, except pending returns.
     pub fn stop_sending(&mut self) {
+        self.stopped = true;
         self.next_ns = vec![u64::MAX; self.sources.len()];
     }
 
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -421,3 +421,16 @@
         assert!(!Path::new(&format!("/proc/{id}")).exists(), "process {id} is still running");
     }
 }
+
+/// Guards against: the clients of a router that comes up late send although all were stopped, so a
+/// test that waits for the end of their calls never ends.
+#[test]
+fn stopped_clients_do_not_send_when_their_router_comes_up() {
+    let mut fleet = Fleet::new(setup("late-router")).unwrap();
+    fleet.start_clients();
+    assert!(fleet.stop_clients(TIMEOUT).unwrap());
+    fleet.start_all().unwrap();
+    wait_until(&mut fleet, "all routers are ready", |f| f.ready() == ROUTERS);
+    run(&mut fleet, 1_500);
+    assert_eq!(fleet.sum(|tally| tally.requests as f64), 0.0);
+}
