Send no work for an engine to the one that took its address

Operators saw a new process at the address of one that had gone taken for the old one. Forced with real processes: an engine is killed, another one listens at its address and is listed before the list says that the first has gone. Routers sent the address the share of both, and after the new one's drain 9 queries in 2 s, as work for the old one.

Cause: two ids at one address counted as two engines; nothing knew that only one can run there.

Change: AddressOwners reports as draining an engine whose address another one has named since, and as just started once it alone names it. It stands ahead of the exclusions, and a relay publishes its result, since the two may be in different cells.

The faults of stand-in engines are a module of their own, which can replace an engine at its address.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod address_owners;
 pub mod bound;
 pub mod cached_snapshot;
 pub mod consul;
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -1,6 +1,8 @@
 //! A fleet of router processes on loopback with a list service, engines and clients, driven by one
 //! event loop. Waits are for conditions, each with a limit.
 
+mod engine_faults;
+
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -15,14 +17,13 @@
 use serde_json::{json, Value};
 
 use crate::audit::Audit;
-use crate::engine::ColdStart;
 use crate::link::{Shape, TcpLink, UdpLink};
 use crate::list::{Behavior, ListService};
 use crate::load::{Class, LoadGenerator, RequestStats, Source};
 use crate::process::Process;
 use crate::schedule::{Fault, RouterSelector};
 use crate::server::Engine;
-use crate::test_bed::{engine_entry, settings, SettingsParams, COLD_START};
+use crate::test_bed::{engine_entry, settings, SettingsParams};
 
 /// Poll tokens: engines start at 0, connections at `FIRST_CONNECTION`.
 const LIST_TOKEN: usize = 10_000;
@@ -290,17 +291,7 @@
             setup,
         };
         if fleet.setup.cold {
-            let (initial_capacity, warmup_ns, overload_multiple, overload_window_ns) = COLD_START;
-            for engine in &mut fleet.engines {
-                engine.cold = Some(ColdStart::new(
-                    now,
-                    fleet.setup.cores,
-                    initial_capacity,
-                    warmup_ns,
-                    overload_multiple,
-                    overload_window_ns,
-                ));
-            }
+            fleet.cool_engines(now);
         }
         let snapshot = fleet.list_snapshot();
         fleet.list.publish(now, &mut fleet.net, &snapshot, &[]);
@@ -332,17 +323,6 @@
         self.setup.initial_list = initial_list;
     }
 
-    /// Crashes an engine without notifying the routers.
-    pub fn crash_engine(&mut self, engine: usize) {
-        self.engines[engine].crash(&mut self.net);
-    }
-
-    /// Shapes the link to an engine in both directions, if there is one.
-    pub fn shape(&mut self, engine: usize, to_engine: Shape, from_engine: Shape) {
-        let now = self.clock.now_ns();
-        self.engine_links.get_mut(engine).into_iter().for_each(|link| link.set(now, to_engine, from_engine));
-    }
-
     /// Fleet section of a router's operator configuration. Addresses are those of the links.
     fn fleet_file(&self, router: usize, limits: &str, key: &Path) -> String {
         let seeds: Vec<String> =
@@ -524,17 +504,6 @@
         }
     }
 
-    /// Publishes the drain of an engine, which keeps answering.
-    pub fn drain(&mut self, engine: usize) {
-        let now = self.clock.now_ns();
-        self.states[engine] = "terminating";
-        self.drain_started_ns[engine].get_or_insert(now);
-        let uid = self.engines[engine].uid.clone();
-        let part =
-            json!({"rev": 2, "all": false, "targets": [engine_entry(&self.engines[engine], "terminating")]});
-        self.list.publish(now, &mut self.net, &part, &[uid]);
-    }
-
     /// Applies a fault. Returns the selected routers as text.
     ///
     /// # Errors
@@ -625,24 +594,6 @@
         &self.states
     }
 
-    /// Restarts the warmup of all engines and publishes their new start times. Running queries
-    /// continue.
-    pub fn restart_engines_cold(&mut self) {
-        let now = self.clock.now_ns();
-        let (initial_capacity, warmup_ns, overload_multiple, overload_window_ns) = COLD_START;
-        for engine in &mut self.engines {
-            engine.cold = Some(ColdStart::new(
-                now,
-                self.setup.cores,
-                initial_capacity,
-                warmup_ns,
-                overload_multiple,
-                overload_window_ns,
-            ));
-        }
-        self.republish_list();
-    }
-
     /// Publishes the unchanged list as a new event.
     pub fn republish_list(&mut self) {
         let (now, snapshot) = (self.clock.now_ns(), self.list_snapshot());
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -15,9 +15,20 @@
 /// Response body of a completed query.
 const ROWS: &str = "a\tb\tc\n";
 
+/// Any free loopback port.
+const FREE_PORT: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
+
 /// Listens on a free loopback port.
 pub fn listen(registry: &Registry, token: usize) -> std::io::Result<(TcpListener, SocketAddr)> {
-    let mut listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    listen_at(registry, token, FREE_PORT.into())
+}
+
+fn listen_at(
+    registry: &Registry,
+    token: usize,
+    address: SocketAddr,
+) -> std::io::Result<(TcpListener, SocketAddr)> {
+    let mut listener = TcpListener::bind(address)?;
     registry.register(&mut listener, Token(token), Interest::READABLE)?;
     let at = listener.local_addr()?;
     Ok((listener, at))
@@ -108,7 +119,19 @@
         now: u64,
         cores: f64,
     ) -> std::io::Result<Engine> {
-        let (listener, address) = listen(registry, token)?;
+        Engine::at(registry, token, uid, FREE_PORT.into(), now, cores)
+    }
+
+    /// An engine that listens on this address.
+    pub fn at(
+        registry: &Registry,
+        token: usize,
+        uid: &str,
+        address: SocketAddr,
+        now: u64,
+        cores: f64,
+    ) -> std::io::Result<Engine> {
+        let (listener, address) = listen_at(registry, token, address)?;
         Ok(Engine {
             listener: Some(listener),
             address,
--- a/src/daemon/engine_list.rs
+++ b/src/daemon/engine_list.rs
@@ -1,6 +1,7 @@
-//! Passes engine list changes from their source through operators' exclusions to the backend and
-//! the decision module.
+//! Passes engine list changes from their source to the backend and the decision module: without
+//! engines whose address belongs to another one, and with operators' exclusions.
 
+use marljunction_discovery::address_owners::AddressOwners;
 use marljunction_discovery::excluded_engines::ExcludedEngines;
 use marljunction_discovery::stream::Update;
 use marljunction_discovery::{Change, Source};
@@ -15,6 +16,8 @@
 pub(super) struct EngineList {
     /// Client of the list service, if there is one.
     pub(super) source: Option<Source>,
+    /// Engines whose address belongs to another one.
+    pub(super) address_owners: AddressOwners,
     /// Snapshot on disk, for a start without the list service.
     pub(super) snapshot: Snapshot,
     /// Engines that operators excluded, and the latest list.
@@ -36,13 +39,8 @@
         self.read_exclusions(self.clock.now_ns());
         let any_known = known.iter().any(|update| !update.change.targets.is_empty());
         known.iter_mut().for_each(|update| self.retain_cell(&mut update.change));
-        if let Some(last) = known.iter().map(|update| update.index).max() {
-            let changes: Vec<Change> = known.iter().map(|update| update.change.clone()).collect();
-            self.publish_list_update(self.clock.now_ns(), last, &changes);
-        }
-        for update in known {
-            self.apply_list_change(update.change);
-        }
+        let last = known.iter().map(|update| update.index).max().unwrap_or(0);
+        self.apply_source_changes(last, known.into_iter().map(|update| update.change).collect());
         if !any_known {
             self.read_snapshot(max_snapshot_age_ns);
         }
@@ -53,16 +51,38 @@
         let Some(source) = &mut self.engine_list.source else { return };
         let changes = source.ready(now, &mut self.net, conn);
         let version = source.last_event();
-        if !changes.is_empty() {
-            self.publish_list_update(now, version, &changes);
+        self.apply_source_changes(version, changes);
+    }
+
+    /// Applies changes that bring the list to the event `version`, and publishes them on a relay.
+    fn apply_source_changes(&mut self, version: u64, changes: Vec<Change>) {
+        if changes.is_empty() {
+            return;
         }
+        let mut updates = Vec::new();
         for change in changes {
-            self.apply_list_change(change);
+            let change = self.resolve_addresses(change);
+            updates.extend(self.to_relay_update(&change));
+            self.apply_resolved_change(change);
         }
+        self.publish_list_updates(self.clock.now_ns(), version, updates);
     }
 
-    /// Applies a change of the engine list, with operators' exclusions.
+    /// Returns a change without work for engines whose address belongs to another one.
+    fn resolve_addresses(&mut self, change: Change) -> Change {
+        let now = self.clock.now_ns();
+        let EngineList { address_owners, exclusions, .. } = &mut self.engine_list;
+        address_owners.filter_change(exclusions.excluded_engines.listed(), change, now)
+    }
+
+    /// Applies a change of the engine list that is not published.
     pub(super) fn apply_list_change(&mut self, change: Change) {
+        let change = self.resolve_addresses(change);
+        self.apply_resolved_change(change);
+    }
+
+    /// Applies a change of the engine list, with operators' exclusions.
+    fn apply_resolved_change(&mut self, change: Change) {
         self.engine_list.snapshot.list.changed();
         if let Some(health) = self.router.health() {
             health.change(change.kind, change.targets.iter().map(|target| target.entry));
--- a/src/daemon/relayed_list.rs
+++ b/src/daemon/relayed_list.rs
@@ -23,6 +23,9 @@
 const UNSPECIFIED_ADDRESS: std::net::SocketAddr =
     std::net::SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
 
+/// Engines that a relay publishes, and whether they are the whole list.
+pub(super) type RelayUpdate = (bool, Vec<Engine>);
+
 /// State of a relay's stream from the list service.
 #[derive(Default)]
 pub(super) struct RelayStream {
@@ -103,14 +106,18 @@
         }
     }
 
-    /// On a relay, publishes changes that bring the list to the event `version`.
-    pub(super) fn publish_list_update(&mut self, now: u64, version: u64, changes: &[Change]) {
+    /// On a relay, converts a change to the relays' format.
+    pub(super) fn to_relay_update(&self, change: &Change) -> Option<RelayUpdate> {
+        self.fleet.as_ref().filter(|fleet| fleet.relay().is_some())?;
+        let is_full = change.kind == MembershipKind::Full;
+        Some((is_full, to_cell_engines(change, self.config.directory.names())))
+    }
+
+    /// On a relay, publishes the updates that bring the list to the event `version`.
+    pub(super) fn publish_list_updates(&mut self, now: u64, version: u64, updates: Vec<RelayUpdate>) {
         let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.relay().is_some()) else { return };
-        let names = self.config.directory.names();
-        let is_full = |change: &Change| change.kind == MembershipKind::Full;
-        self.engine_list.relay_stream.has_full_list |= changes.iter().any(is_full);
-        let update = changes.iter().map(|change| (is_full(change), to_cell_engines(change, names))).collect();
-        fleet.update_list(now, version, update);
+        self.engine_list.relay_stream.has_full_list |= updates.iter().any(|(is_full, _)| *is_full);
+        fleet.update_list(now, version, updates);
     }
 
     /// On a relay, records how fresh its list is, once it cannot lack earlier changes.
--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -9,6 +9,7 @@
 use marljunction_core::health::FleetHealth;
 use marljunction_core::limits::FleetLimits;
 use marljunction_core::Router;
+use marljunction_discovery::address_owners::AddressOwners;
 use marljunction_discovery::bound::ListBound;
 use marljunction_discovery::consul::Consul;
 use marljunction_discovery::stream::Stream;
@@ -97,7 +98,13 @@
             stop: StopState::serving(),
             fronts,
             engines,
-            engine_list: EngineList { source, snapshot, exclusions, relay_stream: RelayStream::default() },
+            engine_list: EngineList {
+                source,
+                address_owners: AddressOwners::new(),
+                snapshot,
+                exclusions,
+                relay_stream: RelayStream::default(),
+            },
             admin,
             handover,
             told_cold_sends: 0,
--- a/tests/fleet_cells.rs
+++ b/tests/fleet_cells.rs
@@ -55,9 +55,9 @@
     Duration::from_nanos(bound_ns(&bound_params, fault)) + SCHEDULING_SLACK
 }
 
-/// Indexes of the engines in a cell.
-fn cell_engines(cell: u32) -> Vec<usize> {
-    let of = |uid: &str| Engine {
+/// The cell of the engine with this name.
+fn cell_with(uid: &str) -> u32 {
+    let engine = Engine {
         id: engine_id(uid).0,
         address: "127.0.0.1:1".parse().unwrap(),
         zone: Some("a".into()),
@@ -67,8 +67,12 @@
         weight: 1.0,
         started_ms: 0,
     };
-    let is_in = |at: &usize| cell_of(&of(&format!("e{at}")), CELLS, DivideBy::Engine) == cell;
-    (0..ENGINES).filter(is_in).collect()
+    cell_of(&engine, CELLS, DivideBy::Engine)
+}
+
+/// Indexes of the engines in a cell.
+fn cell_engines(cell: u32) -> Vec<usize> {
+    (0..ENGINES).filter(|at| cell_with(&format!("e{at}")) == cell).collect()
 }
 
 /// The cell of a router, derived from its number.
@@ -277,3 +281,25 @@
     fleet.run(Duration::from_secs(1)).unwrap();
     fleet.stop_and_verify(TIMEOUT).unwrap();
 }
+
+/// Guards against: routers of a cell send work for an engine that has gone to the one at its
+/// address, which is in another cell, so that only a relay sees both.
+#[test]
+fn an_engine_whose_address_one_of_another_cell_has_taken_drains() {
+    let mut fleet = started_fleet("cells-replaced");
+    let old_cell = 1 - cell_with(&format!("e{ENGINES}"));
+    let old = cell_engines(old_cell)[0];
+    let new = fleet.replace_engine(old).unwrap();
+    assert_eq!(new, ENGINES);
+    fleet.announce_engine(new);
+    let router = (RELAYS..RELAYS + ROUTERS).find(|router| cell(*router) == old_cell).unwrap();
+    let expected = Some((cell_engines(old_cell).len(), 1));
+    let end = fleet.now() + max_update_delay(Fault::None).as_nanos() as u64;
+    while part_counts(&mut fleet, router) != expected {
+        assert!(fleet.now() < end, "{:?}, not {expected:?}", part_counts(&mut fleet, router));
+        fleet.run(Duration::from_millis(20)).unwrap();
+    }
+    fleet.remove_engine(old);
+    fleet.run(Duration::from_secs(1)).unwrap();
+    fleet.stop_and_verify(TIMEOUT).unwrap();
+}
