Exchange calls about a query only with the process that had it

The rest of the picture of a new process at the address of one that had gone: a load whose connection broke counted as never run if another process at the address said so, so a repeat of it was allowed.

Causes: "never ran" counted on any connection; polls, cancellations and priorities went to the address that the list has for the engine now, where another process confirmed the end of a query that the old one still ran (PostgreSQL's CancelRequest too); a cancellation that had not been written outlived its attempt, whose successor has the same id. Ruled out: repeats without proof, queries to unlisted engines, idle connections to a former address.

Change: a query knows the connection and the address that it was sent to. Only there an answer proves that it never ran, and calls about it go there; a call not begun ends with its attempt.

--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -9,7 +9,7 @@
 
 use log::debug;
 
-use super::{Backend, Context, EngineTable, NewAttempt};
+use super::{connect, Backend, Context, EngineTable, NewAttempt};
 use marljunction_control::interface::{EngineId, LoadReport};
 use marljunction_core::end_reason::EndReason;
 use marljunction_core::{Attempt, ClientRequest, Rows};
@@ -77,6 +77,8 @@
 /// A query of an attempt on an engine.
 struct Query {
     engine: EngineId,
+    /// Address that the POST was last sent to, and the connection that carried it.
+    sent_to: Option<(SocketAddr, u64)>,
     client_request: Rc<ClientRequest>,
     class: String,
     timeout_ns: u64,
@@ -143,8 +145,19 @@
         pool.iter().rposition(fit).map(|index| pool.remove(index))
     }
 
+    /// The address that the query of an attempt was sent to.
+    fn query_address(&self, attempt: Attempt) -> Option<SocketAddr> {
+        self.queries.get(&attempt)?.sent_to.map(|(address, _)| address)
+    }
+
+    /// Whether a response on this connection comes from the process that read the query's POST.
+    fn is_from_query_process(&self, conn: u64, role: Role) -> bool {
+        let (Role::Post(attempt) | Role::Poll(attempt)) = role else { return false };
+        self.queries.get(&attempt).and_then(|query| query.sent_to).is_some_and(|(_, post)| post == conn)
+    }
+
     /// Returns a connection for one call: an idle one unless `new_connection` is set, else a new
-    /// one.
+    /// one. Calls for a query that was sent go to the address that it was sent to.
     fn acquire(
         &mut self,
         cx: &mut Context,
@@ -152,7 +165,16 @@
         role: Role,
         new_connection: bool,
     ) -> Result<u64, EndReason> {
-        let address = self.engines.get(engine).ok_or(EndReason::NoDescriptor)?.address;
+        let listed_address = self.engines.get(engine).ok_or(EndReason::NoDescriptor)?.address;
+        let address = match role {
+            Role::Poll(attempt)
+            | Role::FetchPage(attempt, _)
+            | Role::SetPriority(attempt)
+            | Role::Cancel(attempt) => self.query_address(attempt).unwrap_or(listed_address),
+            Role::Idle | Role::Post(_) | Role::Discard => listed_address,
+        };
+        // Idle connections lead to the listed address.
+        let new_connection = new_connection || address != listed_address;
         while let Some(conn) = if new_connection { None } else { self.take_idle(cx.now, engine) } {
             // If the engine has closed the connection, it would be unknown whether the call
             // arrived.
@@ -167,7 +189,7 @@
         }
         let conn = match role {
             Role::Post(_) => self.engines.connect_paced(cx, engine)?,
-            _ => self.engines.connect(cx, engine)?,
+            _ => connect(cx, address)?,
         };
         self.connections.insert(conn, Connection { engine, address, role, up: false, since_ns: cx.now });
         Ok(conn)
@@ -184,8 +206,7 @@
     ) {
         let Some(connection) = self.connections.get_mut(&conn) else { return };
         connection.since_ns = cx.now;
-        let host =
-            self.engines.get(connection.engine).map(|record| record.address.to_string()).unwrap_or_default();
+        let host = connection.address;
         let mut bytes = format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\n{headers}").into_bytes();
         if method == "POST" || method == "PUT" {
             bytes.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
@@ -229,10 +250,23 @@
         let rows = (end_reason == EndReason::Served).then_some(Rows::Text(query.rows));
         cx.router.ended(attempt, end_reason, rows, query.load_report);
         let conns = query.conn.into_iter().chain(query.cancellation.and_then(|c| c.conn));
-        for conn in conns.collect::<Vec<_>>() {
-            if let Some(connection) = self.connections.get_mut(&conn).filter(|c| c.role != Role::Idle) {
-                connection.role = Role::Discard;
-            }
+        let mut conns: Vec<u64> = conns.collect();
+        if query.priority_update_pending {
+            let role = Role::SetPriority(attempt);
+            conns.extend(self.connections.iter().filter(|(_, c)| c.role == role).map(|(conn, _)| *conn));
+        }
+        conns.into_iter().for_each(|conn| self.discard(cx, conn));
+    }
+
+    /// Gives up a connection's call. One that was not sent must not be: the next attempt of the
+    /// request has the same id, and may be at the same address.
+    fn discard(&mut self, cx: &mut Context, conn: u64) {
+        let Some(connection) = self.connections.get_mut(&conn).filter(|c| c.role != Role::Idle) else {
+            return;
+        };
+        connection.role = Role::Discard;
+        if cx.net.has_unstarted_output(conn) {
+            self.close(cx, conn);
         }
     }
 
@@ -273,7 +307,9 @@
             Ok(conn) => conn,
             Err(end_reason) => return self.end_attempt(cx, attempt, end_reason),
         };
+        let address = self.connections.get(&conn).map(|connection| connection.address);
         let Some(query) = self.queries.get_mut(&attempt) else { return };
+        query.sent_to = address.map(|address| (address, conn));
         (query.conn, query.last_call_ns, query.posts) = (Some(conn), cx.now, query.posts + 1);
         let token = query
             .client_request
@@ -323,9 +359,7 @@
             let is_connected = pending.and_then(|conn| self.connections.get(&conn)).is_some_and(|c| c.up);
             self.queries.entry(attempt).and_modify(|q| q.conn = None);
             let Some(conn) = reuse.filter(|_| !is_connected) else { return self.release(cx, reuse) };
-            if let Some(connection) = pending.and_then(|conn| self.connections.get_mut(&conn)) {
-                connection.role = Role::Discard;
-            }
+            pending.into_iter().for_each(|conn| self.discard(cx, conn));
             return self.send_cancel_on(cx, attempt, conn);
         }
         let role =
@@ -412,11 +446,13 @@
     }
 
     /// Handles a complete response. `conn` is absent if the connection cannot be reused.
+    /// `is_from_query_process` is false if another process at the query's address may have sent it.
     fn handle_response(
         &mut self,
         cx: &mut Context,
         conn: Option<u64>,
         role: Role,
+        is_from_query_process: bool,
         head: Head,
         body: Vec<u8>,
     ) {
@@ -486,9 +522,7 @@
                             .as_mut()
                             .filter(|_| is_first_response)
                             .and_then(|c| c.conn.take());
-                        if let Some(connection) = pending.and_then(|conn| self.connections.get_mut(&conn)) {
-                            connection.role = Role::Discard;
-                        }
+                        pending.into_iter().for_each(|conn| self.discard(cx, conn));
                         self.poll(cx, attempt, conn);
                         self.send_priority(cx, attempt);
                     }
@@ -496,9 +530,10 @@
                         (query.pages, query.next_page, query.rows) = (head.pages.unwrap_or(1), 1, body);
                         self.fetch_next_page_or_end(cx, attempt, conn);
                     }
-                    (503, true) => self.finish(cx, attempt, conn, EndReason::Full),
-                    (504, true) => self.finish(cx, attempt, conn, EndReason::Over),
-                    (500, _) => self.finish(cx, attempt, conn, EndReason::EngineError),
+                    (503, true) if is_from_query_process => self.finish(cx, attempt, conn, EndReason::Full),
+                    (504, true) if is_from_query_process => self.finish(cx, attempt, conn, EndReason::Over),
+                    // It never ran at the process that says so, which may not be the one that had it.
+                    (503 | 504, true) | (500, _) => self.finish(cx, attempt, conn, EndReason::EngineError),
                     _ => self.invalid_response(cx, conn, role, "unexpected status"),
                 }
             }
@@ -656,6 +691,7 @@
     fn start(&mut self, cx: &mut Context, new: NewAttempt) {
         let query = Query {
             engine: new.engine,
+            sent_to: None,
             client_request: new.client_request,
             class: new.class,
             timeout_ns: new.timeout_ns,
@@ -730,14 +766,15 @@
                     if !trailing.is_empty() && !trailing.starts_with(b"HTTP/1.1 ") && !body.is_empty() {
                         return self.invalid_response(cx, Some(conn), role, "trailing bytes after the body");
                     }
+                    let is_from_query_process = self.is_from_query_process(conn, role);
                     let (body, is_last) = (body.to_vec(), head.connection_close || !trailing.is_empty());
                     cx.net.consume(conn, body_end);
                     if is_last {
                         // Bytes behind a response must not be read as part of the next one.
                         self.close(cx, conn);
-                        return self.handle_response(cx, None, role, head, body);
+                        return self.handle_response(cx, None, role, is_from_query_process, head, body);
                     }
-                    self.handle_response(cx, Some(conn), role, head, body);
+                    self.handle_response(cx, Some(conn), role, is_from_query_process, head, body);
                 }
                 Err(reason) => return self.invalid_response(cx, Some(conn), role, &reason),
             }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -145,11 +145,12 @@
         self.engines.values_mut().for_each(|record| record.pacer = None);
     }
 
-    /// Opens a connection for a new query, within the connection budget. Polls and cancellations
-    /// use [`EngineTable::connect`] and are never delayed.
+    /// Opens a connection for a new query, within the connection budget. Calls for a query that was
+    /// sent use [`connect`] and are never delayed.
     ///
     /// # Errors
-    /// [`Ending::Paced`] if the budget is used up; else as for [`EngineTable::connect`].
+    /// [`EndReason::Paced`] if the budget is used up; [`EndReason::NoDescriptor`] if the engine is
+    /// unknown; else as for [`connect`].
     pub fn connect_paced(&mut self, cx: &mut Context, engine: EngineId) -> Result<u64, EndReason> {
         if let Some((connection_budget, seed)) = self.connection_budget {
             let record = self.engines.get_mut(&engine).ok_or(EndReason::NoDescriptor)?;
@@ -158,7 +159,8 @@
                 return Err(EndReason::Paced);
             }
         }
-        let connected = self.connect(cx, engine);
+        let address = self.get(engine).ok_or(EndReason::NoDescriptor)?.address;
+        let connected = connect(cx, address);
         connected.inspect_err(|end_reason| self.connection_ended(cx.now, engine, false, *end_reason))
     }
 
@@ -181,20 +183,6 @@
         pacer.into_iter().for_each(|pacer| pacer.record_failure(now));
     }
 
-    /// Opens a connection to an engine.
-    ///
-    /// # Errors
-    /// [`Ending::NoDescriptor`] if the engine is unknown or no file descriptor is available, or why
-    /// the connection failed at once.
-    pub fn connect(&mut self, cx: &mut Context, engine: EngineId) -> Result<u64, EndReason> {
-        let address = self.get(engine).ok_or(EndReason::NoDescriptor)?.address;
-        let conn = cx.net.connect(address, Owner::Engine).inspect_err(|e| {
-            cx.router.counters.short_of_descriptors += u64::from(*e == EndReason::NoDescriptor);
-        })?;
-        cx.router.counters.opened += 1;
-        Ok(conn)
-    }
-
     /// Whether an engine accepts new queries.
     pub fn accepts_work(&self, engine: EngineId) -> bool {
         self.engines.get(&engine).is_some_and(|record| record.accepts_work)
@@ -211,3 +199,17 @@
         self.engines.get_mut(&engine)
     }
 }
+
+/// Opens a connection to an address of an engine. Calls for a query that was sent go where it was
+/// sent: its engine may be listed elsewhere by now, and the process there does not know the query.
+///
+/// # Errors
+/// [`EndReason::NoDescriptor`] if no file descriptor is available, or why the connection failed at
+/// once.
+pub fn connect(cx: &mut Context, address: SocketAddr) -> Result<u64, EndReason> {
+    let conn = cx.net.connect(address, Owner::Engine).inspect_err(|e| {
+        cx.router.counters.short_of_descriptors += u64::from(*e == EndReason::NoDescriptor);
+    })?;
+    cx.router.counters.opened += 1;
+    Ok(conn)
+}
--- a/crates/engine/src/postgres.rs
+++ b/crates/engine/src/postgres.rs
@@ -16,7 +16,7 @@
 use postgres_protocol::message::frontend;
 use postgres_protocol::IsNull;
 
-use super::{Backend, Context, EngineTable, NewAttempt};
+use super::{connect, Backend, Context, EngineTable, NewAttempt};
 use marljunction_control::interface::EngineId;
 use marljunction_core::end_reason::EndReason;
 use marljunction_core::{Attempt, ClientRequest, Column, Fault, Row, Rows};
@@ -145,19 +145,24 @@
         PostgresBackend { engines, connections, queries, user, database, connect_timeout_ns }
     }
 
-    fn connect(&mut self, cx: &mut Context, engine: EngineId, role: Role) -> Result<u64, EndReason> {
+    /// Opens a connection for a session.
+    fn open_session(
+        &mut self,
+        cx: &mut Context,
+        engine: EngineId,
+        attempt: Attempt,
+    ) -> Result<u64, EndReason> {
         let address = self.engines.get(engine).ok_or(EndReason::NoDescriptor)?.address;
-        let conn = match role {
-            Role::Opening(_) => self.engines.connect_paced(cx, engine)?,
-            _ => self.engines.connect(cx, engine)?,
-        };
-        self.connections.insert(
-            conn,
-            Connection { engine, address, role, up: false, cancel_key: None, since_ns: cx.now },
-        );
+        let conn = self.engines.connect_paced(cx, engine)?;
+        self.add_connection(cx, conn, engine, address, Role::Opening(Some(attempt)));
         Ok(conn)
     }
 
+    fn add_connection(&mut self, cx: &Context, conn: u64, engine: EngineId, address: SocketAddr, role: Role) {
+        let connection = Connection { engine, address, role, up: false, cancel_key: None, since_ns: cx.now };
+        self.connections.insert(conn, connection);
+    }
+
     /// Returns a session for an attempt: an idle one unless `at_most_once` is set, else a new one.
     fn acquire_session(
         &mut self,
@@ -183,7 +188,7 @@
                 _ => self.close(cx, conn),
             }
         }
-        let conn = self.connect(cx, engine, Role::Opening(Some(attempt)))?;
+        let conn = self.open_session(cx, engine, attempt)?;
         let mut bytes = BytesMut::new();
         let params = [
             ("user", self.user.as_str()),
@@ -446,10 +451,12 @@
         };
         let (conn, engine) = (query.conn, query.engine);
         query.cancelled_at_ns = Some(cx.now);
-        let Some((number, cancel_key)) = self.connections.get(&conn).and_then(|c| c.cancel_key) else {
+        let session = self.connections.get(&conn).and_then(|c| Some((c.address, c.cancel_key?)));
+        let Some((address, (number, cancel_key))) = session else {
             return self.connection_lost(cx, conn, EndReason::Cut);
         };
-        if let Ok(cancel) = self.connect(cx, engine, Role::Cancelling(attempt)) {
+        if let Ok(cancel) = connect(cx, address) {
+            self.add_connection(cx, cancel, engine, address, Role::Cancelling(attempt));
             let mut bytes = BytesMut::new();
             frontend::cancel_request(number, cancel_key, &mut bytes);
             cx.net.send(cancel, &bytes);
