Do not run a load again whose id comes back after its client left

Operators saw an id run twice when it came again after its client had left. Forced with a recorded exchange: the client closes its connection while its load runs, the load is cancelled, the id comes again on another connection, and the engine gets it a second time.

Cause: the core forgot an id with the end of its last attempt, also where that may have run. Ruled out: ids that come while an attempt is out, which are rejected, and PostgreSQL clients, whose ids are random.

Change: RepeatGuard keeps the ids of requests that may have run and must not run again, for their class's deadline and bounded by the memory limit; what is dropped is logged once and counted. Lookups, and classes deduplicated by all engines, are not affected.

Shown: the new exchange failed before (the load was sent again).

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1191,12 +1191,7 @@
 
     /// Whether a repeat is safe, given that an earlier attempt may have run.
     fn is_repeat_safe(&self, class: ClassId, may_have_run: bool) -> bool {
-        let class = &self.settings.classes[class.0];
-        match class.effect {
-            Effect::Idempotent => true,
-            Effect::Deduplicated => !may_have_run || class.dedup_scope == DedupScope::All,
-            Effect::AtMostOnce => !may_have_run,
-        }
+        self.settings.classes[class.0].is_repeat_safe(may_have_run)
     }
 
     /// Whether another attempt is safe. A deduplicated request that may have run is repeated only
--- a/crates/control/src/interface.rs
+++ b/crates/control/src/interface.rs
@@ -114,6 +114,17 @@
     pub waits_for_loads: bool,
 }
 
+impl ClassSettings {
+    /// Whether a request of this class may run on any engine, given whether it may have run before.
+    pub fn is_repeat_safe(&self, may_have_run: bool) -> bool {
+        match self.effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated => !may_have_run || self.dedup_scope == DedupScope::All,
+            Effect::AtMostOnce => !may_have_run,
+        }
+    }
+}
+
 /// Settings of one machine kind.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct KindSettings {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod end_reason;
 pub mod health;
 pub mod limits;
+pub mod repeat_guard;
 pub mod serial;
 pub mod statement;
 
@@ -30,6 +31,7 @@
 use marljunction_control::Controller;
 use marljunction_fair_queue::{Arrival, FairQueue, QueueAction, RetryAfter};
 use marljunction_limits::node::Permit;
+use repeat_guard::{NameConflict, RepeatGuard};
 use serial::SerialChange;
 use statement::Statement;
 
@@ -307,6 +309,8 @@
     max_statement_bytes: usize,
     /// Names of the open requests.
     open_names: HashSet<String>,
+    /// Names of ended requests that must not run again.
+    repeat_guard: RepeatGuard,
     /// Changes that other processes of this router are to be told of; `None` if there can be none.
     serial_changes: Option<Vec<SerialChange>>,
     /// Whether this process has the reserve of its router's budgets, as last reported.
@@ -332,6 +336,7 @@
             statement_bytes: 0,
             max_statement_bytes: (memory_mb * MAX_STATEMENT_MEMORY_SHARE * 1e6) as usize,
             open_names: HashSet::new(),
+            repeat_guard: RepeatGuard::new(memory_mb),
             serial_changes: None,
             has_reserve: true,
             counters: Counters::default(),
@@ -497,9 +502,17 @@
         (memory_mb * MAX_STATEMENT_MEMORY_SHARE * 1e6 / 2.0) as usize
     }
 
-    /// Whether a request with this name is open; engines identify queries by it.
-    pub fn has_open_request(&self, name: &str) -> bool {
-        self.open_names.contains(name)
+    /// Returns why a new request cannot have this name, by which engines identify queries.
+    pub fn name_conflict(&self, now_ns: u64, name: &str) -> Option<NameConflict> {
+        if self.open_names.contains(name) {
+            return Some(NameConflict::Open);
+        }
+        self.repeat_guard.contains(now_ns, name).then_some(NameConflict::MayHaveRun)
+    }
+
+    /// Number of requests that must not run again and were forgotten before their time.
+    pub fn forgotten_names(&self) -> u64 {
+        self.repeat_guard.dropped()
     }
 
     /// Answers all open requests at shutdown.
@@ -573,7 +586,7 @@
                     let backoff_ms = retry_after_ms(retry_after);
                     let answer = Answer::Refused { backoff_ms, after: None, fault: None };
                     self.conclude(now, RequestId(id), answer, commands);
-                    self.remove_if_done(RequestId(id));
+                    self.remove_if_done(now, RequestId(id));
                 }
             }
         }
@@ -652,7 +665,7 @@
             Err(after_ns) => {
                 let backoff_ms = after_ns.div_ceil(1_000_000).max(1);
                 self.conclude(now, id, Answer::Refused { backoff_ms, after: None, fault: None }, commands);
-                self.remove_if_done(id);
+                self.remove_if_done(now, id);
                 false
             }
         }
@@ -759,7 +772,7 @@
         if !self.fair_queue.as_mut().is_some_and(|queue| queue.cancel(now, id.0)) {
             self.notify_client_left(now, id, commands);
         }
-        self.remove_if_done(id);
+        self.remove_if_done(now, id);
     }
 
     /// Notifies the decision module that a client left. An attempt that the module does not cancel
@@ -831,7 +844,7 @@
             outcome.latency_ns / 1_000_000
         );
         self.decide(now, Event::Outcome(outcome), commands);
-        self.remove_if_done(at.request);
+        self.remove_if_done(now, at.request);
     }
 
     fn handle_timeout(&mut self, now: u64, at: Attempt, commands: &mut Vec<Command>) {
@@ -880,7 +893,7 @@
         if !waits {
             self.notify_client_left(now, id, commands);
         }
-        self.remove_if_done(id);
+        self.remove_if_done(now, id);
     }
 
     /// Sends the final answer of a request that was not served.
@@ -901,11 +914,17 @@
         }
     }
 
-    fn remove_if_done(&mut self, id: RequestId) {
+    fn remove_if_done(&mut self, now: u64, id: RequestId) {
         if self.open.get(&id).is_some_and(|o| o.concluded && o.in_flight.is_none()) {
             let Some(open) = self.open.remove(&id) else { return };
             self.statement_bytes -= open.client_request.statement.text.len();
             self.open_names.remove(&open.client_request.name);
+            let class = &self.classes[open.client_request.class.0];
+            if !class.is_repeat_safe(open.may_have_run_ns.is_some()) {
+                // No client waits longer for an answer, all its tries together.
+                let until_ns = now.saturating_add(class.deadline_ns);
+                self.repeat_guard.insert(now, &open.client_request.name, until_ns);
+            }
             if let (Some(limits), Some(permit)) = (&mut self.limits, open.permit) {
                 limits.release(permit);
             }
@@ -995,13 +1014,13 @@
                 let backoff_ms =
                     retry_after.filter(|_| retry_after_ns.is_some()).map_or(module_ms, retry_after_ms);
                 self.conclude(now, request, Answer::Refused { backoff_ms, after, fault }, commands);
-                self.remove_if_done(request);
+                self.remove_if_done(now, request);
             }
             Action::Fail(request) => {
                 let Some(open) = self.open.get(&request) else { return };
                 let answer = Answer::Failed(open.last_end, open.fault.clone());
                 self.conclude(now, request, answer, commands);
-                self.remove_if_done(request);
+                self.remove_if_done(now, request);
             }
             Action::SetTerms { request, priority, .. } => {
                 let Some(open) = self.open.get_mut(&request) else { return };
--- a/crates/front/src/msgpack/mod.rs
+++ b/crates/front/src/msgpack/mod.rs
@@ -14,6 +14,7 @@
 use super::{ids_where, Directory, MAX_BYTES_PER_TURN, MAX_MESSAGES_PER_TURN};
 use marljunction_control::interface::RequestId;
 use marljunction_core::end_reason::EndReason;
+use marljunction_core::repeat_guard::NameConflict;
 use marljunction_core::{Answer, Client, Router};
 use marljunction_net::phase::ClosePolicy;
 use marljunction_net::{Net, MIN_INPUT_BYTES};
@@ -34,6 +35,8 @@
 const MAX_HELD_BYTES: usize = 1 << 20;
 /// Why a call is rejected whose request id is in use.
 const OPEN_ID: &str = "the rid is an open request's";
+/// Reason for rejecting a request whose id an earlier one has that must not run again.
+const USED_ID: &str = "the rid is that of a request that may have run";
 /// Number of consecutive rejected messages after which a connection is closed.
 const MAX_REJECTED_IN_ROW: u32 = 100;
 /// Retry delay of a call that is not accepted as a request (ms).
@@ -320,10 +323,12 @@
         let mut answers = Vec::new();
         for held in connection.held.take(now) {
             // Others may have been submitted meanwhile: one with this id, or too many.
-            let is_open = router.has_open_request(&held.request.name);
-            if is_open || !router.has_capacity() {
+            let conflict = router.name_conflict(now, &held.request.name).map(conflict_text);
+            if conflict.is_some() || !router.has_capacity() {
                 router.counters.rejected += 1;
-                answers.extend(if is_open { malformed(held.id, OPEN_ID.into()) } else { backoff(held.id) });
+                answers.extend(
+                    conflict.map_or_else(|| backoff(held.id), |why| malformed(held.id, why.to_owned())),
+                );
                 continue;
             }
             let client = Client { conn, call: held.id.into() };
@@ -443,15 +448,15 @@
         if connection.rejected >= MAX_REJECTED_IN_ROW {
             return Err("turned away too often".into());
         }
-        let client_request = match self.directory.parse_request(connection.peer, call) {
+        let client_request = self.directory.parse_request(connection.peer, call).and_then(|request| {
             // Engines identify a query by this id alone.
-            Ok(request)
-                if router.has_open_request(&request.name) || connection.held.has_request(&request.name) =>
-            {
-                Err(OPEN_ID.into())
+            let is_held = connection.held.has_request(&request.name);
+            let open = is_held.then_some(NameConflict::Open);
+            match open.or_else(|| router.name_conflict(now, &request.name)) {
+                Some(conflict) => Err(conflict_text(conflict).to_owned()),
+                None => Ok(request),
             }
-            parsed => parsed,
-        };
+        });
         let client_request = match client_request {
             Ok(client_request) => client_request,
             Err(why) => {
@@ -511,3 +516,11 @@
         }
     }
 }
+
+/// Why a request with a name that cannot be used is rejected.
+fn conflict_text(conflict: NameConflict) -> &'static str {
+    match conflict {
+        NameConflict::Open => OPEN_ID,
+        NameConflict::MayHaveRun => USED_ID,
+    }
+}
--- a/src/daemon/counters.rs
+++ b/src/daemon/counters.rs
@@ -12,6 +12,7 @@
         let mut parts = vec![
             self.router.counters.line(),
             self.admin.server.counters.line(),
+            format!("forgotten_ids={}", self.router.forgotten_names()),
             format!("list_engines={}", self.engine_list.exclusions.excluded_engines.listed().len()),
         ];
         parts.extend(self.engine_list.source.as_ref().map(|source| source.line(now)));
