Tell the other process of an upgrade which requests must not run again

The rest of the picture of ids that run twice: a load that the old process of an upgrade has, or had until its client left, was sent again by the new one when its id came there. Forced with two real processes, both cases.

Cause: each process knew its own ids only. Change: while two processes run, each tells the other the ids of its open and ended requests that must not run again, at most the newest 512, in the list that they share; they stay there until their time, also when the process has ended. The front rejects such an id, and the core fails a request that was taken before the other process told of it, before anything is sent.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,7 +31,7 @@
 use marljunction_control::Controller;
 use marljunction_fair_queue::{Arrival, FairQueue, QueueAction, RetryAfter};
 use marljunction_limits::node::Permit;
-use repeat_guard::{NameConflict, RepeatGuard};
+use repeat_guard::{NameConflict, RepeatGuard, UsedName};
 use serial::SerialChange;
 use statement::Statement;
 
@@ -42,6 +42,9 @@
 /// engine counts from when it received the call, and sockets may add 50 ms.
 const UNCONFIRMED_END_GRACE_NS: u64 = 250_000_000;
 
+/// Most names of requests that must not run again that other processes of this router are told of.
+const MAX_SHARED_NAMES: usize = 512;
+
 /// Maximum number of open requests outside the fair queue; each may hold a statement and a result.
 const MAX_OPEN_REQUESTS: usize = 1_000;
 /// Share of the memory limit for the statements of open requests.
@@ -311,6 +314,11 @@
     open_names: HashSet<String>,
     /// Names of ended requests that must not run again.
     repeat_guard: RepeatGuard,
+    /// Names that must not run again because of requests at other processes of this router, with
+    /// the time until which (ns).
+    names_elsewhere: HashMap<String, u64>,
+    /// Number of changes of this process's own such names.
+    used_name_changes: u64,
     /// Changes that other processes of this router are to be told of; `None` if there can be none.
     serial_changes: Option<Vec<SerialChange>>,
     /// Whether this process has the reserve of its router's budgets, as last reported.
@@ -337,6 +345,8 @@
             max_statement_bytes: (memory_mb * MAX_STATEMENT_MEMORY_SHARE * 1e6) as usize,
             open_names: HashSet::new(),
             repeat_guard: RepeatGuard::new(memory_mb),
+            names_elsewhere: HashMap::new(),
+            used_name_changes: 0,
             serial_changes: None,
             has_reserve: true,
             counters: Counters::default(),
@@ -395,6 +405,7 @@
         let expires_ns = now_ns.saturating_add(client_request.time_left_ns);
         self.statement_bytes += client_request.statement.text.len();
         self.open_names.insert(client_request.name.clone());
+        self.used_name_changes += u64::from(self.must_not_repeat(client_request.class));
         let open = OpenRequest {
             client_request: Rc::new(client_request),
             client,
@@ -507,7 +518,38 @@
         if self.open_names.contains(name) {
             return Some(NameConflict::Open);
         }
-        self.repeat_guard.contains(now_ns, name).then_some(NameConflict::MayHaveRun)
+        let may_have_run = self.repeat_guard.contains(now_ns, name) || self.is_used_elsewhere(now_ns, name);
+        may_have_run.then_some(NameConflict::MayHaveRun)
+    }
+
+    fn is_used_elsewhere(&self, now_ns: u64, name: &str) -> bool {
+        self.names_elsewhere.get(name).is_some_and(|until_ns| now_ns < *until_ns)
+    }
+
+    /// Reports the names of requests at other processes of this router that must not run here.
+    pub fn set_names_elsewhere(&mut self, names: Vec<UsedName>) {
+        self.names_elsewhere = names.into_iter().map(|used| (used.name, used.until_ns)).collect();
+    }
+
+    /// Returns the names of this process's requests that must not run elsewhere, if they have changed
+    /// since `told`, a count of changes that is updated. At most [`MAX_SHARED_NAMES`]: open requests
+    /// first, then the newest that ended.
+    pub fn new_used_names(&self, told: &mut u64) -> Option<Vec<UsedName>> {
+        if std::mem::replace(told, self.used_name_changes) == self.used_name_changes {
+            return None;
+        }
+        let open = self.open.values().filter(|open| self.must_not_repeat(open.client_request.class));
+        let name = |open: &OpenRequest| UsedName {
+            name: open.client_request.name.clone(),
+            until_ns: open.expires_ns.saturating_add(self.classes[open.client_request.class.0].deadline_ns),
+        };
+        let names = open.map(name).chain(self.repeat_guard.newest(MAX_SHARED_NAMES));
+        Some(names.take(MAX_SHARED_NAMES).collect())
+    }
+
+    /// Whether a request of this class must not run again once it may have run.
+    fn must_not_repeat(&self, class: ClassId) -> bool {
+        !self.classes[class.0].is_repeat_safe(true)
     }
 
     /// Number of requests that must not run again and were forgotten before their time.
@@ -674,6 +716,12 @@
     fn handle_inbound(&mut self, now: u64, event: InboundEvent, commands: &mut Vec<Command>) {
         match event {
             InboundEvent::Arrival(id) => {
+                // Another process may have told of it since the front took it.
+                let name = self.open.get(&id).map(|open| &open.client_request.name);
+                if name.is_some_and(|name| self.is_used_elsewhere(now, name)) {
+                    self.conclude(now, id, Answer::Failed(None, None), commands);
+                    return self.remove_if_done(now, id);
+                }
                 if !self.admit_under_limits(now, id, commands) {
                     return;
                 }
@@ -919,6 +967,7 @@
             let Some(open) = self.open.remove(&id) else { return };
             self.statement_bytes -= open.client_request.statement.text.len();
             self.open_names.remove(&open.client_request.name);
+            self.used_name_changes += u64::from(self.must_not_repeat(open.client_request.class));
             let class = &self.classes[open.client_request.class.0];
             if !class.is_repeat_safe(open.may_have_run_ns.is_some()) {
                 // No client waits longer for an answer, all its tries together.
--- a/crates/core/src/repeat_guard.rs
+++ b/crates/core/src/repeat_guard.rs
@@ -21,6 +21,15 @@
     MayHaveRun,
 }
 
+/// The name of a request that must not run again, at any process of its router.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsedName {
+    /// The name.
+    pub name: String,
+    /// Clock time until which it must not be used again (ns).
+    pub until_ns: u64,
+}
+
 /// The names of ended requests that must not run again.
 #[derive(Debug)]
 pub struct RepeatGuard {
@@ -60,6 +69,13 @@
         self.until_ns.get(name).is_some_and(|until_ns| now_ns < *until_ns)
     }
 
+    /// The newest names, at most this many.
+    pub fn newest(&self, count: usize) -> impl Iterator<Item = UsedName> + '_ {
+        let name =
+            |name: &Rc<str>| Some(UsedName { name: name.to_string(), until_ns: *self.until_ns.get(name)? });
+        self.names.iter().rev().take(count).filter_map(name)
+    }
+
     /// Number of names that were dropped before their time.
     pub fn dropped(&self) -> u64 {
         self.dropped
--- a/crates/handover/src/shared_state.rs
+++ b/crates/handover/src/shared_state.rs
@@ -8,6 +8,7 @@
 
 use log::{info, warn};
 use marljunction_control::interface::{ColdSend, EngineId, KeyTurn, RequestId};
+use marljunction_core::repeat_guard::UsedName;
 use marljunction_core::serial::SerialChange;
 use marljunction_settings::atomic_file::write_atomically;
 use nix::fcntl::Flock;
@@ -15,7 +16,7 @@
 use crate::error::HandoverError;
 use crate::life::{is_locked, try_lock};
 use crate::machine::Machine;
-use crate::table::{ProcessId, SentToCold, Table, TakenRequest, Told, VERSION};
+use crate::table::{ProcessId, SentToCold, Table, TakenName, TakenRequest, Told, VERSION};
 
 /// Interval between checks for processes that ended and times that passed, beside another process.
 const SHARED_CHECK_PERIOD_NS: u64 = 5_000_000;
@@ -49,6 +50,8 @@
     turns: BTreeMap<RequestId, KeyTurn>,
     /// Work of other processes on cold engines, as last returned.
     cold_sends_elsewhere: Vec<SentToCold>,
+    /// Names of other processes' requests that must not run again, as last returned.
+    names_elsewhere: Vec<TakenName>,
     /// The file as last read, with its list.
     last_read: Option<(String, Table)>,
     /// The list as last read or written.
@@ -86,6 +89,7 @@
             told: Told::default(),
             turns: BTreeMap::new(),
             cold_sends_elsewhere: Vec::new(),
+            names_elsewhere: Vec::new(),
             last_read: None,
             table,
             unwritten: false,
@@ -160,6 +164,31 @@
         Some(entries.collect())
     }
 
+    /// Tells the other processes at the next exchange which requests of this one must not run again.
+    pub fn tell_names(&mut self, names: Vec<UsedName>) {
+        let machine = &self.machine;
+        let taken =
+            |used: UsedName| TakenName { name: used.name, until_ns: machine.machine_ns(used.until_ns) };
+        self.told.names = names.into_iter().map(taken).collect();
+        self.unwritten = true;
+    }
+
+    /// Returns the names of other processes' requests that must not run again, if they have changed
+    /// since the last call.
+    pub fn new_names_elsewhere(&mut self) -> Option<Vec<UsedName>> {
+        let names = self.table.names_beside(self.process);
+        if names == self.names_elsewhere {
+            return None;
+        }
+        self.names_elsewhere = names;
+        let machine = &self.machine;
+        let used = |taken: &TakenName| UsedName {
+            name: taken.name.clone(),
+            until_ns: machine.process_ns(taken.until_ns),
+        };
+        Some(self.names_elsewhere.iter().map(used).collect())
+    }
+
     /// Tells the other processes at the next exchange that this one is stopping.
     pub fn begin_stop(&mut self) {
         self.told.is_stopping = true;
@@ -226,6 +255,7 @@
         table.remove_processes(now, &ended);
         self.told.pauses.retain(|_, until_ns| *until_ns > now);
         self.told.cold_sends.retain(|send| send.counts_until_ns >= now);
+        self.told.names.retain(|taken| taken.until_ns > now);
         table.update(self.process, &self.told);
         table.remove_expired(now);
         Ok((table, ended))
--- a/crates/handover/src/table.rs
+++ b/crates/handover/src/table.rs
@@ -57,6 +57,22 @@
     pub counts_until_ns: u64,
 }
 
+/// The name of a request that must not run again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TakenName {
+    /// The name.
+    pub name: String,
+    /// Time until which it must not be used again (ns).
+    pub until_ns: u64,
+}
+
+/// The names of a process's requests that must not run again, also once the process has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ProcessNames {
+    process: ProcessId,
+    names: Vec<TakenName>,
+}
+
 /// What a process tells the others.
 #[derive(Clone, Debug, Default)]
 pub struct Told {
@@ -66,6 +82,8 @@
     pub pauses: BTreeMap<u64, u64>,
     /// Its work on cold engines that still counts.
     pub cold_sends: Vec<SentToCold>,
+    /// Names of its requests that must not run again.
+    pub names: Vec<TakenName>,
     /// Whether it is stopping.
     pub is_stopping: bool,
 }
@@ -85,6 +103,9 @@
     pauses: BTreeMap<u64, u64>,
     /// Work on cold engines that still counts.
     cold_sends: Vec<SentToCold>,
+    /// Absent in the list of an older program.
+    #[serde(default)]
+    names: Vec<ProcessNames>,
 }
 
 impl Table {
@@ -98,6 +119,7 @@
             requests: Vec::new(),
             pauses: BTreeMap::new(),
             cold_sends: Vec::new(),
+            names: Vec::new(),
         }
     }
 
@@ -119,15 +141,25 @@
         self.cold_sends.iter().filter(|send| send.process != process).copied().collect()
     }
 
+    /// Names of other processes' requests that must not run again.
+    pub fn names_beside(&self, process: ProcessId) -> Vec<TakenName> {
+        let others = self.names.iter().filter(|told| told.process != process);
+        others.flat_map(|told| &told.names).cloned().collect()
+    }
+
     /// Replaces what a process has told. Requests that are in the list already keep their place.
     pub fn update(&mut self, process: ProcessId, told: &Told) {
-        let Told { open, pauses, cold_sends, is_stopping } = told;
+        let Told { open, pauses, cold_sends, names, is_stopping } = told;
         self.processes.insert(process);
         if *is_stopping {
             self.stopping.insert(process);
         }
         self.cold_sends.retain(|send| send.process != process);
         self.cold_sends.extend(cold_sends);
+        self.names.retain(|told| told.process != process);
+        if !names.is_empty() {
+            self.names.push(ProcessNames { process, names: names.clone() });
+        }
         let is_open: BTreeSet<u64> = open.iter().map(|taken| taken.request).collect();
         self.requests.retain(|taken| taken.process != process || is_open.contains(&taken.request));
         let own = self.requests.iter().filter(|taken| taken.process == process);
@@ -159,6 +191,8 @@
         self.requests.retain(|taken| taken.over_by_ns > now);
         self.pauses.retain(|_, until_ns| *until_ns > now);
         self.cold_sends.retain(|send| send.counts_until_ns >= now);
+        self.names.iter_mut().for_each(|told| told.names.retain(|taken| taken.until_ns > now));
+        self.names.retain(|told| !told.names.is_empty());
     }
 
     /// Returns the turn of each request of a process.
--- a/crates/handover/tests/shared_list.rs
+++ b/crates/handover/tests/shared_list.rs
@@ -1,6 +1,7 @@
 //! Two or three processes of a router share the order of their serial requests.
 
 use marljunction_control::interface::{ColdSend, EngineId, KeyTurn, RequestId};
+use marljunction_core::repeat_guard::UsedName;
 use marljunction_core::serial::SerialChange;
 use marljunction_handover::{Machine, Table, Told, ORPHANED_ATTEMPT_NS};
 
@@ -186,3 +187,25 @@
     new.exchange(T0 + 1_000 * MS, vec![]);
     assert_eq!(new.new_cold_sends_elsewhere(), Some(vec![]));
 }
+
+/// Guards against: a load runs again at the new process after the old one, which had it, has ended.
+#[test]
+fn names_that_must_not_run_again_outlast_their_process() {
+    let directory = Directory::new("names");
+    let (mut old, mut new) = (directory.open(1), directory.open(2));
+    let used = |name: &str, until_ns| UsedName { name: name.into(), until_ns };
+    old.exchange(T0, vec![]);
+    new.exchange(T0, vec![]);
+    old.tell_names(vec![used("a", T0 + 100 * MS), used("b", T0 + 500 * MS)]);
+    old.exchange(T0 + MS, vec![]);
+    new.exchange(T0 + 10 * MS, vec![]);
+    let told = vec![used("a", T0 + 100 * MS), used("b", T0 + 500 * MS)];
+    assert_eq!(new.new_names_elsewhere(), Some(told));
+    assert_eq!(new.new_names_elsewhere(), None, "unchanged");
+    assert_eq!(old.new_names_elsewhere(), None, "its own");
+    drop(old);
+    new.exchange(T0 + 200 * MS, vec![]);
+    assert_eq!(new.new_names_elsewhere(), Some(vec![used("b", T0 + 500 * MS)]));
+    new.exchange(T0 + 600 * MS, vec![]);
+    assert_eq!(new.new_names_elsewhere(), Some(vec![]));
+}
--- a/src/daemon/iteration.rs
+++ b/src/daemon/iteration.rs
@@ -230,13 +230,15 @@
         }
     }
 
-    /// Tells the other process of an upgrade of serial requests and of work on cold engines, and applies
-    /// what it tells.
+    /// Tells the other process of an upgrade of serial requests, of work on cold engines and of requests
+    /// that must not run again, and applies what it tells.
     pub(super) fn exchange_with_other_process(&mut self, now: u64) {
         let Some(handover) = &mut self.handover else { return };
         if handover.is_shared() {
             let sends = self.router.new_cold_sends(now, &mut self.told_cold_sends);
             sends.iter().for_each(|sends| handover.tell_cold_sends(sends));
+            let names = self.router.new_used_names(&mut self.told_used_names);
+            names.into_iter().for_each(|names| handover.tell_names(names));
         }
         let changes = self.router.take_serial_changes();
         for (request, turn) in handover.exchange(now, changes) {
@@ -246,6 +248,9 @@
         if let Some(sends) = handover.new_cold_sends_elsewhere() {
             self.router.set_cold_sends_elsewhere(sends);
         }
+        if let Some(names) = handover.new_names_elsewhere() {
+            self.router.set_names_elsewhere(names);
+        }
     }
 
     /// Executes one command of the decision module.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -117,6 +117,8 @@
     handover: Option<SharedState>,
     /// Number of attempts sent to cold engines that the other process was told of.
     told_cold_sends: u64,
+    /// Count of the changes of used names that the other process of an upgrade has been told of.
+    told_used_names: u64,
     /// Communication with the other routers; `None` outside of a fleet.
     fleet: Option<FleetRuntime>,
 }
--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -108,6 +108,7 @@
             admin,
             handover,
             told_cold_sends: 0,
+            told_used_names: 0,
             fleet,
         };
         // Before the first request: guards against a process that uses the budgets of an older one.
