--- a/crates/lab/src/pressure.rs
+++ b/crates/lab/src/pressure.rs
@@ -12,7 +12,7 @@
 const LEAD: Duration = Duration::from_millis(500);
 
 /// The troubles, by the prefix of their keys.
-const TROUBLES: [(&str, Trouble); 12] = [
+const TROUBLES: [(&str, Trouble); 16] = [
     ("calm", Trouble::Calm),
     ("half_heads_300", Trouble::HalfHeads(300)),
     ("half_heads_2500", Trouble::HalfHeads(2_500)),
@@ -25,6 +25,10 @@
     ("invalid_calls", Trouble::InvalidCalls),
     ("new_names", Trouble::NewNames),
     ("nested_bytes", Trouble::NestedBytes),
+    ("half_queries_2500", Trouble::HalfQueries(2_500)),
+    ("syncs", Trouble::Syncs),
+    ("invalid_queries", Trouble::InvalidQueries),
+    ("new_parameters", Trouble::NewParameters),
 ];
 
 /// Limits of the router.
@@ -40,7 +44,7 @@
     let mut calm_p99_ms = 0.0;
     for (name, trouble) in TROUBLES {
         let bed = PressureBed::start(program, &format!("pressure-{name}"), LIMITS)?;
-        let pressure = trouble.start(bed.address);
+        let pressure = trouble.start(bed.addresses);
         std::thread::sleep(LEAD);
         let measured = bed.measure(time)?;
         let peak_mb = bed.peak_memory_mb();
--- a/crates/testkit/src/pressure/mod.rs
+++ b/crates/testkit/src/pressure/mod.rs
@@ -2,6 +2,7 @@
 //! see, and how much memory the router takes.
 
 pub mod engine;
+mod postgres;
 pub mod trouble;
 
 use std::io::{BufReader, Write};
@@ -41,12 +42,21 @@
 /// Request ids are unique within this process.
 static NEXT_REQUEST_ID: AtomicU64 = AtomicU64::new(1);
 
+/// Where a router accepts clients.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// MessagePack clients.
+    pub msgpack: SocketAddr,
+    /// PostgreSQL clients.
+    pub postgres: SocketAddr,
+}
+
 /// A router with an engine that answers at once.
 pub struct PressureBed {
     /// The router.
     pub process: Process,
-    /// Where it accepts MessagePack clients.
-    pub address: SocketAddr,
+    /// Where it accepts clients.
+    pub addresses: Addresses,
     _engine: InstantEngine,
     directory: PathBuf,
 }
@@ -106,19 +116,22 @@
         let config = directory.join("config.json");
         std::fs::write(&config, router_config(engine.address(), limits).to_string())
             .map_err(context("config"))?;
-        let environment = [("ROUTER_CONFIG", config), ("TMPDIR", directory.clone())];
+        let postgres = directory.join("postgres.json");
+        std::fs::write(&postgres, postgres_config(limits).to_string()).map_err(context("config"))?;
+        let environment =
+            [("ROUTER_CONFIG", config), ("MARLJUNCTION_POSTGRES", postgres), ("TMPDIR", directory.clone())];
         let mut process = Process::start(program, &environment, &directory.join("log"))?;
         let end = Instant::now() + START_TIMEOUT;
-        let address = loop {
-            match process.client_address() {
-                Some(address) => break address,
+        let addresses = loop {
+            match process.client_address().zip(process.postgres_address()) {
+                Some((msgpack, postgres)) => break Addresses { msgpack, postgres },
                 None if Instant::now() > end || !process.is_running() => {
                     return Err(format!("the router did not start: {}", process.log_text()));
                 }
                 None => std::thread::sleep(Duration::from_millis(5)),
             }
         };
-        Ok(PressureBed { process, address, _engine: engine, directory })
+        Ok(PressureBed { process, addresses, _engine: engine, directory })
     }
 
     /// Runs the well-behaved clients for a while.
@@ -129,7 +142,7 @@
         let end = Instant::now() + time;
         let clients: Vec<_> = (0..CLIENTS)
             .map(|_| {
-                let address = self.address;
+                let address = self.addresses.msgpack;
                 std::thread::spawn(move || run_client(address, end))
             })
             .collect();
@@ -156,6 +169,12 @@
     }
 }
 
+/// The PostgreSQL file: sessions may use half of the descriptors.
+fn postgres_config(limits: Limits) -> serde_json::Value {
+    json!({"listen": "127.0.0.1:0", "class": "lookup", "columns": ["a", "b", "c"],
+           "sessions": limits.sockets / 2})
+}
+
 fn router_config(engine: SocketAddr, limits: Limits) -> serde_json::Value {
     let params = SettingsParams {
         classes: &classes(),
--- a/crates/testkit/src/pressure/trouble.rs
+++ b/crates/testkit/src/pressure/trouble.rs
@@ -9,7 +9,7 @@
 
 use rmpv::Value;
 
-use super::{call, lookup, next_request_id};
+use super::{call, lookup, next_request_id, postgres, Addresses};
 
 /// Fields of a call with a head of very many short fields, about 62 KB.
 const MANY_FIELDS: usize = 15_500;
@@ -48,6 +48,14 @@
     InvalidCalls,
     /// One client sends calls of ever new classes and tenants without pause.
     NewNames,
+    /// This many PostgreSQL sessions stop half way in a large query.
+    HalfQueries(usize),
+    /// One PostgreSQL session ends empty extended queries without pause.
+    Syncs,
+    /// One PostgreSQL session sends queries without pause that are refused before they run.
+    InvalidQueries,
+    /// One PostgreSQL session sets ever new parameters without pause.
+    NewParameters,
     /// One client writes a deeply nested message a byte at a time.
     NestedBytes,
 }
@@ -70,12 +78,12 @@
 
 impl Trouble {
     /// Starts the clients.
-    pub fn start(self, address: SocketAddr) -> Pressure {
+    pub fn start(self, addresses: Addresses) -> Pressure {
         let stopped = Arc::new(AtomicBool::new(false));
         let threads = (0..self.threads())
             .map(|_| {
                 let stopped = stopped.clone();
-                std::thread::spawn(move || self.run(address, &stopped))
+                std::thread::spawn(move || self.run(addresses, &stopped))
             })
             .collect();
         Pressure { stopped, threads }
@@ -83,15 +91,17 @@
 
     fn threads(self) -> usize {
         match self {
-            Trouble::HalfHeads(_) | Trouble::HalfStatements(_) | Trouble::HalfHeadsBesideRequests(_) => {
-                THREADS
-            }
+            Trouble::HalfHeads(_)
+            | Trouble::HalfStatements(_)
+            | Trouble::HalfHeadsBesideRequests(_)
+            | Trouble::HalfQueries(_) => THREADS,
             Trouble::WholeHeads(_) => HEAD_WRITERS,
             _ => 1,
         }
     }
 
-    fn run(self, address: SocketAddr, stopped: &AtomicBool) {
+    fn run(self, addresses: Addresses, stopped: &AtomicBool) {
+        let address = addresses.msgpack;
         match self {
             Trouble::Calm => {}
             Trouble::HalfHeads(count) => {
@@ -121,6 +131,32 @@
                 call(id, class, &fields, "select 1")
             }),
             Trouble::NestedBytes => write_nested(address, stopped),
+            Trouble::HalfQueries(_) | Trouble::Syncs | Trouble::InvalidQueries | Trouble::NewParameters => {
+                self.run_session(addresses.postgres, stopped)
+            }
+        }
+    }
+}
+
+impl Trouble {
+    /// Runs a PostgreSQL client.
+    fn run_session(self, address: SocketAddr, stopped: &AtomicBool) {
+        match self {
+            Trouble::HalfQueries(count) => {
+                let text = format!("select /* {} */ 1", "x".repeat(60_000));
+                let bytes = [postgres::startup(), half(postgres::query(&text))].concat();
+                hold_open(address, stopped, count / THREADS, || bytes.clone());
+            }
+            Trouble::Syncs => {
+                flood_after(address, stopped, &postgres::startup(), |_| postgres::sync());
+            }
+            Trouble::InvalidQueries => {
+                flood_after(address, stopped, &postgres::startup(), |_| postgres::query("begin"));
+            }
+            Trouble::NewParameters => flood_after(address, stopped, &postgres::startup(), |id| {
+                postgres::query(&format!("set application_{id} = '{}'", next_request_id()))
+            }),
+            _ => {}
         }
     }
 }
@@ -204,9 +240,17 @@
 
 /// Sends messages on one connection without pause, and reads all answers.
 fn flood(address: SocketAddr, stopped: &AtomicBool, message: impl Fn(u32) -> Vec<u8>) {
+    flood_after(address, stopped, &[], message);
+}
+
+/// As [`flood`], with `first` sent ahead on each connection.
+fn flood_after(address: SocketAddr, stopped: &AtomicBool, first: &[u8], message: impl Fn(u32) -> Vec<u8>) {
     let mut id = 0;
     while !stopped.load(Ordering::Relaxed) {
         let Some(mut stream) = connect(address) else { continue };
+        if stream.write_all(first).is_err() {
+            continue;
+        }
         let Ok(mut reader) = stream.try_clone() else { continue };
         let drain = std::thread::spawn(move || {
             let mut buffer = vec![0; 64 << 10];
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -76,6 +76,13 @@
         self.client_address
     }
 
+    /// Address for PostgreSQL clients, once the log contains it.
+    pub fn postgres_address(&self) -> Option<SocketAddr> {
+        let log_text = self.log_text();
+        let lines = log_text.lines().filter_map(|line| line.split_once("listens on "));
+        lines.filter_map(|(_, at)| at.strip_suffix(" for PostgreSQL")).find_map(|at| at.parse().ok())
+    }
+
     /// Address for datagrams of peers, once the log contains it.
     pub fn peer_address(&self) -> Option<SocketAddr> {
         let log_text = self.log_text();
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -23,7 +23,7 @@
 
 /// What well-behaved clients see beside the trouble.
 fn measure(bed: &PressureBed, trouble: Trouble) -> Measured {
-    let _pressure = trouble.start(bed.address);
+    let _pressure = trouble.start(bed.addresses);
     std::thread::sleep(LEAD);
     bed.measure(TIME).unwrap()
 }
@@ -36,6 +36,9 @@
 #[case::invalid_calls(Trouble::InvalidCalls)]
 #[case::new_names(Trouble::NewNames)]
 #[case::nested_bytes(Trouble::NestedBytes)]
+#[case::syncs(Trouble::Syncs)]
+#[case::invalid_queries(Trouble::InvalidQueries)]
+#[case::new_parameters(Trouble::NewParameters)]
 fn one_client_without_pause_delays_others_by_20_ms_at_most(#[case] trouble: Trouble) {
     let bed = bed(&format!("pressure-{trouble:?}"));
     let calm = measure(&bed, Trouble::Calm);
@@ -43,6 +46,8 @@
     let extra_ms = pressed.quantile_ms(0.5) - calm.quantile_ms(0.5);
     assert!(extra_ms <= 20.0, "{trouble:?}: {extra_ms} ms more in the median");
     assert_eq!((pressed.lost, pressed.refused), (0, 0), "{trouble:?}");
+    let peak_mb = bed.peak_memory_mb();
+    assert!(peak_mb <= LIMITS.memory_mb as f64, "{trouble:?}: {peak_mb} MB");
 }
 
 /// Guards against: hundreds of clients that stop half way in a large message take more memory than
@@ -51,6 +56,7 @@
 #[case::heads(Trouble::HalfHeads(800))]
 #[case::statements(Trouble::HalfStatements(800))]
 #[case::heads_beside_requests(Trouble::HalfHeadsBesideRequests(800))]
+#[case::queries(Trouble::HalfQueries(800))]
 fn unfinished_messages_stay_within_the_memory_limit(#[case] trouble: Trouble) {
     let bed = bed(&format!("pressure-{trouble:?}").replace(['(', ')'], "-"));
     let measured = measure(&bed, trouble);
