Do not reuse a connection on which a call may be unanswered after a copied answer

Cause: a second copy of an answer 202 counted as the answer to the next poll, so another poll was sent, and the connection went back to the pool with that one unanswered. Ruled out: copies of final answers and of pages, which the 15 ms before reuse and the page numbers cover.

Change: a connection with an equal answer 202 sooner than engines give one without news is closed after its query.

--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -33,6 +33,9 @@
 /// not polled for 2 s; a poll that the engine holds open for up to 250 ms counts until it returns,
 /// and the socket delays add up to 100 ms.
 const UNPOLLED_EXPIRY_NS: u64 = 2_350_000_000;
+/// Time for which engines hold a poll open without news, less what the network may take from it. An
+/// equal answer that comes sooner may be a second copy of the one before.
+const MIN_EQUAL_ANSWER_NS: u64 = 200_000_000;
 /// Largest result.
 const MAX_RESULT_BYTES: usize = 48_000;
 /// Most times that the POST of a query is written, each time to another connection.
@@ -64,6 +67,20 @@
     up: bool,
     /// When its current call was sent or its last response arrived.
     since_ns: u64,
+    /// The last response 202 to the current query.
+    last_running: Vec<u8>,
+    /// A response may have been a second copy, so that a call may still be unanswered.
+    may_owe_response: bool,
+}
+
+impl Connection {
+    /// Records a response that says that a query is running.
+    fn record_running(&mut self, now: u64, response: &[u8]) {
+        let is_early = now < self.since_ns.saturating_add(MIN_EQUAL_ANSWER_NS);
+        self.may_owe_response |= is_early && self.last_running == response;
+        self.last_running.clear();
+        self.last_running.extend_from_slice(response);
+    }
 }
 
 /// State of the cancellation of a query.
@@ -191,7 +208,16 @@
             Role::Post(_) => self.engines.connect_paced(cx, engine)?,
             _ => connect(cx, address)?,
         };
-        self.connections.insert(conn, Connection { engine, address, role, up: false, since_ns: cx.now });
+        let connection = Connection {
+            engine,
+            address,
+            role,
+            up: false,
+            since_ns: cx.now,
+            last_running: Vec::new(),
+            may_owe_response: false,
+        };
+        self.connections.insert(conn, connection);
         Ok(conn)
     }
 
@@ -219,12 +245,16 @@
         }
     }
 
-    /// Returns a connection to the pool.
+    /// Returns a connection to the pool, unless an answer to an earlier call may still come on it.
     fn release(&mut self, cx: &mut Context, conn: Option<u64>) {
         let Some((conn, connection)) = conn.and_then(|c| Some((c, self.connections.get_mut(&c)?))) else {
             return;
         };
         (connection.role, connection.since_ns) = (Role::Idle, cx.now);
+        connection.last_running.clear();
+        if connection.may_owe_response {
+            return self.close(cx, conn);
+        }
         match self
             .engines
             .get_listed_at(connection.engine, connection.address)
@@ -766,6 +796,9 @@
                     if !trailing.is_empty() && !trailing.starts_with(b"HTTP/1.1 ") && !body.is_empty() {
                         return self.invalid_response(cx, Some(conn), role, "trailing bytes after the body");
                     }
+                    if let Some(connection) = self.connections.get_mut(&conn).filter(|_| head.status == 202) {
+                        connection.record_running(cx.now, &cx.net.input(conn)[..body_end]);
+                    }
                     let is_from_query_process = self.is_from_query_process(conn, role);
                     let (body, is_last) = (body.to_vec(), head.connection_close || !trailing.is_empty());
                     cx.net.consume(conn, body_end);
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -19,6 +19,11 @@
 pub const MS: u64 = 1_000_000;
 pub const T0: u64 = 1_700_000_000_000 * MS;
 
+/// Response of an engine that runs the query.
+pub const RUNNING: &[u8] = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+/// Response of an engine with a result of one page.
+pub const SERVED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nChunks: 1\r\n\r\na\tb\tc\n";
+
 pub struct TestBed {
     pub poll: Poll,
     pub net: Net,
--- a/crates/engine/tests/give_up.rs
+++ b/crates/engine/tests/give_up.rs
@@ -6,7 +6,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 
-use common::{TestBed, MS, T0};
+use common::{TestBed, MS, RUNNING, SERVED, T0};
 use marljunction_control::interface::*;
 use marljunction_core::end_reason::EndReason;
 use marljunction_engine::http::HttpBackend;
@@ -107,7 +107,7 @@
         let mut third = bed.accept();
         bed.expect_bytes(&mut third, "GET /o/aaaabbbbccccdddd/0 ");
         let answer: &[u8] = match engine_starts_it {
-            true => b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nChunks: 1\r\n\r\na\tb\tc\n",
+            true => SERVED,
             false => b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
         };
         third.write_all(answer).unwrap();
@@ -203,7 +203,7 @@
 fn a_connection_is_reused_within_two_seconds_of_its_last_response() {
     let mut bed = TestBed::new();
     let (_attempt, mut first) = bed.start_and_accept();
-    first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nChunks: 1\r\n\r\na\tb\tc\n").unwrap();
+    first.write_all(SERVED).unwrap();
     assert_eq!(bed.end_reason(), EndReason::Served);
     // With little traffic the next query for an engine comes seconds later, and a new connection
     // costs a handshake.
@@ -224,7 +224,7 @@
     // The engine moves during the call; its old address may belong to another engine when the call
     // ends.
     bed.set_engine(TcpListener::bind("127.0.0.1:0").unwrap(), EngineState::Ready);
-    first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nChunks: 1\r\n\r\na\tb\tc\n").unwrap();
+    first.write_all(SERVED).unwrap();
     bed.drive_until(|bed| {
         bed.router.process_events(bed.now, &mut Vec::new());
         bed.router.counters.endings(EndReason::Served) == 1
@@ -295,7 +295,7 @@
 fn a_connection_closed_by_its_engine_is_not_reused() {
     let mut bed = TestBed::new();
     let (_attempt, mut first) = bed.start_and_accept();
-    first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nChunks: 1\r\n\r\na\tb\tc\n").unwrap();
+    first.write_all(SERVED).unwrap();
     assert_eq!(bed.end_reason(), EndReason::Served);
     bed.tick(100);
     drop(first);
@@ -370,3 +370,39 @@
     bed.drive_sockets();
     assert!(matches!(session.read(&mut [0; 16]), Err(e) if e.kind() == ErrorKind::WouldBlock));
 }
+
+/// Guards against: a second copy of an answer leaves a call open on a connection, and its late answer
+/// is taken for that of the next query there.
+#[test]
+fn a_connection_with_a_copied_answer_is_not_reused() {
+    let mut bed = TestBed::new();
+    let (_attempt, mut first) = bed.start_and_accept();
+    first.write_all(RUNNING).unwrap();
+    bed.expect_bytes(&mut first, "GET /o/aaaabbbbccccdddd/0 ");
+    bed.tick(5);
+    first.write_all(RUNNING).unwrap();
+    bed.expect_bytes(&mut first, "GET /o/aaaabbbbccccdddd/0 ");
+    first.write_all(SERVED).unwrap();
+    assert_eq!(bed.end_reason(), EndReason::Served);
+    bed.tick(100);
+    bed.start();
+    let mut second = bed.accept();
+    bed.expect_bytes(&mut second, "POST /o ");
+}
+
+/// Polls that the engine holds open for their whole time get equal answers, which are no copies.
+#[test]
+fn a_connection_with_equal_answers_to_whole_polls_is_reused() {
+    let mut bed = TestBed::new();
+    let (_attempt, mut first) = bed.start_and_accept();
+    for ms in [250, 500, 750] {
+        bed.tick(ms);
+        first.write_all(RUNNING).unwrap();
+        bed.expect_bytes(&mut first, "GET /o/aaaabbbbccccdddd/0 ");
+    }
+    first.write_all(SERVED).unwrap();
+    assert_eq!(bed.end_reason(), EndReason::Served);
+    bed.tick(850);
+    bed.start();
+    bed.expect_bytes(&mut first, "POST /o ");
+}
--- a/crates/engine/tests/replaced_process.rs
+++ b/crates/engine/tests/replaced_process.rs
@@ -6,13 +6,12 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpListener;
 
-use common::TestBed;
+use common::{TestBed, RUNNING};
 use marljunction_control::interface::EngineState;
 use marljunction_core::end_reason::EndReason;
 use marljunction_net::ConnectionLimits;
 
 const SESSION_READY: &[u8] = b"R\0\0\0\x08\0\0\0\0K\0\0\0\x0c\0\0\0\x07\0\0\0\x09Z\0\0\0\x05I";
-const RUNNING: &[u8] = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
 const NEVER_RAN: &[u8] = b"HTTP/1.1 503 Full\r\nNever-Ran: 1\r\nContent-Length: 0\r\n\r\n";
 
 /// Lists the engine at another address. The bed goes on accepting at the old one.
