Give PostgreSQL statements other request ids in each process

Found while looking for ids that run twice in an upgrade: the ids of PostgreSQL clients' statements, and their cancel keys, came from the configured seed alone, so two processes of one configuration gave the same ones in the same order. Engines tell queries apart by the id, so a statement could be taken for that of the other process.

Change: the generator is seeded with the configured seed, the router's name, the start of the process and its system id.

Shown: the new test, with two real processes, got the same id from both before.

--- a/crates/discovery/src/address_owners.rs
+++ b/crates/discovery/src/address_owners.rs
@@ -63,7 +63,7 @@
                 target.entry.engine.0, target.address
             );
         }
-        self.report_superseded(&mut change);
+        self.report_superseded(&before, &mut change);
         self.report_restored(listed, &before, &mut change, now_ns);
         change
     }
@@ -84,13 +84,14 @@
         repeated.map(|same| same[0]).collect()
     }
 
-    /// Reports superseded engines as draining.
-    fn report_superseded(&self, change: &mut Change) {
+    /// Reports superseded engines as draining, unless they were reported so before.
+    fn report_superseded(&self, before: &BTreeMap<EngineId, Target>, change: &mut Change) {
         let mut reported = BTreeSet::new();
         for target in change.targets.iter_mut().filter(|t| self.superseded.contains_key(&t.entry.engine)) {
             reported.insert(target.entry.engine);
             set_draining(target);
         }
+        reported.extend(before.keys().copied());
         let others = self.superseded.iter().filter(|(engine, _)| !reported.contains(engine));
         for (_, target) in others {
             change.targets.push(*target);
--- a/src/config.rs
+++ b/src/config.rs
@@ -369,6 +369,14 @@
         hasher.finish()
     }
 
+    /// Returns a seed that differs between processes, also of one configuration, such as those of an
+    /// upgrade. `started_ns` is the start of this process, whose system id is `pid`.
+    pub fn process_seed(&self, started_ns: u64, pid: u32) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (self.router_seed(), started_ns, pid).hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// Returns the router's identity in its fleet.
     pub fn identity(&self) -> RouterIdentity {
         let zone = self.settings.zone.and_then(|zone| self.names.zones.get(zone.0)).cloned();
--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -78,7 +78,7 @@
         // The budgets of cold engines are divided by the same count as the list service's.
         config.settings.router_count = pacing.pace.caller_count();
         let engines = build_engines(&config, &start, postgres.as_ref(), pacing);
-        let fronts = build_fronts(&config, postgres, &directory)?;
+        let fronts = build_fronts(now, &config, postgres, &directory)?;
         let (fleet, fleet_state) = start_fleet(now, &registry, fleet, identity, &config, &files)?;
         let handover = build_shared_state(clock.now_ns(), &files, &listeners)?;
         let router =
@@ -207,6 +207,7 @@
 }
 
 fn build_fronts(
+    now: u64,
     config: &Config,
     postgres: Option<PostgresConfig>,
     directory: &Directory,
@@ -222,7 +223,7 @@
         max_sessions: file.sessions,
     };
     let setup = setup.limit_to_memory(config.limits.memory_mb);
-    let postgres = PostgresFront::new(directory.clone(), setup, !config.seed);
+    let postgres = PostgresFront::new(directory.clone(), setup, config.process_seed(now, std::process::id()));
     Ok(Fronts { msgpack, postgres: Some(postgres) })
 }
 
--- a/tests/common/upgrade.rs
+++ b/tests/common/upgrade.rs
@@ -11,6 +11,8 @@
 use serde_json::{json, Value};
 
 const SETTINGS: &str = include_str!("../exchanges/settings.json");
+/// Name of the file that configures PostgreSQL, in a process's directory.
+pub const POSTGRES_FILE: &str = "postgres.json";
 /// Limit on each wait.
 pub const TIMEOUT: Duration = Duration::from_secs(8);
 const IS_WELL: &[u8] = b"\x94\x00\x01\xa6isWell\x91\x80";
@@ -21,13 +23,19 @@
     pub child: Child,
     pub log: BufReader<ChildStderr>,
     admin_address: String,
+    /// Where it accepts PostgreSQL clients, if its directory has a file for them.
+    pub postgres_address: Option<SocketAddr>,
 }
 
 impl Process {
     /// Starts the program with a copy of `socket` as descriptor 3 and its own admin API port.
     pub fn start(dir: &Path, socket: &TcpListener) -> Process {
         let fd = OwnedFd::from(socket.try_clone().unwrap());
-        let mut child = Command::new(env!("CARGO_BIN_EXE_marljunction"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_marljunction"));
+        if dir.join(POSTGRES_FILE).exists() {
+            command.env("MARLJUNCTION_POSTGRES", dir.join(POSTGRES_FILE));
+        }
+        let mut child = command
             .env("ROUTER_CONFIG", dir.join("config.json"))
             .env("ROUTER_FD", "3")
             .env("TMPDIR", dir)
@@ -37,10 +45,17 @@
             .spawn()
             .unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let line = wait_for(&mut log, "for the operators");
-        let admin_address =
-            line.split("listens on ").nth(1).unwrap().split_whitespace().next().unwrap().into();
-        Process { child, log, admin_address }
+        let mut lines = Vec::new();
+        while lines.last().is_none_or(|line: &String| !line.contains("for the operators")) {
+            lines.push(wait_for(&mut log, "listens on "));
+        }
+        let address = |line: &String| -> String {
+            line.split("listens on ").nth(1).unwrap().split_whitespace().next().unwrap().into()
+        };
+        let postgres = lines.iter().find(|line| line.contains("for PostgreSQL"));
+        let postgres_address = postgres.map(|line| address(line).parse().unwrap());
+        let admin_address = address(lines.last().unwrap());
+        Process { child, log, admin_address, postgres_address }
     }
 
     /// Makes one call to the admin API and returns the response.
--- a/tests/handover_ids.rs
+++ b/tests/handover_ids.rs
@@ -9,7 +9,8 @@
 #[path = "common/upgrade.rs"]
 mod upgrade;
 
-use upgrade::{assert_well, client, wait_for, write_config, Engine, Process};
+use serde_json::json;
+use upgrade::{assert_well, client, wait_for, write_config, Engine, Process, POSTGRES_FILE};
 
 /// A load with the id 9b1f03aa5c7e2d41, as call 1.
 const LOAD: &[u8] =
@@ -90,3 +91,22 @@
     new_client.write_all(LOAD).unwrap();
     upgrade.assert_failed_unsent(&mut new_client);
 }
+
+/// Guards against: processes with one configuration give the statements of PostgreSQL clients the same
+/// request ids, by which engines tell queries apart.
+#[test]
+fn statements_at_two_processes_of_one_configuration_have_different_ids() {
+    let upgrade = Upgrade::new("ids-postgres");
+    let file =
+        json!({"listen": "127.0.0.1:0", "class": "service-load", "columns": ["a", "b", "c"], "sessions": 4});
+    std::fs::write(upgrade.dir.join(POSTGRES_FILE), file.to_string()).unwrap();
+    let id = || {
+        let process = Process::start(&upgrade.dir, &upgrade.socket);
+        let mut session = client(process.postgres_address.unwrap());
+        session.write_all(b"\0\0\0\x10\0\x03\0\0user\0u\0\0").unwrap();
+        session.write_all(b"Q\0\0\0\x0dselect 1\0").unwrap();
+        upgrade.engine.next_query().id
+    };
+    let (first, second) = (id(), id());
+    assert_ne!(first, second);
+}
