--- a/tests/common/upgrade.rs
+++ b/tests/common/upgrade.rs
@@ -144,6 +144,38 @@
     dir
 }
 
+/// An engine, the socket that the processes of an upgrade share, and their directory.
+pub struct Upgrade {
+    pub engine: Engine,
+    pub socket: TcpListener,
+    pub dir: PathBuf,
+}
+
+impl Upgrade {
+    /// No process runs yet. `adapt` changes their configuration.
+    pub fn new(name: &str, adapt: impl FnOnce(&mut Value)) -> Upgrade {
+        let engine = Engine::start();
+        let dir = write_config(name, engine.address(), adapt);
+        Upgrade { engine, socket: TcpListener::bind("127.0.0.1:0").unwrap(), dir }
+    }
+
+    /// Starts a process.
+    pub fn start(&self) -> Process {
+        Process::start(&self.dir, &self.socket)
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.socket.local_addr().unwrap()
+    }
+}
+
+impl Drop for Upgrade {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
 /// A scripted engine: the test accepts each call, and decides when to answer it.
 pub struct Engine(TcpListener);
 
--- a/tests/handover_ids.rs
+++ b/tests/handover_ids.rs
@@ -2,15 +2,14 @@
 //! run, is not sent by the other one.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::net::TcpStream;
 
 #[allow(dead_code)]
 #[path = "common/upgrade.rs"]
 mod upgrade;
 
 use serde_json::json;
-use upgrade::{assert_well, client, wait_for, write_config, Engine, Process, POSTGRES_FILE};
+use upgrade::{assert_well, client, wait_for, Process, Upgrade, POSTGRES_FILE};
 
 /// A load with the id 9b1f03aa5c7e2d41, as call 1.
 const LOAD: &[u8] =
@@ -19,89 +18,64 @@
 const ERROR: &[u8] = b"\x94\x01\x01\x92";
 const REFUSAL: u8 = 0xa7;
 
-/// An engine, the socket that the processes of an upgrade share, and their directory.
-struct Upgrade {
-    engine: Engine,
-    socket: TcpListener,
-    dir: PathBuf,
+/// Starts a second process, which accepts all further clients once both know of each other.
+fn start_successor(upgrade: &Upgrade, old: &mut Process) -> Process {
+    let new = upgrade.start();
+    wait_for(&mut old.log, "running processes of this router: 2");
+    old.begin_stop();
+    new
 }
 
-impl Upgrade {
-    fn new(name: &str) -> Upgrade {
-        let engine = Engine::start();
-        let dir = write_config(name, engine.address(), |_| {});
-        Upgrade { engine, socket: TcpListener::bind("127.0.0.1:0").unwrap(), dir }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.socket.local_addr().unwrap()
-    }
-
-    /// Starts a second process, which accepts all further clients once both know of each other.
-    fn start_successor(&self, old: &mut Process) -> Process {
-        let new = Process::start(&self.dir, &self.socket);
-        wait_for(&mut old.log, "running processes of this router: 2");
-        old.begin_stop();
-        new
-    }
-
-    /// Expects that the client is told of a failure, and that nothing was sent.
-    fn assert_failed_unsent(&self, client: &mut TcpStream) {
-        let mut answer = [0; ERROR.len() + 1];
-        client.read_exact(&mut answer).unwrap();
-        assert!(self.engine.waiting_query().is_none(), "the load was sent a second time");
-        assert_eq!(answer[..ERROR.len()], *ERROR);
-        assert_ne!(answer[ERROR.len()], REFUSAL, "told that a repeat is safe");
-    }
-}
-
-impl Drop for Upgrade {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
+/// Expects that the client is told of a failure, and that nothing was sent.
+fn assert_failed_unsent(upgrade: &Upgrade, client: &mut TcpStream) {
+    let mut answer = [0; ERROR.len() + 1];
+    client.read_exact(&mut answer).unwrap();
+    assert!(upgrade.engine.waiting_query().is_none(), "the load was sent a second time");
+    assert_eq!(answer[..ERROR.len()], *ERROR);
+    assert_ne!(answer[ERROR.len()], REFUSAL, "told that a repeat is safe");
 }
 
 /// Guards against: a load runs at both processes of an upgrade at once.
 #[test]
 fn a_load_that_is_open_at_the_old_process_is_not_sent_by_the_new_one() {
-    let upgrade = Upgrade::new("ids-open");
-    let mut old = Process::start(&upgrade.dir, &upgrade.socket);
+    let upgrade = Upgrade::new("ids-open", |_| {});
+    let mut old = upgrade.start();
     let mut old_client = client(upgrade.address());
     old_client.write_all(LOAD).unwrap();
     let _query = upgrade.engine.next_query();
-    let _new = upgrade.start_successor(&mut old);
+    let _new = start_successor(&upgrade, &mut old);
     let mut new_client = client(upgrade.address());
     new_client.write_all(LOAD).unwrap();
-    upgrade.assert_failed_unsent(&mut new_client);
+    assert_failed_unsent(&upgrade, &mut new_client);
 }
 
 /// Guards against: a load runs again at the new process of an upgrade after its client has left.
 #[test]
 fn a_load_whose_client_left_the_old_process_is_not_sent_by_the_new_one() {
-    let upgrade = Upgrade::new("ids-left");
-    let mut old = Process::start(&upgrade.dir, &upgrade.socket);
+    let upgrade = Upgrade::new("ids-left", |_| {});
+    let mut old = upgrade.start();
     let mut old_client = client(upgrade.address());
     old_client.write_all(LOAD).unwrap();
     upgrade.engine.next_query().complete();
     old_client.read_exact(&mut [0; 1]).unwrap();
     drop(old_client);
-    let _new = upgrade.start_successor(&mut old);
+    let _new = start_successor(&upgrade, &mut old);
     let mut new_client = client(upgrade.address());
     assert_well(&mut new_client, "the new process accepts");
     new_client.write_all(LOAD).unwrap();
-    upgrade.assert_failed_unsent(&mut new_client);
+    assert_failed_unsent(&upgrade, &mut new_client);
 }
 
 /// Guards against: processes with one configuration give the statements of PostgreSQL clients the same
 /// request ids, by which engines tell queries apart.
 #[test]
 fn statements_at_two_processes_of_one_configuration_have_different_ids() {
-    let upgrade = Upgrade::new("ids-postgres");
+    let upgrade = Upgrade::new("ids-postgres", |_| {});
     let file =
         json!({"listen": "127.0.0.1:0", "class": "service-load", "columns": ["a", "b", "c"], "sessions": 4});
     std::fs::write(upgrade.dir.join(POSTGRES_FILE), file.to_string()).unwrap();
     let id = || {
-        let process = Process::start(&upgrade.dir, &upgrade.socket);
+        let process = upgrade.start();
         let mut session = client(process.postgres_address.unwrap());
         session.write_all(b"\0\0\0\x10\0\x03\0\0user\0u\0\0").unwrap();
         session.write_all(b"Q\0\0\0\x0dselect 1\0").unwrap();
--- a/tests/handover_order.rs
+++ b/tests/handover_order.rs
@@ -2,8 +2,7 @@
 //! at a time, in the order in which the processes took them.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -12,51 +11,26 @@
 #[path = "common/upgrade.rs"]
 mod upgrade;
 
-use upgrade::{assert_well, client, wait_for, write_config, Engine, Process};
+use upgrade::{assert_well, client, wait_for, Upgrade};
 
 /// Time after its last poll at which an engine ends a query.
 const UNPOLLED_LIMIT: Duration = Duration::from_secs(2);
 
-/// An engine and the socket that the processes of an upgrade share.
-struct Upgrade {
-    engine: Engine,
-    socket: TcpListener,
-    dir: PathBuf,
+/// Loads are serial by key, without a pause between them.
+fn serial_upgrade(name: &str) -> Upgrade {
+    Upgrade::new(name, |config| {
+        config["settings"]["request_classes"][2]["serial_by_key"] = json!(true);
+        config["settings"]["guarantees"]["order_pause_ns"] = json!(0);
+    })
 }
 
-impl Upgrade {
-    /// Loads are serial by key, without a pause between them.
-    fn new(name: &str) -> Upgrade {
-        let engine = Engine::start();
-        let dir = write_config(name, engine.address(), |config| {
-            config["settings"]["request_classes"][2]["serial_by_key"] = json!(true);
-            config["settings"]["guarantees"]["order_pause_ns"] = json!(0);
-        });
-        Upgrade { engine, socket: TcpListener::bind("127.0.0.1:0").unwrap(), dir }
-    }
-
-    fn start(&self) -> Process {
-        Process::start(&self.dir, &self.socket)
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.socket.local_addr().unwrap()
-    }
-
-    /// Waits until both processes have read all input so far, and checks that no query arrived.
-    fn assert_none_runs(&self, clients: &mut [&mut TcpStream], why: &str) {
-        for client in clients {
-            assert_well(client, why);
-        }
-        let early = self.engine.waiting_query().map(|query| query.id);
-        assert_eq!(early, None, "{why}");
-    }
-}
-
-impl Drop for Upgrade {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.dir);
+/// Waits until both processes have read all input so far, and checks that no query arrived.
+fn assert_none_runs(upgrade: &Upgrade, clients: &mut [&mut TcpStream], why: &str) {
+    for client in clients {
+        assert_well(client, why);
     }
+    let early = upgrade.engine.waiting_query().map(|query| query.id);
+    assert_eq!(early, None, "{why}");
 }
 
 /// Sends a load whose request id ends with `number`, with the same key as all others.
@@ -88,7 +62,7 @@
 /// took wait for those that the old one took before.
 #[test]
 fn a_load_at_the_new_process_waits_for_earlier_ones_of_its_key_at_the_old_one() {
-    let upgrade = Upgrade::new("order-new");
+    let upgrade = serial_upgrade("order-new");
     let mut old = upgrade.start();
     let mut old_client = client(upgrade.address());
     send_load(&mut old_client, 1);
@@ -98,11 +72,11 @@
     old.begin_stop();
     let mut new_client = client(upgrade.address());
     send_load(&mut new_client, 3);
-    upgrade.assert_none_runs(&mut [&mut new_client], "the first load runs");
+    assert_none_runs(&upgrade, &mut [&mut new_client], "the first load runs");
     first.complete();
     let second = upgrade.engine.next_query();
     assert_eq!(second.id, request_id(2), "the load that was taken second runs next");
-    upgrade.assert_none_runs(&mut [&mut new_client], "the second load runs");
+    assert_none_runs(&upgrade, &mut [&mut new_client], "the second load runs");
     second.complete();
     assert_served(&mut old_client, 1);
     assert_served(&mut old_client, 2);
@@ -116,7 +90,7 @@
 /// for those that the new process took before.
 #[test]
 fn a_load_at_the_old_process_waits_for_earlier_ones_of_its_key_at_the_new_one() {
-    let upgrade = Upgrade::new("order-old");
+    let upgrade = serial_upgrade("order-old");
     let old = upgrade.start();
     let mut old_client = client(upgrade.address());
     assert_well(&mut old_client, "the old process accepts");
@@ -128,7 +102,7 @@
     let first = upgrade.engine.next_query();
     old.signal("-CONT");
     send_load(&mut old_client, 2);
-    upgrade.assert_none_runs(&mut [&mut old_client], "the first load runs");
+    assert_none_runs(&upgrade, &mut [&mut old_client], "the first load runs");
     first.complete();
     assert_served(&mut new_client, 1);
     let second = upgrade.engine.next_query();
@@ -141,7 +115,7 @@
 /// nobody has polled it for 2 s; and against one that waits for a load which never ran.
 #[test]
 fn a_load_waits_until_an_engine_has_ended_the_one_of_a_killed_process() {
-    let upgrade = Upgrade::new("order-killed");
+    let upgrade = serial_upgrade("order-killed");
     let mut old = upgrade.start();
     let mut old_client = client(upgrade.address());
     send_load(&mut old_client, 1);
@@ -165,7 +139,7 @@
 /// both know that the other runs, and when it has ended.
 #[test]
 fn both_processes_know_that_the_other_runs() {
-    let upgrade = Upgrade::new("processes");
+    let upgrade = serial_upgrade("processes");
     let mut old = upgrade.start();
     let mut new = upgrade.start();
     wait_for(&mut old.log, "running processes of this router: 2");
