Collect the claims to an address in one way, with the table of listed engines

Found by reading the change again: AddressOwners worked out the last entry of each engine of a change itself, as ListedEngines does, and built claims in two functions that differed only in values that follow from the same data. No behaviour changes; its tests are as they were.

--- a/crates/discovery/src/address_owners.rs
+++ b/crates/discovery/src/address_owners.rs
@@ -52,10 +52,7 @@
         if addresses.is_empty() && before.is_empty() {
             return change;
         }
-        let mut claims = claims_of_change(listed, &change, &before, &addresses);
-        if change.kind == MembershipKind::Delta {
-            claims.extend(claims_of_others(listed, &change, &before, &addresses));
-        }
+        let claims = claims(listed, &change, &before, &addresses);
         self.superseded = superseded_by(claims);
         for target in self.superseded.values().filter(|target| !before.contains_key(&target.entry.engine)) {
             info!(
@@ -127,54 +124,36 @@
     }
 }
 
-/// The claims of the engines in a change to these addresses.
-fn claims_of_change(
+/// The claims to these addresses after a change.
+fn claims(
     listed: &ListedEngines,
     change: &Change,
     before: &BTreeMap<EngineId, Target>,
     addresses: &[SocketAddr],
 ) -> Vec<Claim> {
-    let mut latest = BTreeMap::new();
-    for target in change.targets.iter().filter(|target| addresses.binary_search(&target.address).is_ok()) {
-        latest.insert(target.entry.engine, *target);
-    }
-    // A later entry of the same engine may name another address.
-    for target in &change.targets {
-        latest.entry(target.entry.engine).and_modify(|last| *last = *target);
-    }
-    let claims = latest.into_values().filter(|target| {
-        target.entry.state != EngineState::Gone && addresses.binary_search(&target.address).is_ok()
-    });
+    let mut changed = ListedEngines::default();
+    changed.apply(change);
+    let unchanged = others(listed, change).map(|target| *before.get(&target.entry.engine).unwrap_or(&target));
     let claim = |target: Target| {
         let engine = target.entry.engine;
-        let is_new = listed.get(engine).is_none_or(|listed| listed.address != target.address);
-        claim(target, is_new, !before.contains_key(&engine))
+        let strength = Strength {
+            is_new: listed.get(engine).is_none_or(|listed| listed.address != target.address),
+            started_ns: target.entry.started_ns.unwrap_or(0),
+            is_owner: !before.contains_key(&engine),
+        };
+        Claim { target, strength }
     };
-    claims.map(claim).collect()
+    let named = changed.iter().chain(unchanged);
+    named.filter(|target| addresses.binary_search(&target.address).is_ok()).map(claim).collect()
 }
 
-/// The claims to these addresses of listed engines that a delta does not name.
-fn claims_of_others(
-    listed: &ListedEngines,
-    change: &Change,
-    before: &BTreeMap<EngineId, Target>,
-    addresses: &[SocketAddr],
-) -> Vec<Claim> {
+/// The listed engines that a delta does not name; none for a full list.
+fn others<'a>(listed: &'a ListedEngines, change: &Change) -> impl Iterator<Item = Target> + 'a {
+    let is_delta = change.kind == MembershipKind::Delta;
     let mut named: Vec<EngineId> = change.targets.iter().map(|target| target.entry.engine).collect();
     named.sort_unstable();
-    let others = listed.iter().filter(|target| {
-        addresses.binary_search(&target.address).is_ok() && named.binary_search(&target.entry.engine).is_err()
-    });
-    let claim = |listed: Target| match before.get(&listed.entry.engine) {
-        Some(target) => claim(*target, false, false),
-        None => claim(listed, false, true),
-    };
-    others.map(claim).collect()
-}
-
-fn claim(target: Target, is_new: bool, is_owner: bool) -> Claim {
-    let started_ns = target.entry.started_ns.unwrap_or(0);
-    Claim { target, strength: Strength { is_new, started_ns, is_owner } }
+    let is_named = move |target: &Target| named.binary_search(&target.entry.engine).is_ok();
+    listed.iter().filter(move |target| is_delta && !is_named(target))
 }
 
 /// The engines whose claim is weaker than another one to the same address.
