Keep all names that must not run again in one place, and copy them only on change

They are part of RepeatGuard now, and compared before they are copied. No behaviour changes; the tests are as they were.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -312,12 +312,9 @@
     max_statement_bytes: usize,
     /// Names of the open requests.
     open_names: HashSet<String>,
-    /// Names of ended requests that must not run again.
+    /// Names of requests that must not run again, apart from open ones of this process.
     repeat_guard: RepeatGuard,
-    /// Names that must not run again because of requests at other processes of this router, with
-    /// the time until which (ns).
-    names_elsewhere: HashMap<String, u64>,
-    /// Number of changes of this process's own such names.
+    /// Number of changes of this process's names that must not run again.
     used_name_changes: u64,
     /// Changes that other processes of this router are to be told of; `None` if there can be none.
     serial_changes: Option<Vec<SerialChange>>,
@@ -345,7 +342,6 @@
             max_statement_bytes: (memory_mb * MAX_STATEMENT_MEMORY_SHARE * 1e6) as usize,
             open_names: HashSet::new(),
             repeat_guard: RepeatGuard::new(memory_mb),
-            names_elsewhere: HashMap::new(),
             used_name_changes: 0,
             serial_changes: None,
             has_reserve: true,
@@ -518,17 +514,12 @@
         if self.open_names.contains(name) {
             return Some(NameConflict::Open);
         }
-        let may_have_run = self.repeat_guard.contains(now_ns, name) || self.is_used_elsewhere(now_ns, name);
-        may_have_run.then_some(NameConflict::MayHaveRun)
-    }
-
-    fn is_used_elsewhere(&self, now_ns: u64, name: &str) -> bool {
-        self.names_elsewhere.get(name).is_some_and(|until_ns| now_ns < *until_ns)
+        self.repeat_guard.contains(now_ns, name).then_some(NameConflict::MayHaveRun)
     }
 
     /// Reports the names of requests at other processes of this router that must not run here.
     pub fn set_names_elsewhere(&mut self, names: Vec<UsedName>) {
-        self.names_elsewhere = names.into_iter().map(|used| (used.name, used.until_ns)).collect();
+        self.repeat_guard.set_elsewhere(names);
     }
 
     /// Returns the names of this process's requests that must not run elsewhere, if they have changed
@@ -718,7 +709,7 @@
             InboundEvent::Arrival(id) => {
                 // Another process may have told of it since the front took it.
                 let name = self.open.get(&id).map(|open| &open.client_request.name);
-                if name.is_some_and(|name| self.is_used_elsewhere(now, name)) {
+                if name.is_some_and(|name| self.repeat_guard.contains(now, name)) {
                     self.conclude(now, id, Answer::Failed(None, None), commands);
                     return self.remove_if_done(now, id);
                 }
--- a/crates/core/src/repeat_guard.rs
+++ b/crates/core/src/repeat_guard.rs
@@ -1,4 +1,5 @@
-//! Names of ended requests that may have run and must not run again.
+//! Names of requests that must not run again: of ended ones that may have run, and of those at other
+//! processes of the router.
 //!
 //! A client that has left may come back with the id of its request. Engines tell queries apart by
 //! that id alone, and a load must not run twice. Invariant: at most as many names are kept as the
@@ -30,7 +31,7 @@
     pub until_ns: u64,
 }
 
-/// The names of ended requests that must not run again.
+/// The names of requests that must not run again.
 #[derive(Debug)]
 pub struct RepeatGuard {
     /// Time until which each name is kept (ns).
@@ -40,13 +41,21 @@
     max_names: usize,
     /// Names dropped before their time.
     dropped: u64,
+    /// Names of requests at other processes of this router, with the time until which (ns).
+    elsewhere: HashMap<String, u64>,
 }
 
 impl RepeatGuard {
     /// Starts without names, for a process with this memory limit.
     pub fn new(memory_mb: f64) -> RepeatGuard {
         let max_names = (memory_mb * NAMES_PER_MB) as usize;
-        RepeatGuard { until_ns: HashMap::new(), names: VecDeque::new(), max_names, dropped: 0 }
+        RepeatGuard {
+            until_ns: HashMap::new(),
+            names: VecDeque::new(),
+            max_names,
+            dropped: 0,
+            elsewhere: HashMap::new(),
+        }
     }
 
     /// Keeps a name until a time (ns).
@@ -64,8 +73,17 @@
         self.names.push_back(name);
     }
 
+    /// Replaces the names of requests at other processes of this router.
+    pub fn set_elsewhere(&mut self, names: Vec<UsedName>) {
+        self.elsewhere = names.into_iter().map(|used| (used.name, used.until_ns)).collect();
+    }
+
     /// Whether a request with this name must not run.
     pub fn contains(&self, now_ns: u64, name: &str) -> bool {
+        self.is_kept(now_ns, name) || self.elsewhere.get(name).is_some_and(|until_ns| now_ns < *until_ns)
+    }
+
+    fn is_kept(&self, now_ns: u64, name: &str) -> bool {
         self.until_ns.get(name).is_some_and(|until_ns| now_ns < *until_ns)
     }
 
@@ -82,7 +100,7 @@
     }
 
     fn remove_expired(&mut self, now_ns: u64) {
-        while self.names.front().is_some_and(|name| !self.contains(now_ns, name)) {
+        while self.names.front().is_some_and(|name| !self.is_kept(now_ns, name)) {
             self.remove_first();
         }
     }
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -3,7 +3,8 @@
 //! During an upgrade two processes accept from the same socket. Requests of a serial class with the
 //! same key run one at a time, in the order in which the processes took them, so the processes share
 //! the list of their unfinished serial requests. The list also holds what they sent to cold engines
-//! and, while several run, the names of their requests that must not run again, and tells which of them has the reserve of their router's budgets. Invariants:
+//! and, while several run, the names of their requests that must not run again, and tells which of
+//! them has the reserve of their router's budgets. Invariants:
 //!
 //! - A request is in the list before it is sent, and until all its attempts are over.
 //! - The list has one order, which all processes read: it changes only under an exclusive lock.
--- a/crates/handover/src/shared_state.rs
+++ b/crates/handover/src/shared_state.rs
@@ -176,11 +176,11 @@
     /// Returns the names of other processes' requests that must not run again, if they have changed
     /// since the last call.
     pub fn new_names_elsewhere(&mut self) -> Option<Vec<UsedName>> {
-        let names = self.table.names_beside(self.process);
-        if names == self.names_elsewhere {
+        // Compared before they are copied: this runs in each iteration of the event loop.
+        if self.table.names_beside(self.process).eq(&self.names_elsewhere) {
             return None;
         }
-        self.names_elsewhere = names;
+        self.names_elsewhere = self.table.names_beside(self.process).cloned().collect();
         let machine = &self.machine;
         let used = |taken: &TakenName| UsedName {
             name: taken.name.clone(),
--- a/crates/handover/src/table.rs
+++ b/crates/handover/src/table.rs
@@ -142,9 +142,9 @@
     }
 
     /// Names of other processes' requests that must not run again.
-    pub fn names_beside(&self, process: ProcessId) -> Vec<TakenName> {
-        let others = self.names.iter().filter(|told| told.process != process);
-        others.flat_map(|told| &told.names).cloned().collect()
+    pub fn names_beside(&self, process: ProcessId) -> impl Iterator<Item = &TakenName> {
+        let others = self.names.iter().filter(move |told| told.process != process);
+        others.flat_map(|told| &told.names)
     }
 
     /// Replaces what a process has told. Requests that are in the list already keep their place.
