Keep a hash of an engine's last response 202 in place of a copy

Found by reading the change again: each engine connection kept a copy of the response for the comparison with the next one, a head of up to 8 KB and a body of up to 6 KB, bounded for each connection and not in their sum. No behaviour changes; the tests are as they were.

--- a/crates/engine/src/http/connections.rs
+++ b/crates/engine/src/http/connections.rs
@@ -1,5 +1,6 @@
 //! Connections to engines, and the pools of idle ones.
 
+use std::hash::{DefaultHasher, Hasher};
 use std::net::SocketAddr;
 
 use marljunction_control::interface::EngineId;
@@ -43,8 +44,8 @@
     pub(super) up: bool,
     /// When its current call was sent or its last response arrived.
     pub(super) since_ns: u64,
-    /// The last response 202 to the current query.
-    pub(super) last_running: Vec<u8>,
+    /// Hash of the last response 202 to the current query.
+    pub(super) last_running: Option<u64>,
     /// A response may have been a second copy, so that a call may still be unanswered.
     pub(super) may_owe_response: bool,
 }
@@ -53,9 +54,11 @@
     /// Records a response that says that a query is running.
     pub(super) fn record_running(&mut self, now: u64, response: &[u8]) {
         let is_early = now < self.since_ns.saturating_add(MIN_EQUAL_ANSWER_NS);
-        self.may_owe_response |= is_early && self.last_running == response;
-        self.last_running.clear();
-        self.last_running.extend_from_slice(response);
+        let mut hasher = DefaultHasher::new();
+        hasher.write(response);
+        let hash = Some(hasher.finish());
+        self.may_owe_response |= is_early && self.last_running == hash;
+        self.last_running = hash;
     }
 }
 
@@ -121,7 +124,7 @@
             role,
             up: false,
             since_ns: cx.now,
-            last_running: Vec::new(),
+            last_running: None,
             may_owe_response: false,
         };
         self.connections.insert(conn, connection);
@@ -134,7 +137,7 @@
             return;
         };
         (connection.role, connection.since_ns) = (Role::Idle, cx.now);
-        connection.last_running.clear();
+        connection.last_running = None;
         if connection.may_owe_response {
             return self.close(cx, conn);
         }
