Publish departures and close streams in one way in the stand-ins

Found by reading the change again: the drain and the removal of a stand-in engine published its state each in its own way, and three places chose the list service's connections to close.

--- a/crates/testkit/src/fleet/engine_faults.rs
+++ b/crates/testkit/src/fleet/engine_faults.rs
@@ -22,13 +22,7 @@
 
     /// Publishes the drain of an engine, which keeps answering.
     pub fn drain(&mut self, engine: usize) {
-        let now = self.clock.now_ns();
-        self.states[engine] = "terminating";
-        self.drain_started_ns[engine].get_or_insert(now);
-        let uid = self.engines[engine].uid.clone();
-        let part =
-            json!({"rev": 2, "all": false, "targets": [engine_entry(&self.engines[engine], "terminating")]});
-        self.list.publish(now, &mut self.net, &part, &[uid]);
+        self.publish_departure(engine, "terminating");
     }
 
     /// Restarts the warmup of all engines and publishes their new start times. Running queries
@@ -70,23 +64,26 @@
 
     /// Publishes that an engine is in service.
     pub fn announce_engine(&mut self, engine: usize) {
-        self.publish_state(engine, "in_service");
+        self.publish_state(engine, "in_service", &[]);
     }
 
     /// Publishes that an engine is gone.
     pub fn remove_engine(&mut self, engine: usize) {
+        self.publish_departure(engine, "terminated");
+    }
+
+    fn publish_departure(&mut self, engine: usize, state: &'static str) {
         let now = self.clock.now_ns();
         self.drain_started_ns[engine].get_or_insert(now);
-        self.publish_state(engine, "terminated");
+        let uid = self.engines[engine].uid.clone();
+        self.publish_state(engine, state, &[uid]);
     }
 
-    fn publish_state(&mut self, engine: usize, state: &'static str) {
+    fn publish_state(&mut self, engine: usize, state: &'static str, leaving: &[String]) {
         self.states[engine] = state;
         let now = self.clock.now_ns();
-        let left = self.drain_started_ns[engine].is_some();
-        let uids = left.then(|| self.engines[engine].uid.clone());
         let change = json!({"rev": 2, "all": false, "targets": [engine_entry(&self.engines[engine], state)]});
-        self.list.publish(now, &mut self.net, &change, uids.as_slice());
+        self.list.publish(now, &mut self.net, &change, leaving);
     }
 }
 
--- a/crates/testkit/src/list.rs
+++ b/crates/testkit/src/list.rs
@@ -154,15 +154,17 @@
 
     /// Closes all connections.
     pub fn close_all_streams(&mut self, net: &mut Net) {
-        let conns: Vec<u64> = self.subscribers.keys().copied().collect();
-        conns.into_iter().for_each(|conn| self.close(net, conn));
+        self.close_where(net, |_| true);
     }
 
     /// Closes the connections of one router.
     pub fn close_streams_of(&mut self, net: &mut Net, router: usize) {
-        let is_of_router = |subscriber: &Subscriber| subscriber.router == router;
-        let conns: Vec<u64> =
-            self.subscribers.iter().filter(|(_, s)| is_of_router(s)).map(|(conn, _)| *conn).collect();
+        self.close_where(net, |subscriber| subscriber.router == router);
+    }
+
+    fn close_where(&mut self, net: &mut Net, condition: impl Fn(&Subscriber) -> bool) {
+        let conns = self.subscribers.iter().filter(|(_, subscriber)| condition(subscriber));
+        let conns: Vec<u64> = conns.map(|(conn, _)| *conn).collect();
         conns.into_iter().for_each(|conn| self.close(net, conn));
     }
 
@@ -289,10 +291,7 @@
     /// Advances the time: sends a comment every second and closes streams whose time is over.
     pub fn tick(&mut self, now: u64, net: &mut Net) {
         if let Behavior::ClosesAfter(after) = self.behavior {
-            let expired = |f: &Subscriber| f.subscribed_ns.is_some_and(|since| now >= since + after);
-            let expired: Vec<u64> =
-                self.subscribers.iter().filter(|(_, f)| expired(f)).map(|(c, _)| *c).collect();
-            expired.into_iter().for_each(|conn| self.close(net, conn));
+            self.close_where(net, |f| f.subscribed_ns.is_some_and(|since| now >= since + after));
         }
         if now < self.last_comment_ns + COMMENT_INTERVAL_NS || self.behavior == Behavior::NoResponse {
             return;
